--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,2 @@
+//! Binary.
+fn main() {}
