--- /dev/null
+++ b/crates/core/src/allowance.rs
@@ -0,0 +1,1 @@
+//! Allowances of accounts over all hosts: base shares and loans.
--- /dev/null
+++ b/crates/core/src/bucket.rs
@@ -0,0 +1,167 @@
+//! Token bucket with a refundable part.
+//!
+//! A request reserves its largest possible cost and gives back the rest at its end. The bound
+//! `burst + rate x window` holds over any window only while tokens and refund rights together stay
+//! within the capacity, so refill takes precedence over refund rights. The rights belong to single
+//! reservations: from a common pool, one refund could return tokens that another request spends.
+
+#[cfg(test)]
+mod tests;
+
+use std::{collections::VecDeque, time::Duration};
+
+use slotmap::{SlotMap, new_key_type};
+
+use crate::time::{Tick, micros};
+
+new_key_type! {
+    /// A reservation of tokens that is not settled yet.
+    pub struct Reservation;
+}
+
+/// Millionths of a token, the unit of the arithmetic, so that refill has no rounding loss.
+const MICRO: u64 = 1_000_000;
+
+/// Rate in tokens per second and capacity in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Limits {
+    /// Tokens per second.
+    pub rate: u64,
+    /// Tokens.
+    pub burst: u64,
+}
+
+/// A token bucket. It starts empty unless it is filled with [`Bucket::full`].
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    limits: Limits,
+    // Millionths of a token.
+    tokens: u64,
+    refundable: u64,
+    rights: SlotMap<Reservation, u64>,
+    // Oldest first; the oldest lose their rights first.
+    order: VecDeque<Reservation>,
+    filled: Tick,
+}
+
+impl Bucket {
+    /// An empty bucket.
+    pub fn new(limits: Limits, now: Tick) -> Self {
+        Self {
+            limits,
+            tokens: 0,
+            refundable: 0,
+            rights: SlotMap::with_key(),
+            order: VecDeque::new(),
+            filled: now,
+        }
+    }
+
+    /// A full bucket.
+    pub fn full(limits: Limits, now: Tick) -> Self {
+        let mut b = Self::new(limits, now);
+        b.tokens = b.capacity();
+        b
+    }
+
+    /// The limits in force.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// Whole tokens that can be taken now.
+    pub fn available(&mut self, now: Tick) -> u64 {
+        self.refill(now);
+        self.tokens / MICRO
+    }
+
+    /// Changes the limits. Tokens and refund rights above the new capacity are dropped.
+    pub fn set_limits(&mut self, limits: Limits, now: Tick) {
+        self.refill(now);
+        self.limits = limits;
+        self.clip();
+    }
+
+    /// Reserves `n` tokens, all or none.
+    pub fn take(&mut self, n: u64, now: Tick) -> Option<Reservation> {
+        self.refill(now);
+        let n = n.saturating_mul(MICRO);
+        if self.tokens < n {
+            return None;
+        }
+        self.tokens -= n;
+        self.refundable += n;
+        let r = self.rights.insert(n);
+        self.order.push_back(r);
+        Some(r)
+    }
+
+    /// Removes up to `n` tokens for good and returns how many were removed.
+    pub fn remove(&mut self, n: u64, now: Tick) -> u64 {
+        self.refill(now);
+        let n = n.min(self.tokens / MICRO);
+        self.tokens -= n * MICRO;
+        n
+    }
+
+    /// Adds `n` tokens, up to the capacity.
+    pub fn add(&mut self, n: u64, now: Tick) {
+        self.refill(now);
+        self.tokens = self.tokens.saturating_add(n.saturating_mul(MICRO));
+        self.clip();
+    }
+
+    /// Ends a reservation and gives back up to `unused` of its tokens. An ended one is ignored.
+    pub fn settle(&mut self, r: Reservation, unused: u64, now: Tick) {
+        self.refill(now);
+        let Some(rights) = self.rights.remove(r) else { return };
+        self.refundable -= rights;
+        self.tokens += unused.saturating_mul(MICRO).min(rights);
+        while self.order.front().is_some_and(|r| !self.rights.contains_key(*r)) {
+            self.order.pop_front();
+        }
+    }
+
+    /// How long until `n` tokens are available, `None` if they never are under these limits.
+    pub fn wait(&mut self, n: u64, now: Tick) -> Option<Duration> {
+        self.refill(now);
+        if n > self.limits.burst {
+            return None;
+        }
+        let missing = n.saturating_mul(MICRO).saturating_sub(self.tokens);
+        if missing == 0 {
+            return Some(Duration::ZERO);
+        }
+        // Tokens per second are millionths of a token per microsecond.
+        (self.limits.rate > 0).then(|| Duration::from_micros(missing.div_ceil(self.limits.rate)))
+    }
+
+    fn capacity(&self) -> u64 {
+        self.limits.burst.saturating_mul(MICRO)
+    }
+
+    fn refill(&mut self, now: Tick) {
+        let elapsed = micros(now.since(self.filled));
+        self.filled = self.filled.max(now);
+        self.tokens = self.tokens.saturating_add(elapsed.saturating_mul(self.limits.rate));
+        self.clip();
+    }
+
+    fn clip(&mut self) {
+        self.tokens = self.tokens.min(self.capacity());
+        let room = self.capacity() - self.tokens;
+        while self.refundable > room {
+            let Some(r) = self.order.front() else { return };
+            let Some(rights) = self.rights.get_mut(*r) else {
+                self.order.pop_front();
+                continue;
+            };
+            let lost = (*rights).min(self.refundable - room);
+            *rights -= lost;
+            self.refundable -= lost;
+            if *rights == 0 {
+                self.order.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/burn.rs
@@ -0,0 +1,1 @@
+//! Burn rates of service-level objectives.
--- /dev/null
+++ b/crates/core/src/config.rs
@@ -0,0 +1,1 @@
+//! Configuration versions: which one is in force.
--- /dev/null
+++ b/crates/core/src/lease.rs
@@ -0,0 +1,1 @@
+//! Leases of ordinals, confirmed by a majority of peers.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,1 +1,22 @@
-//! Pure decisions.
+//! Pure decisions of yuccawing: state, an event and the time go in, effects come out.
+//!
+//! Nothing here opens a socket, reads a clock, starts a thread or draws a random number, so the
+//! same code runs in the daemon, under property tests and in the experiment tool.
+
+pub mod allowance;
+pub mod bucket;
+pub mod burn;
+pub mod config;
+pub mod ids;
+pub mod lease;
+pub mod membership;
+pub mod placement;
+pub mod queue;
+pub mod retry;
+pub mod route;
+pub mod rules;
+pub mod stream;
+pub mod ticket;
+pub mod time;
+
+pub use arcstr::ArcStr;
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,1 @@
+//! Peers and upstreams as this host knows them.
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,1 @@
+//! Adapters on the engines that this host controls.
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,1 @@
+//! Weighted fair queueing of waiting requests.
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budget.
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,1 @@
+//! Choice of an engine for a request.
--- /dev/null
+++ b/crates/core/src/rules/publish.rs
@@ -0,0 +1,137 @@
+//! Canonical values of a version: a head and parts addressed by their digest.
+
+use std::collections::BTreeMap;
+
+use arcstr::ArcStr;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use super::{Adapter, Rules};
+
+/// Number of parts that adapters are hashed into. With 21,000 adapters a part is about 20 KB, so
+/// that a change of one adapter sends one part and not the inventory.
+pub const PARTS: usize = 64;
+
+/// Hexadecimal digest of a value: the first 128 bits of its SHA-256.
+pub type Digest = ArcStr;
+
+/// The value that names all parts of a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// Version, rising.
+    pub version: u64,
+    /// Digest over version and parts.
+    pub digest: Digest,
+    /// Digests of the parts: rules first, then the adapter parts.
+    pub parts: Vec<Digest>,
+}
+
+/// A head and its parts.
+#[derive(Clone, Debug)]
+pub struct Rendered {
+    /// The head.
+    pub head: Head,
+    /// Bytes of each part by digest.
+    pub parts: BTreeMap<Digest, String>,
+}
+
+/// Why published values do not make a version.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PublishError {
+    /// A part is missing.
+    #[error("part {0} is missing")]
+    Missing(Digest),
+    /// A digest does not match.
+    #[error("digest of {0} does not match its content")]
+    Mismatch(Digest),
+    /// A part cannot be read.
+    #[error("part {0} cannot be read: {1}")]
+    Format(Digest, String),
+    /// The rules do not pass the checks.
+    #[error("version {0} is invalid: {1}")]
+    Invalid(u64, String),
+}
+
+impl Head {
+    /// Whether the head's own digest is that of its version and parts.
+    pub fn is_intact(&self) -> bool {
+        self.digest == head_digest(self.version, &self.parts)
+    }
+}
+
+impl Rules {
+    /// Canonical values of this inventory under `version`.
+    pub fn render(&self, version: u64) -> Rendered {
+        let mut texts = vec![String::new()];
+        let mut base = self.clone();
+        let adapters = std::mem::take(&mut base.adapters);
+        texts[0] = serde_json::to_string(&base).expect("rules serialise to JSON");
+        let mut shards: Vec<BTreeMap<ArcStr, Adapter>> = vec![BTreeMap::new(); PARTS];
+        for (name, a) in adapters {
+            let i = shard(&name);
+            shards[i].insert(name, a);
+        }
+        for s in &shards {
+            texts.push(serde_json::to_string(s).expect("adapters serialise to JSON"));
+        }
+        let digests: Vec<Digest> = texts.iter().map(|t| digest(t.as_bytes())).collect();
+        let head = Head { version, digest: head_digest(version, &digests), parts: digests.clone() };
+        Rendered { head, parts: digests.into_iter().zip(texts).collect() }
+    }
+
+    /// Reads a version back from its values.
+    ///
+    /// # Errors
+    ///
+    /// The first missing, changed or unreadable part, or the findings of the checks.
+    pub fn assemble(
+        head: &Head,
+        get: impl Fn(&Digest) -> Option<ArcStr>,
+    ) -> Result<Self, PublishError> {
+        if !head.is_intact() {
+            return Err(PublishError::Mismatch(head.digest.clone()));
+        }
+        let mut rules: Option<Self> = None;
+        for d in &head.parts {
+            let text = get(d).ok_or_else(|| PublishError::Missing(d.clone()))?;
+            if digest(text.as_bytes()) != *d {
+                return Err(PublishError::Mismatch(d.clone()));
+            }
+            let format = |e: serde_json::Error| PublishError::Format(d.clone(), e.to_string());
+            match &mut rules {
+                None => rules = Some(serde_json::from_str(&text).map_err(format)?),
+                Some(r) => {
+                    let part: BTreeMap<ArcStr, Adapter> =
+                        serde_json::from_str(&text).map_err(format)?;
+                    r.adapters.extend(part);
+                }
+            }
+        }
+        let rules = rules
+            .ok_or_else(|| PublishError::Invalid(head.version, "the head has no parts".into()))?;
+        match rules.check().into_iter().next() {
+            Some((_, message)) => Err(PublishError::Invalid(head.version, message)),
+            None => Ok(rules),
+        }
+    }
+}
+
+/// Digest of a value.
+pub fn digest(bytes: &[u8]) -> Digest {
+    let hash = Sha256::digest(bytes);
+    hash[..16].iter().map(|b| format!("{b:02x}")).collect::<String>().into()
+}
+
+fn head_digest(version: u64, parts: &[Digest]) -> Digest {
+    let mut text = version.to_string();
+    for p in parts {
+        text.push(' ');
+        text.push_str(p);
+    }
+    digest(text.as_bytes())
+}
+
+fn shard(name: &str) -> usize {
+    let hash = Sha256::digest(name.as_bytes());
+    usize::from(hash[0]) % PARTS
+}
--- /dev/null
+++ b/crates/core/src/stream.rs
@@ -0,0 +1,1 @@
+//! Reassembly of a stream from chunks with offsets.
--- /dev/null
+++ b/crates/core/src/ticket.rs
@@ -0,0 +1,1 @@
+//! Tickets for at-most-once execution.
