--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,5 @@
-//! Binary.
+//! Daemon of a yuccawing entry host.
+
+mod control;
+
 fn main() {}
