--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -164,13 +164,15 @@
 
 /// Whether a refused or failed request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
 pub enum Run {
     /// Certainly not.
-    NotRun,
+    #[serde(rename = "not_run")]
+    No,
     /// At least in part.
-    Ran,
+    #[serde(rename = "ran")]
+    Yes,
     /// It may have.
+    #[serde(rename = "unknown")]
     Unknown,
 }
 
@@ -191,7 +193,7 @@
 impl Refusal {
     /// A refusal of a request that was not sent to any upstream.
     pub fn not_run(code: Code, message: impl Into<String>) -> Self {
-        Self { code, message: message.into(), run: Run::NotRun, retry_after: None }
+        Self { code, message: message.into(), run: Run::No, retry_after: None }
     }
 
     /// Sets when another attempt makes sense.
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,160 @@
+//! Metrics of a host. `docs/METRICS.md` is their catalogue. Adapters are never labels: with 21,000
+//! of them the number of series would have no useful bound.
+
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    core::Collector,
+};
+use yuccawing_core::rules::Class;
+
+use crate::control::messages::Code;
+
+/// Bounds in seconds, dense around the objectives of 0.25 s and 0.49 s.
+const SECONDS: &[f64] = &[
+    0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.18, 0.25, 0.35, 0.49, 0.7, 1.0, 1.5, 2.5, 5.0, 10.0,
+    30.0, 60.0, 120.0,
+];
+
+/// Label of requests without an account, on open routes or with an invalid key.
+pub const NO_ACCOUNT: &str = "-";
+
+/// How a request ended, as a label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Complete answer.
+    Ok,
+    /// Refused, not run.
+    Refused,
+    /// Failed after it was sent.
+    Failed,
+    /// The caller went away.
+    Cancelled,
+}
+
+impl Ended {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Ok => "ok",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// All metrics.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    first: HistogramVec,
+    status: HistogramVec,
+    refusals: IntCounterVec,
+    stalls: IntCounterVec,
+    /// 1 while this host holds its lease.
+    pub lease: IntGauge,
+    /// Configuration version in force.
+    pub version: IntGauge,
+    /// Peers that are alive.
+    pub peers: IntGauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// New metrics, all zero.
+    pub fn new() -> Self {
+        let r = Registry::new();
+        Self {
+            requests: counter(
+                &r,
+                "requests_total",
+                "Requests by outcome.",
+                &["account", "class", "outcome"],
+            ),
+            first: seconds(&r, "first_token_seconds", "Time to the first token, in seconds."),
+            status: seconds(&r, "status_seconds", "Duration of status requests, in seconds."),
+            refusals: counter(&r, "refusals_total", "Refusals by reason.", &["account", "reason"]),
+            stalls: counter(
+                &r,
+                "load_stalls_total",
+                "Requests that waited for a load.",
+                &["account"],
+            ),
+            lease: gauge(&r, "lease_held", "1 while this host holds its lease."),
+            version: gauge(&r, "config_version", "Configuration version in force."),
+            peers: gauge(&r, "peers_alive", "Peers that are alive."),
+            registry: r,
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn request(&self, account: &str, class: Class, ended: Ended) {
+        self.requests.with_label_values(&[account, label(class), ended.label()]).inc();
+    }
+
+    /// Records the time to the first token.
+    pub fn first_token(&self, account: &str, d: Duration) {
+        self.first.with_label_values(&[account]).observe(d.as_secs_f64());
+    }
+
+    /// Records the duration of a request of the status class.
+    pub fn status(&self, account: &str, d: Duration) {
+        self.status.with_label_values(&[account]).observe(d.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub fn refusal(&self, account: &str, code: Code) {
+        self.refusals.with_label_values(&[account, code.name()]).inc();
+    }
+
+    /// Counts a request that waited for a load.
+    pub fn stall(&self, account: &str) {
+        self.stalls.with_label_values(&[account]).inc();
+    }
+
+    /// All metrics in the text format.
+    pub fn render(&self) -> String {
+        let mut out = Vec::new();
+        // Writing to a vector fails only on a metric without a type, which a test rules out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
+        String::from_utf8(out).unwrap_or_default()
+    }
+}
+
+/// Name of a class in labels.
+pub fn label(class: Class) -> &'static str {
+    match class {
+        Class::Status => "status",
+        Class::Interactive => "interactive",
+        Class::Drafting => "drafting",
+    }
+}
+
+fn register<C: Collector + Clone + 'static>(r: &Registry, c: prometheus::Result<C>) -> C {
+    let c = c.expect("names and labels are valid");
+    r.register(Box::new(c.clone())).expect("names are unique");
+    c
+}
+
+fn counter(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    register(r, IntCounterVec::new(Opts::new(name, help).namespace("yuccawing"), labels))
+}
+
+fn seconds(r: &Registry, name: &str, help: &str) -> HistogramVec {
+    let opts = HistogramOpts::new(name, help).namespace("yuccawing").buckets(SECONDS.to_vec());
+    register(r, HistogramVec::new(opts, &["account"]))
+}
+
+fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
+    register(r, IntGauge::with_opts(Opts::new(name, help).namespace("yuccawing")))
+}
--- /dev/null
+++ b/crates/daemon/src/metrics/tests.rs
@@ -0,0 +1,52 @@
+use std::time::Duration;
+
+use yuccawing_core::rules::Class;
+
+use super::{Ended, Metrics};
+use crate::control::messages::Code;
+
+const PAGE: &str = include_str!("../../../../docs/METRICS.md");
+
+fn used() -> Metrics {
+    let m = Metrics::new();
+    m.request("shop", Class::Status, Ended::Ok);
+    m.first_token("shop", Duration::from_millis(30));
+    m.status("shop", Duration::from_millis(30));
+    m.refusal("shop", Code::RateLimited);
+    m.stall("shop");
+    m
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against a catalogue that lacks a metric, or lists one that does not exist.
+    the_page_lists_exactly_the_metrics: {
+        let m = used();
+        let mut want = Vec::new();
+        for f in m.registry.gather() {
+            let labels: Vec<&str> = f.get_metric()[0].get_label().iter().map(|l| l.name()).collect();
+            want.push(format!("`{}` | {} |", f.name(), labels.join(", ")));
+        }
+        let mut rows: Vec<String> = PAGE
+            .lines()
+            .filter(|l| l.starts_with("| `"))
+            .map(|l| l.splitn(5, '|').skip(1).take(2).map(str::trim).collect::<Vec<_>>().join(" | ") + " |")
+            .collect();
+        rows.sort();
+        assert_eq!(rows, want);
+    }
+    // Guards against labels without a bound.
+    adapters_are_no_labels: {
+        assert!(!used().render().contains("adapter"));
+    }
+    // Guards against a text that a scraper cannot find its counters in.
+    counters_are_rendered: {
+        let text = used().render();
+        assert!(text.contains("yuccawing_refusals_total{account=\"shop\",reason=\"rate_limited\"} 1"));
+        let line = "yuccawing_requests_total{account=\"shop\",class=\"status\",outcome=\"ok\"} 1";
+        assert!(text.contains(line));
+    }
+}
