--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -1,1 +1,93 @@
 //! Retry budget.
+//!
+//! Retries add load when the system can bear it least, so they are limited to a share of the
+//! requests, and a refusal for overload is never answered with another attempt.
+
+#[cfg(test)]
+mod tests;
+
+use crate::time::Tick;
+
+/// Further attempts per request.
+pub const MAX_RETRIES: u32 = 2;
+
+/// Retries per 1,000 requests.
+pub const SHARE_PER_MILLE: u32 = 100;
+
+/// Retries that may be saved up. It lets a quiet host retry at all and bounds a burst of retries
+/// after a quiet time.
+pub const RESERVE: u32 = 10;
+
+/// Cost of a retry in the unit of the budget.
+const RETRY: u32 = 1000;
+
+/// Why the last attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// No connection, so nothing was sent.
+    Connect,
+    /// The upstream answered, before anything ran, that it lacks what the request needs.
+    Misplaced,
+    /// The upstream refused for overload.
+    Overload,
+    /// The connection broke or went silent; it may have run.
+    Unknown,
+}
+
+/// A request whose last attempt failed.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+    /// Retries made so far.
+    pub retries: u32,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Why the last attempt failed.
+    pub cause: Cause,
+    /// When the caller's deadline ends.
+    pub deadline: Tick,
+}
+
+/// Budget of retries.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    // Thousandths of a retry.
+    saved: u32,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Budget {
+    /// A budget with its reserve.
+    pub fn new() -> Self {
+        Self { saved: RESERVE * RETRY }
+    }
+
+    /// Counts a request. To be called once per request, not per attempt.
+    pub fn request(&mut self) {
+        self.saved = (self.saved + SHARE_PER_MILLE).min(RESERVE * RETRY);
+    }
+
+    /// Whether the request may be tried again now. If so, the retry is counted.
+    ///
+    /// A misplaced request does not use the budget: it did no work, and after a cold start of an
+    /// engine all of its requests have to be placed again.
+    pub fn allow(&mut self, now: Tick, a: Attempt) -> bool {
+        if now >= a.deadline || a.retries >= MAX_RETRIES {
+            return false;
+        }
+        match a.cause {
+            Cause::Overload => false,
+            Cause::Misplaced => true,
+            Cause::Unknown if !a.idempotent => false,
+            Cause::Connect | Cause::Unknown => {
+                let allowed = self.saved >= RETRY;
+                self.saved -= if allowed { RETRY } else { 0 };
+                allowed
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/retry/tests.rs
@@ -0,0 +1,86 @@
+use proptest::prelude::*;
+
+use super::{Attempt, Budget, Cause, MAX_RETRIES, RESERVE, SHARE_PER_MILLE};
+use crate::time::Tick;
+
+fn cause() -> impl Strategy<Value = Cause> {
+    prop_oneof![
+        Just(Cause::Connect),
+        Just(Cause::Misplaced),
+        Just(Cause::Overload),
+        Just(Cause::Unknown),
+    ]
+}
+
+fn attempt(cause: Cause) -> Attempt {
+    Attempt { retries: 0, idempotent: true, cause, deadline: Tick(10) }
+}
+
+proptest! {
+    // Guards against retries that multiply an overload: their number is compared with the plain
+    // bound after every step.
+    #[test]
+    fn retries_stay_within_their_share(
+        steps in prop::collection::vec((any::<bool>(), cause(), any::<bool>(), 0..4u32, 0..20u64), 0..400),
+    ) {
+        let mut b = Budget::new();
+        let (mut requests, mut retries) = (0, 0);
+        for (request, cause, idempotent, made, now) in steps {
+            if request {
+                b.request();
+                requests += 1;
+                continue;
+            }
+            let a = Attempt { retries: made, idempotent, cause, deadline: Tick(10) };
+            if b.allow(Tick(now), a) {
+                prop_assert!(cause != Cause::Overload);
+                prop_assert!(now < 10);
+                prop_assert!(made < MAX_RETRIES);
+                prop_assert!(idempotent || cause != Cause::Unknown);
+                retries += u32::from(cause != Cause::Misplaced);
+            }
+            prop_assert!(retries * 1000 <= RESERVE * 1000 + requests * SHARE_PER_MILLE);
+        }
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against a second attempt at an upstream that has just refused for overload.
+    an_overload_is_never_retried: {
+        assert!(!Budget::new().allow(Tick(0), attempt(Cause::Overload)));
+    }
+    // Guards against work for a caller who no longer waits.
+    nothing_is_retried_at_the_deadline: {
+        assert!(!Budget::new().allow(Tick(10), attempt(Cause::Connect)));
+        assert!(Budget::new().allow(Tick(9), attempt(Cause::Connect)));
+    }
+    // Guards against a non-idempotent request that runs twice.
+    only_a_connect_failure_repeats_a_non_idempotent_request: {
+        let a = |cause| Attempt { idempotent: false, ..attempt(cause) };
+        assert!(!Budget::new().allow(Tick(0), a(Cause::Unknown)));
+        assert!(Budget::new().allow(Tick(0), a(Cause::Connect)));
+    }
+    // Guards against a budget that never fills again.
+    ten_requests_pay_for_one_retry: {
+        let mut b = Budget::new();
+        while b.allow(Tick(0), attempt(Cause::Unknown)) {}
+        for _ in 0..9 {
+            b.request();
+        }
+        assert!(!b.allow(Tick(0), attempt(Cause::Unknown)));
+        b.request();
+        assert!(b.allow(Tick(0), attempt(Cause::Unknown)));
+    }
+    // Guards against a cold start of an engine that uses up the budget of all others.
+    a_misplaced_request_costs_nothing: {
+        let mut b = Budget::new();
+        for _ in 0..1000 {
+            assert!(b.allow(Tick(0), attempt(Cause::Misplaced)));
+        }
+        assert!(b.allow(Tick(0), attempt(Cause::Connect)));
+    }
+}
--- /dev/null
+++ b/crates/core/src/stream/tests.rs
@@ -0,0 +1,164 @@
+use std::cmp::Ordering;
+
+use proptest::prelude::*;
+
+use super::{Assembly, MAX_FAILURES, Part, Verdict};
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Pass,
+    Repeat(usize),
+    Cross(u64),
+    Lose,
+    Cut,
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        5 => Just(Fault::Pass),
+        1 => (0..6usize).prop_map(Fault::Repeat),
+        1 => (0..40u64).prop_map(Fault::Cross),
+        1 => Just(Fault::Lose),
+        1 => Just(Fault::Cut),
+    ]
+}
+
+fn end(total: u64) -> Part {
+    Part::End { total }
+}
+
+fn assembly(limit: u64) -> Assembly {
+    Assembly::new("a".into(), limit)
+}
+
+proptest! {
+    // Guards against answers with missing, repeated, reordered or foreign tokens. The naive version
+    // is the list of all offsets in order.
+    #[test]
+    fn every_token_is_delivered_once_and_in_order(
+        total in 0..30u64, faults in prop::collection::vec(fault(), 0..200),
+    ) {
+        let mut a = assembly(30);
+        let mut got = Vec::new();
+        let mut sent = 0;
+        let mut faults = faults.into_iter();
+        // One fault per chunk; without further faults the stream ends after `total` chunks.
+        for _ in 0..1000 {
+            let part = if sent == total { end(total) } else { Part::Token };
+            // The verdict that a list of all offsets gives, checked for every chunk that is seen.
+            let mut see = |id: &str, at: u64, part| {
+                let next = a.next();
+                let v = a.accept(id, at, part);
+                let want = match (at.cmp(&next), part) {
+                    _ if id != "a" => Verdict::Foreign,
+                    (Ordering::Less, _) => Verdict::Repeated,
+                    (Ordering::Greater, _) => Verdict::Gap,
+                    (Ordering::Equal, Part::Token) => Verdict::Deliver,
+                    (Ordering::Equal, Part::End { .. }) => Verdict::Complete,
+                };
+                if v == Verdict::Deliver {
+                    got.push(at);
+                }
+                (v, want)
+            };
+            let mut seen = Vec::new();
+            let fault = faults.next().unwrap_or(Fault::Pass);
+            if let Fault::Cross(at) = fault {
+                seen.push(see("b", at, Part::Token));
+                seen.push(see("b", at, end(at)));
+            }
+            if !matches!(fault, Fault::Lose | Fault::Cut) {
+                seen.push(see("a", sent, part));
+            }
+            let verdict = match fault {
+                Fault::Lose => Verdict::Repeated,
+                Fault::Cut => Verdict::Gap,
+                _ => seen[seen.len() - 1].0,
+            };
+            if let Fault::Repeat(back) = fault
+                && verdict != Verdict::Complete
+            {
+                seen.push(see("a", sent.saturating_sub(back as u64).min(total - 1), Part::Token));
+            }
+            for (v, want) in seen {
+                prop_assert_eq!(v, want);
+            }
+            match verdict {
+                Verdict::Complete => break,
+                Verdict::Gap => sent = a.next(),
+                Verdict::Deliver | Verdict::Repeated => sent = (sent + 1).min(total),
+                v => prop_assert!(false, "{v:?}"),
+            }
+        }
+        prop_assert!(a.is_complete());
+        prop_assert_eq!(got, (0..total).collect::<Vec<_>>());
+    }
+
+    // Guards against an end that is accepted although tokens are missing.
+    #[test]
+    fn no_verdict_is_complete_before_all_tokens(
+        chunks in prop::collection::vec((0..8u64, prop::option::of(0..8u64)), 0..60),
+    ) {
+        let mut a = assembly(8);
+        let mut delivered = 0;
+        for (offset, total) in chunks {
+            match a.accept("a", offset, total.map_or(Part::Token, end)) {
+                Verdict::Deliver => {
+                    prop_assert_eq!(offset, delivered);
+                    delivered += 1;
+                }
+                Verdict::Complete => prop_assert_eq!(total, Some(delivered)),
+                _ => {}
+            }
+        }
+        prop_assert_eq!(a.next(), delivered);
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against a chunk of another request in the answer.
+    a_crossed_chunk_is_foreign: {
+        let mut a = assembly(4);
+        assert_eq!(a.accept("b", 0, Part::Token), Verdict::Foreign);
+        assert_eq!(a.accept("a", 0, Part::Token), Verdict::Deliver);
+    }
+    // Guards against an end that hides lost tokens.
+    an_early_end_is_a_gap: {
+        let mut a = assembly(4);
+        assert_eq!(a.accept("a", 3, end(3)), Verdict::Gap);
+        assert_eq!(a.failed(), Some(0));
+    }
+    // Guards against an answer that grows after its end.
+    a_token_after_the_end_is_a_conflict: {
+        let mut a = assembly(4);
+        assert_eq!(a.accept("a", 0, Part::Token), Verdict::Deliver);
+        assert_eq!(a.accept("a", 1, end(1)), Verdict::Complete);
+        assert_eq!(a.accept("a", 0, Part::Token), Verdict::Repeated);
+        assert_eq!(a.accept("a", 1, end(1)), Verdict::Repeated);
+        assert_eq!(a.accept("a", 1, Part::Token), Verdict::Conflict);
+        assert_eq!(a.accept("a", 2, end(2)), Verdict::Conflict);
+    }
+    // Guards against an answer that is longer than its reservation.
+    a_token_above_the_limit_is_a_conflict: {
+        let mut a = assembly(1);
+        assert_eq!(a.accept("a", 0, Part::Token), Verdict::Deliver);
+        assert_eq!(a.accept("a", 1, Part::Token), Verdict::Conflict);
+    }
+    // Guards against endless resumes of a stream that makes no progress, and against giving up one
+    // that does.
+    failures_are_counted_since_the_last_token: {
+        let mut a = assembly(4);
+        for _ in 0..MAX_FAILURES {
+            assert_eq!(a.failed(), Some(0));
+        }
+        a.accept("a", 0, Part::Token);
+        for _ in 0..MAX_FAILURES {
+            assert_eq!(a.failed(), Some(1));
+        }
+        assert_eq!(a.failed(), None);
+    }
+}
--- a/crates/core/src/ticket.rs
+++ b/crates/core/src/ticket.rs
@@ -1,1 +1,215 @@
 //! Tickets for at-most-once execution.
+//!
+//! A non-idempotent request carries a ticket of the process that runs it. The process runs a
+//! request only for a ticket that it issued itself and that was not spent, so neither a repeated
+//! request nor one that is sent to another host or to a successor runs a second time.
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    fmt,
+    str::FromStr,
+    time::Duration,
+};
+
+use arcstr::ArcStr;
+use subtle::ConstantTimeEq;
+
+use crate::{ids::Incarnation, time::Tick};
+
+/// How long a ticket is valid and remembered after its issue.
+pub const VALID: Duration = Duration::from_secs(600);
+
+/// Tickets that are remembered. At about 100 bytes each they take 10 MB.
+pub const MAX_TICKETS: usize = 100_000;
+
+/// Tickets per account, so that one account cannot use up the table.
+pub const MAX_PER_ACCOUNT: usize = MAX_TICKETS / 5;
+
+/// A ticket: `INCARNATION.SEQUENCE.NONCE`, each in hexadecimal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Ticket {
+    /// Process that issued it.
+    pub incarnation: Incarnation,
+    /// Count of tickets of that process.
+    pub sequence: u64,
+    /// Random number, so that tickets cannot be guessed.
+    pub nonce: u64,
+}
+
+/// A text that is not a ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a ticket has the form INCARNATION.SEQUENCE.NONCE")]
+pub struct Malformed;
+
+impl fmt::Display for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:x}.{:016x}", self.incarnation, self.sequence, self.nonce)
+    }
+}
+
+impl FromStr for Ticket {
+    type Err = Malformed;
+
+    fn from_str(s: &str) -> Result<Self, Malformed> {
+        let mut parts = s.split('.').map(|p| u64::from_str_radix(p, 16).map_err(|_| Malformed));
+        let mut next = || parts.next().ok_or(Malformed)?;
+        let (incarnation, sequence, nonce) = (Incarnation(next()?), next()?, next()?);
+        if parts.next().is_some() {
+            return Err(Malformed);
+        }
+        Ok(Self { incarnation, sequence, nonce })
+    }
+}
+
+/// What became of the request of a spent ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It is under way, or its answer was lost.
+    Unknown,
+    /// It ran.
+    Ran,
+}
+
+/// Why a request may not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Denied {
+    /// Another process issued the ticket; that process may have run the request.
+    #[error("the ticket was issued by another process")]
+    Foreign,
+    /// The ticket is expired, was never issued, or belongs to another account.
+    #[error("the ticket is expired or was never issued")]
+    Unknown,
+    /// The ticket was used before.
+    #[error("the ticket has been spent")]
+    Spent(Fate),
+}
+
+/// No further ticket can be remembered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("too many tickets are outstanding")]
+pub struct Full {
+    /// When the oldest ticket expires.
+    pub retry: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    nonce: u64,
+    account: Option<ArcStr>,
+    issued: Tick,
+    spent: Option<Fate>,
+}
+
+/// Tickets of this incarnation.
+#[derive(Clone, Debug)]
+pub struct Tickets {
+    incarnation: Incarnation,
+    next: u64,
+    // By sequence, which is also the order of issue and of expiry.
+    entries: BTreeMap<u64, Entry>,
+    held: HashMap<Option<ArcStr>, usize>,
+}
+
+impl Tickets {
+    /// An empty table.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self { incarnation, next: 1, entries: BTreeMap::new(), held: HashMap::new() }
+    }
+
+    /// Number of tickets that are remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no ticket is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Issues a ticket to `account`. `nonce` must be random.
+    ///
+    /// # Errors
+    ///
+    /// The table or the account's part of it is full.
+    pub fn issue(
+        &mut self,
+        now: Tick,
+        account: Option<ArcStr>,
+        nonce: u64,
+    ) -> Result<Ticket, Full> {
+        self.expire(now);
+        let held = self.held.get(&account).copied().unwrap_or(0);
+        if self.entries.len() >= MAX_TICKETS || held >= MAX_PER_ACCOUNT {
+            let oldest = self.entries.values().next().map_or(now, |e| e.issued);
+            return Err(Full { retry: (oldest + VALID).since(now) });
+        }
+        let sequence = self.next;
+        self.next += 1;
+        *self.held.entry(account.clone()).or_default() += 1;
+        self.entries.insert(sequence, Entry { nonce, account, issued: now, spent: None });
+        Ok(Ticket { incarnation: self.incarnation, sequence, nonce })
+    }
+
+    /// Spends a ticket. After `Ok` the caller may run the request, once.
+    ///
+    /// # Errors
+    ///
+    /// Why the request may not run.
+    pub fn spend(&mut self, now: Tick, account: Option<&ArcStr>, t: Ticket) -> Result<(), Denied> {
+        self.expire(now);
+        if t.incarnation != self.incarnation {
+            return Err(Denied::Foreign);
+        }
+        let entry = self.entries.get_mut(&t.sequence).ok_or(Denied::Unknown)?;
+        if !bool::from(entry.nonce.ct_eq(&t.nonce)) || entry.account.as_ref() != account {
+            return Err(Denied::Unknown);
+        }
+        match entry.spent {
+            Some(fate) => Err(Denied::Spent(fate)),
+            None => {
+                entry.spent = Some(Fate::Unknown);
+                Ok(())
+            }
+        }
+    }
+
+    /// Records what became of a spent ticket's request. An expired ticket is ignored.
+    pub fn finish(&mut self, t: Ticket, fate: Fate) {
+        if let Some(e) = self.spent(t) {
+            e.spent = Some(fate);
+        }
+    }
+
+    /// Makes a spent ticket valid again. Only for a request that was certainly not sent.
+    pub fn restore(&mut self, t: Ticket) {
+        if let Some(e) = self.spent(t)
+            && e.spent == Some(Fate::Unknown)
+        {
+            e.spent = None;
+        }
+    }
+
+    fn spent(&mut self, t: Ticket) -> Option<&mut Entry> {
+        let entry = self.entries.get_mut(&t.sequence)?;
+        (t.incarnation == self.incarnation && entry.nonce == t.nonce && entry.spent.is_some())
+            .then_some(entry)
+    }
+
+    fn expire(&mut self, now: Tick) {
+        while let Some(first) = self.entries.first_entry() {
+            if now < first.get().issued + VALID {
+                return;
+            }
+            let account = first.remove().account;
+            if let Some(n) = self.held.get_mut(&account) {
+                *n -= 1;
+                if *n == 0 {
+                    self.held.remove(&account);
+                }
+            }
+        }
+    }
+}
