--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -7,6 +7,7 @@
 use std::{
     collections::HashMap,
     fmt,
+    hash::{Hash, Hasher},
     net::SocketAddr,
     str::FromStr,
     sync::Arc,
@@ -17,7 +18,9 @@
 use arc_swap::{ArcSwap, Guard};
 use arcstr::ArcStr;
 use serde::{Deserialize, Serialize, Serializer};
+use sha2::{Digest, Sha256};
 use slotmap::new_key_type;
+use subtle::ConstantTimeEq;
 use tokio::sync::oneshot;
 use yuccawing_core::{ids::Incarnation, rules::Class};
 
@@ -359,8 +362,43 @@
     pub cost: u64,
 }
 
-/// SHA-256 of a key.
-pub type KeyHash = [u8; 32];
+/// SHA-256 of a key. Equality takes constant time, so that the time of a look-up tells nothing about
+/// the stored hashes.
+#[derive(Clone, Copy, Debug)]
+pub struct KeyHash([u8; 32]);
+
+impl KeyHash {
+    /// Hash of a key.
+    pub fn of(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+
+    /// Reads the hexadecimal form of the rules.
+    pub fn parse(hex: &str) -> Option<Self> {
+        let mut out = [0; 32];
+        if hex.len() != 64 || !hex.is_ascii() {
+            return None;
+        }
+        for (byte, pair) in out.iter_mut().zip(hex.as_bytes().chunks(2)) {
+            *byte = u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok()?;
+        }
+        Some(Self(out))
+    }
+}
+
+impl PartialEq for KeyHash {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Eq for KeyHash {}
+
+impl Hash for KeyHash {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
 
 /// What traffic threads read. The control thread publishes a new one on each change.
 #[derive(Clone, Debug, Default)]
