--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -68,6 +68,11 @@
         self.next
     }
 
+    /// Failed attempts to continue since the last delivered chunk.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Whether the whole answer was delivered.
     pub fn is_complete(&self) -> bool {
         self.complete
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,5 +4,6 @@
 mod events;
 mod metrics;
 mod settings;
+mod upstream;
 
 fn main() {}
--- /dev/null
+++ b/crates/daemon/src/upstream/plain.rs
@@ -0,0 +1,193 @@
+//! Calls to plain services.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use awc::{
+    ClientRequest,
+    http::{
+        Method, StatusCode,
+        header::{ACCEPT, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue},
+    },
+};
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use serde::de::IgnoredAny;
+use yuccawing_core::retry::Cause;
+
+use super::{Response, Upstreams, cause, until};
+use crate::{
+    control::messages::{Admission, Code, NotRun, Outcome, Refusal, Run},
+    events::Event,
+};
+
+/// Longest answer, in bytes. Answers are held until they are complete.
+pub const MAX_ANSWER: usize = 8 * 1024 * 1024;
+
+/// A call. The caller's other headers, its key among them, are not passed on.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// Caller's `accept`.
+    pub accept: Option<HeaderValue>,
+    /// Caller's `content-type`.
+    pub content: Option<HeaderValue>,
+    /// Body.
+    pub body: Bytes,
+    /// Whether it may be repeated.
+    pub idempotent: bool,
+    /// Tokens that it costs.
+    pub cost: u64,
+}
+
+/// A complete answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Its `content-type`.
+    pub content: Option<HeaderValue>,
+    /// Body.
+    pub body: Bytes,
+}
+
+struct Failure {
+    cause: Cause,
+    // Whether the answer had begun.
+    began: bool,
+    text: String,
+}
+
+/// Runs a call to the end.
+///
+/// # Errors
+///
+/// Why there is no complete answer. `not_run` only if no connection was made.
+pub async fn call(up: &Rc<Upstreams>, mut a: Admission, call: Call) -> Result<Reply, Refusal> {
+    up.count();
+    let mut retries = 0;
+    let mut uncertain = false;
+    loop {
+        let deadline = a.deadline();
+        if until(deadline).is_zero() {
+            return Err(refusal(Code::Deadline, uncertain, false, "the deadline passed"));
+        }
+        a.note(call.cost, Outcome::Broken);
+        let f = match attempt(up, &a, &call, retries).await {
+            Ok(reply) => {
+                a.note(call.cost, Outcome::Finished);
+                return Ok(reply);
+            }
+            Err(f) => f,
+        };
+        uncertain |= f.cause != Cause::Connect;
+        let (event, reason, code) = match f.cause {
+            Cause::Connect => (Event::UpstreamConnect, NotRun::Connect, Code::NoUpstream),
+            _ => (Event::UpstreamSilent, NotRun::Silent, Code::UpstreamFailed),
+        };
+        up.warn(event, &a.id().to_string(), &a.dispatch().upstream, &f.text);
+        if !up.may_retry(retries, call.idempotent, f.cause, deadline) {
+            if !uncertain {
+                a.note(0, Outcome::NotRun(reason));
+            }
+            let code = if until(deadline).is_zero() { Code::Deadline } else { code };
+            return Err(refusal(code, uncertain, f.began, &f.text));
+        }
+        retries += 1;
+        a = a.again(reason).await.map_err(|r| match uncertain {
+            true => Refusal { run: Run::Unknown, ..r },
+            false => r,
+        })?;
+    }
+}
+
+async fn attempt(
+    up: &Upstreams,
+    a: &Admission,
+    call: &Call,
+    retries: u32,
+) -> Result<Reply, Failure> {
+    // A call that may be repeated gets a part of the time, so that a silent connection leaves
+    // enough for another attempt. One that must not be repeated gets all of it.
+    let left = until(a.deadline());
+    let limit = if call.idempotent { left.min(up.timing.plain) } else { left };
+    let end = Instant::now() + limit;
+    let request = request(up, a, call, retries).timeout(limit);
+    let r = request.send_body(call.body.clone()).await.map_err(|e| Failure {
+        cause: cause(&e),
+        began: false,
+        text: e.to_string(),
+    })?;
+    let (status, headers) = (r.status(), r.headers());
+    let content = headers.get(CONTENT_TYPE).cloned();
+    let length = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    let broken = |text: &str| Failure { cause: Cause::Unknown, began: true, text: text.to_owned() };
+    let body = match tokio::time::timeout_at(end.into(), read(r)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(text)) => return Err(broken(text)),
+        Err(_) => return Err(broken("the answer did not end in time")),
+    };
+    if call.method == Method::HEAD || is_complete(status, length, &body) {
+        Ok(Reply { status, content, body })
+    } else {
+        Err(broken("the answer is cut"))
+    }
+}
+
+fn request(up: &Upstreams, a: &Admission, call: &Call, retries: u32) -> ClientRequest {
+    let pooled = call.idempotent && retries == 0;
+    let client = if pooled { &up.pooled } else { &up.fresh };
+    let url = url(a.dispatch().addr, &call.target);
+    let mut r = client.request(call.method.clone(), url).no_decompress();
+    if !pooled {
+        r = r.force_close();
+    }
+    if let Some(v) = &call.accept {
+        r = r.insert_header((ACCEPT, v.clone()));
+    }
+    if let Some(v) = &call.content {
+        r = r.insert_header((CONTENT_TYPE, v.clone()));
+    }
+    r.insert_header(("x-request-id", a.id().to_string()))
+}
+
+fn url(addr: SocketAddr, target: &str) -> String {
+    format!("http://{addr}{target}")
+}
+
+async fn read(mut r: Response) -> Result<Bytes, &'static str> {
+    let mut body = BytesMut::new();
+    while let Some(part) = r.next().await {
+        body.extend_from_slice(&part.map_err(|_| "the answer broke off")?);
+        if body.len() > MAX_ANSWER {
+            return Err("the answer is longer than 8 MiB");
+        }
+    }
+    Ok(body.freeze())
+}
+
+// The client reports a connection that closes between two chunks as the end of the body. So an
+// answer without a length counts as complete only if it is a whole JSON value.
+fn is_complete(status: StatusCode, length: Option<usize>, body: &[u8]) -> bool {
+    match length {
+        Some(n) => n == body.len(),
+        None if status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED => true,
+        None => serde_json::from_slice::<IgnoredAny>(body).is_ok(),
+    }
+}
+
+fn refusal(code: Code, uncertain: bool, began: bool, text: &str) -> Refusal {
+    let run = match (began, uncertain) {
+        (true, _) => Run::Yes,
+        (false, true) => Run::Unknown,
+        (false, false) => Run::No,
+    };
+    let retry_after = (run == Run::No).then_some(Duration::from_secs(1));
+    Refusal { code, message: text.to_owned(), run, retry_after }
+}
--- /dev/null
+++ b/crates/daemon/src/upstream/sse.rs
@@ -0,0 +1,71 @@
+//! Server-sent events, parsed with bounded memory.
+
+#[cfg(test)]
+mod tests;
+
+use bytes::{Buf, Bytes, BytesMut};
+
+/// Longest event, in bytes. A token with its frame takes about 200.
+pub const MAX_EVENT: usize = 64 * 1024;
+
+/// An event is longer than [`MAX_EVENT`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an event is longer than 64 KiB")]
+pub struct TooLong;
+
+/// Parser of one stream.
+#[derive(Debug, Default)]
+pub struct Parser {
+    buf: BytesMut,
+    // Bytes of `buf` that hold no line end.
+    seen: usize,
+    data: BytesMut,
+}
+
+impl Parser {
+    /// Adds received bytes. Read all events with [`Parser::event`] before the next call.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// The data of the next complete event, without its line ends.
+    ///
+    /// # Errors
+    ///
+    /// The event is too long; the stream cannot be read further.
+    pub fn event(&mut self) -> Result<Option<Bytes>, TooLong> {
+        while let Some(line) = self.line() {
+            let text = line.strip_suffix(b"\r").unwrap_or(&line);
+            if text.is_empty() {
+                if !self.data.is_empty() {
+                    return Ok(Some(self.data.split().freeze()));
+                }
+            } else if let Some(data) = text.strip_prefix(b"data:") {
+                let data = data.strip_prefix(b" ").unwrap_or(data);
+                if !self.data.is_empty() {
+                    self.data.extend_from_slice(b"\n");
+                }
+                self.data.extend_from_slice(data);
+            }
+            if self.data.len() > MAX_EVENT {
+                return Err(TooLong);
+            }
+        }
+        if self.buf.len() > MAX_EVENT { Err(TooLong) } else { Ok(None) }
+    }
+
+    fn line(&mut self) -> Option<Bytes> {
+        match self.buf[self.seen..].iter().position(|b| *b == b'\n') {
+            Some(at) => {
+                let line = self.buf.split_to(self.seen + at).freeze();
+                self.buf.advance(1);
+                self.seen = 0;
+                Some(line)
+            }
+            None => {
+                self.seen = self.buf.len();
+                None
+            }
+        }
+    }
+}
