--- /dev/null
+++ b/crates/daemon/src/edge.rs
@@ -0,0 +1,124 @@
+//! HTTP towards callers.
+
+mod admin;
+mod ask;
+mod auth;
+mod body;
+mod completions;
+mod context;
+mod failure;
+mod info;
+mod plain;
+mod render;
+#[cfg(test)]
+mod tests;
+
+use std::{
+    io,
+    net::TcpListener,
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use actix_web::{
+    App, HttpServer,
+    dev::Server,
+    http::KeepAlive,
+    middleware::from_fn,
+    web::{self, ServiceConfig},
+};
+use rustls::ServerConfig;
+use slog::Logger;
+
+use crate::{
+    control::messages::{Handle, KeyHash},
+    metrics::Metrics,
+    settings::Limits,
+    stop::Gate,
+    upstream::{Timing, Upstreams},
+};
+
+/// Longest wait for the head of a request.
+const HEAD_LIMIT: Duration = Duration::from_secs(5);
+
+/// How long an idle connection of a caller is kept.
+const KEEP_IDLE: Duration = Duration::from_secs(75);
+
+/// Longest wait for a caller that does not read the end of its answer.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
+
+/// What the edge needs.
+#[derive(Clone)]
+pub struct Setup {
+    /// Control thread.
+    pub handle: Handle,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Log.
+    pub log: Logger,
+    /// Gate of the graceful shutdown.
+    pub gate: Arc<Gate>,
+    /// Limits.
+    pub limits: Limits,
+    /// Limits of waits on upstreams.
+    pub timing: Timing,
+    /// SHA-256 of the operators' key; without one, only loopback reaches `/admin`.
+    pub admin: Option<KeyHash>,
+    /// Longest graceful stop of the server, see `settings::Stop`.
+    pub stop: Duration,
+    /// TLS, or `None` for plain text.
+    pub tls: Option<Arc<ServerConfig>>,
+}
+
+/// What all traffic threads share.
+struct Shared {
+    setup: Setup,
+    requests: AtomicU64,
+}
+
+/// Starts the traffic threads. The server runs until its handle stops it.
+///
+/// # Errors
+///
+/// The listener cannot be used.
+pub fn serve(setup: Setup, listener: TcpListener) -> io::Result<Server> {
+    let shared = web::Data::new(Shared { setup: setup.clone(), requests: AtomicU64::new(1) });
+    let server = HttpServer::new(move || {
+        let upstreams = Upstreams::new(shared.setup.timing, shared.setup.log.clone());
+        App::new()
+            .app_data(shared.clone())
+            .app_data(upstreams)
+            .wrap(from_fn(context::wrap))
+            .configure(routes)
+    })
+    .workers(setup.limits.workers)
+    .max_connections(setup.limits.connections)
+    .client_request_timeout(HEAD_LIMIT)
+    .client_disconnect_timeout(CLOSE_LIMIT)
+    .keep_alive(KeepAlive::Timeout(KEEP_IDLE))
+    // A caller that closes its sending side counts as gone, so that its request is cancelled.
+    .h1_allow_half_closed(false)
+    .tcp_nodelay(true)
+    .shutdown_timeout(setup.stop.as_secs())
+    .disable_signals();
+    let server = match setup.tls {
+        Some(tls) => server.listen_rustls_0_23(listener, (*tls).clone())?,
+        None => server.listen_auto_h2c(listener)?,
+    };
+    Ok(server.run())
+}
+
+fn routes(c: &mut ServiceConfig) {
+    let get = |path: &str| web::resource(path.to_owned()).default_service(web::to(failure::method));
+    c.service(get("/v1/completions").route(web::post().to(completions::text)))
+        .service(get("/v1/chat/completions").route(web::post().to(completions::chat)))
+        .service(get("/v1/models").route(web::get().to(info::models)))
+        .service(get("/v1/hosts").route(web::get().to(info::hosts)))
+        .service(get("/v1/tickets").route(web::post().to(info::ticket)))
+        .service(get("/healthz").route(web::get().to(info::health)))
+        .service(get("/readyz").route(web::get().to(info::readiness)))
+        .service(get("/metrics").route(web::get().to(info::metrics)))
+        .service(get("/admin/status").route(web::get().to(admin::status)))
+        .service(get("/admin/explain").route(web::get().to(admin::explain)))
+        .default_service(web::to(plain::call));
+}
--- /dev/null
+++ b/crates/daemon/src/edge/admin.rs
@@ -0,0 +1,42 @@
+//! Operators' calls.
+
+use actix_web::{HttpRequest, HttpResponse, web::Query};
+use arcstr::ArcStr;
+use serde::Deserialize;
+
+use super::{auth, context::shared, failure::Failure};
+use crate::control::messages::{Code, Explain, Refusal};
+
+/// `GET /admin/status`.
+pub(super) async fn status(req: HttpRequest) -> Result<HttpResponse, Failure> {
+    let shared = shared(&req);
+    auth::operator(shared.setup.admin.as_ref(), &req)?;
+    Ok(HttpResponse::Ok().json(shared.setup.handle.status().await?))
+}
+
+#[derive(Deserialize)]
+struct Wanted {
+    adapter: Option<String>,
+    request: Option<String>,
+}
+
+/// `GET /admin/explain?adapter=A` and `?request=ID`.
+pub(super) async fn explain(req: HttpRequest) -> Result<HttpResponse, Failure> {
+    let shared = shared(&req);
+    auth::operator(shared.setup.admin.as_ref(), &req)?;
+    let what = wanted(req.query_string())
+        .ok_or_else(|| Refusal::not_run(Code::BadRequest, "give either adapter or request"))?;
+    match shared.setup.handle.explain(what).await? {
+        Some(v) => Ok(HttpResponse::Ok().json(v)),
+        None => Err(Refusal::not_run(Code::NotFound, "nothing is known about it").into()),
+    }
+}
+
+fn wanted(query: &str) -> Option<Explain> {
+    let q: Query<Wanted> = Query::from_query(query).ok()?;
+    match (&q.adapter, &q.request) {
+        (Some(a), None) => Some(Explain::Adapter(ArcStr::from(a.as_str()))),
+        (None, Some(r)) => Some(Explain::Request(r.parse().ok()?)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edge/ask/tests.rs
@@ -0,0 +1,71 @@
+use super::{CompletionBody, MAX_TOKENS, Shape};
+
+fn text(body: &str) -> serde_json::Result<CompletionBody> {
+    CompletionBody::read(Shape::Text, body.as_bytes())
+}
+
+fn chat(body: &str) -> serde_json::Result<CompletionBody> {
+    CompletionBody::read(Shape::Chat, body.as_bytes())
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against clients whose usual fields are refused.
+    a_usual_request_is_read: {
+        let b = text(r#"{"model":"a@1","prompt":"hi","max_tokens":9,"temperature":0.2,"stop":["x"],
+            "stream":true,"stream_options":{"include_usage":true},"n":1,"user":null}"#).unwrap();
+        let want = CompletionBody {
+            model: "a@1".into(), prompt: "hi".into(), max_tokens: 9, stream: true, usage: true,
+        };
+        assert_eq!(b, want);
+    }
+    // Guards against explicit nulls, which some clients send for unset fields.
+    null_means_the_default: {
+        let b = text(r#"{"model":"a","prompt":["hi"],"max_tokens":null,"stream":null,
+            "stream_options":null,"n":null}"#).unwrap();
+        assert_eq!((b.max_tokens, b.stream, b.usage), (256, false, false));
+    }
+    // Guards against a chat whose parts are lost on the way to the engine.
+    messages_become_the_prompt: {
+        let b = chat(r#"{"model":"a","max_completion_tokens":3,"messages":[
+            {"role":"system","content":"be brief"},
+            {"role":"user","content":[{"type":"text","text":"a"},{"type":"text","text":"b"}]},
+            {"role":"assistant","content":null}]}"#).unwrap();
+        assert_eq!(b.prompt, "system: be brief\nuser: ab\nassistant: \nassistant:");
+        assert_eq!(b.max_tokens, 3);
+    }
+    // Guards against requests that are answered in another way than they ask for.
+    what_cannot_be_answered_is_refused: {
+        for body in [
+            r#"{"model":"a","prompt":"x","n":2}"#,
+            r#"{"model":"a","prompt":["x","y"]}"#,
+            r#"{"model":"a","prompt":[]}"#,
+            r#"{"model":"a","prompt":7}"#,
+            r#"{"model":"a"}"#,
+            r#"{"prompt":"x"}"#,
+            r#"{"model":"a","model":"b","prompt":"x"}"#,
+            r#"{"model":"a","prompt":"x","prompt":"y"}"#,
+            r#"{"model":"a","prompt":"x","max_tokens":0}"#,
+            r#"{"model":"a","prompt":"x","max_tokens":-1}"#,
+            r#"{"model":"a","prompt":"x"} {}"#,
+            r#"{"model":"a","prompt":"x""#,
+            "[]",
+            "",
+        ] {
+            assert!(text(body).is_err(), "{body}");
+        }
+        assert!(text(&format!(r#"{{"model":"a","prompt":"x","max_tokens":{}}}"#, MAX_TOKENS + 1)).is_err());
+        assert!(chat(r#"{"model":"a","messages":[]}"#).is_err());
+        assert!(chat(r#"{"model":"a","prompt":"x"}"#).is_err());
+        let image = r#"{"model":"a","messages":[{"role":"user","content":[{"type":"image_url","text":""}]}]}"#;
+        assert!(chat(image).is_err());
+    }
+    // Guards against a stack overflow by a deeply nested body.
+    deep_nesting_is_refused: {
+        let deep = format!(r#"{{"model":"a","prompt":"x","y":{}{}}}"#, "[".repeat(10_000), "]".repeat(10_000));
+        assert!(text(&deep).is_err());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edge/completions.rs
@@ -0,0 +1,279 @@
+//! `POST /v1/completions` and `POST /v1/chat/completions`.
+
+use std::{
+    cell::RefCell,
+    hash::{DefaultHasher, Hash, Hasher},
+    io,
+    rc::Rc,
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
+
+use actix_web::{
+    HttpRequest, HttpResponse,
+    http::header::{CACHE_CONTROL, HeaderMap},
+    web::{Bytes, Payload},
+};
+use arcstr::ArcStr;
+use futures::{Stream, stream};
+use tokio::sync::mpsc;
+use yuccawing_core::rules::Class;
+
+use super::{
+    Shared,
+    ask::{CompletionBody, Shape},
+    auth, body,
+    context::{Context, Record, shared, upstreams},
+    failure::Failure,
+    render::Renderer,
+};
+use crate::{
+    control::messages::{Admit, Code, Refusal, Run, Snapshot},
+    upstream::engine::{Answer, Ask, Piece},
+};
+
+/// Bytes of a prompt that count as one token in the estimate of its cost.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Bytes of the prompt that are hashed for prefix affinity.
+const PREFIX: usize = 256;
+
+/// Chunks that wait for a caller that reads slowly. When they are full, the engine's connection is
+/// not read either.
+const WAITING_CHUNKS: usize = 32;
+
+/// Longest whole answer, in bytes.
+const MAX_ANSWER: usize = 8 * 1024 * 1024;
+
+/// `POST /v1/completions`.
+pub(super) async fn text(req: HttpRequest, payload: Payload) -> Result<HttpResponse, Failure> {
+    complete(req, payload, Shape::Text).await
+}
+
+/// `POST /v1/chat/completions`.
+pub(super) async fn chat(req: HttpRequest, payload: Payload) -> Result<HttpResponse, Failure> {
+    complete(req, payload, Shape::Chat).await
+}
+
+async fn complete(
+    req: HttpRequest,
+    payload: Payload,
+    shape: Shape,
+) -> Result<HttpResponse, Failure> {
+    let (context, shared) = (Context::of(&req), shared(&req));
+    let mut record = Record::new(shared.clone(), &context);
+    match run(&req, payload, shape, &context, &shared, &mut record).await {
+        Ok(Started::Whole(value)) => {
+            record.done();
+            Ok(HttpResponse::Ok().content_type("application/json").body(value.to_string()))
+        }
+        Ok(Started::Stream(job)) => {
+            let body = stream_body(context, job, record);
+            Ok(HttpResponse::Ok()
+                .content_type("text/event-stream")
+                .insert_header((CACHE_CONTROL, "no-cache"))
+                .streaming(body))
+        }
+        Err(r) => Err(record.failed(r).into()),
+    }
+}
+
+enum Started {
+    Whole(serde_json::Value),
+    Stream(Box<Job>),
+}
+
+// A stream whose first part has arrived.
+struct Job {
+    answer: Answer,
+    render: Renderer,
+    first: Piece,
+    usage: bool,
+    deadline: Instant,
+}
+
+async fn run(
+    req: &HttpRequest,
+    payload: Payload,
+    shape: Shape,
+    context: &Context,
+    shared: &Shared,
+    record: &mut Record,
+) -> Result<Started, Refusal> {
+    let setup = &shared.setup;
+    let deadline = context.deadline(req)?;
+    let account = auth::account(&setup.handle.view(), req)?;
+    record.set(account.clone(), Class::default());
+    let bytes = body::read(req, payload, setup.limits.body, deadline).await?;
+    let ask = CompletionBody::read(shape, &bytes)
+        .map_err(|e| Refusal::not_run(Code::BadRequest, e.to_string()))?;
+    drop(bytes);
+    let (adapter, version, class) = resolve(&setup.handle.view(), &ask.model)?;
+    let class = lowered(class, req.headers())?;
+    record.set(account.clone(), class);
+
+    let prompt_tokens = ask.prompt.len().div_ceil(BYTES_PER_TOKEN).max(1) as u64;
+    let model = format!("{adapter}@{version}");
+    let admit = Admit {
+        id: context.id,
+        account,
+        adapter,
+        version,
+        class,
+        cost: prompt_tokens + ask.max_tokens,
+        deadline,
+        prefix: prefix(&ask.prompt),
+    };
+    let admission = setup.handle.admit(admit).await?;
+    let render =
+        Renderer::new(shape, &context.id.to_string(), unix_seconds(), model, ask.max_tokens);
+    let engine = Ask { prompt: ask.prompt, max_tokens: ask.max_tokens, prompt_tokens };
+    let mut answer = Answer::new(upstreams(req), admission, engine);
+    // The head of the answer waits for the first token, so that a refusal has its own status.
+    let Some(first) = answer.next().await? else {
+        return Err(Refusal::not_run(Code::Internal, "an answer without any part"));
+    };
+    record.first();
+    if ask.stream {
+        let job = Job { answer, render, first, usage: ask.usage, deadline };
+        return Ok(Started::Stream(Box::new(job)));
+    }
+    whole(answer, &render, first).await.map(Started::Whole)
+}
+
+async fn whole(
+    mut answer: Answer,
+    render: &Renderer,
+    first: Piece,
+) -> Result<serde_json::Value, Refusal> {
+    let mut text = String::new();
+    let mut piece = Some(first);
+    loop {
+        match piece {
+            Some(Piece::Token(t)) if text.len() + t.len() <= MAX_ANSWER => text.push_str(&t),
+            Some(Piece::Token(_)) => {
+                let message = "the answer is longer than 8 MiB; ask for a stream".to_owned();
+                return Err(Refusal {
+                    code: Code::TooLarge,
+                    message,
+                    run: Run::Yes,
+                    retry_after: None,
+                });
+            }
+            Some(Piece::End(usage)) => return Ok(render.whole(&text, usage)),
+            None => {
+                return Err(Refusal::not_run(Code::Internal, "an answer without an end"));
+            }
+        }
+        piece = answer.next().await?;
+    }
+}
+
+/// Last chunk of a stream, set when its job ends.
+type Last = Rc<RefCell<Option<Bytes>>>;
+
+fn stream_body(
+    context: Context,
+    job: Box<Job>,
+    record: Record,
+) -> impl Stream<Item = Result<Bytes, io::Error>> {
+    let (tx, rx) = mpsc::channel(WAITING_CHUNKS);
+    let last = Last::default();
+    // A task of its own ends the request at its deadline also when the caller does not read.
+    actix_rt::spawn(pump(job, tx, last.clone(), record));
+    stream::unfold((rx, last, context, false), |(mut rx, last, context, ended)| async move {
+        if ended {
+            return None;
+        }
+        if let Some(chunk) = rx.recv().await {
+            return Some((Ok(chunk), (rx, last, context, false)));
+        }
+        // Without a last chunk the connection is closed, so that the caller cannot take the answer
+        // for complete.
+        let end = last.borrow_mut().take().ok_or_else(|| io::Error::other("the answer is cut"));
+        Some((end, (rx, last, context, true)))
+    })
+}
+
+async fn pump(job: Box<Job>, tx: mpsc::Sender<Bytes>, last: Last, mut record: Record) {
+    let Job { mut answer, render, first, usage, deadline } = *job;
+    let end = async {
+        if let Some(open) = render.open() {
+            send(&tx, open, deadline).await?;
+        }
+        let mut piece = Some(first);
+        while let Some(Piece::Token(text)) = piece {
+            send(&tx, render.token(&text), deadline).await?;
+            piece = answer.next().await?;
+        }
+        match piece {
+            Some(Piece::End(u)) => Ok(render.end(u, usage)),
+            _ => Err(Refusal::not_run(Code::Internal, "an answer without an end")),
+        }
+    };
+    let end = tokio::select! {
+        end = end => end,
+        // The caller is gone; dropping the answer cancels it on the engine.
+        () = tx.closed() => return,
+    };
+    *last.borrow_mut() = Some(match end {
+        Ok(bytes) => {
+            record.done();
+            bytes
+        }
+        Err(r) => Failure(record.failed(r)).event(),
+    });
+}
+
+async fn send(tx: &mpsc::Sender<Bytes>, chunk: Bytes, deadline: Instant) -> Result<(), Refusal> {
+    let late = || Refusal {
+        code: Code::Deadline,
+        message: "the caller did not read the answer before the deadline".to_owned(),
+        run: Run::Yes,
+        retry_after: None,
+    };
+    // A closed channel is handled by the caller of this function.
+    match tokio::time::timeout_at(deadline.into(), tx.send(chunk)).await {
+        Ok(_) => Ok(()),
+        Err(_) => Err(late()),
+    }
+}
+
+fn resolve(view: &Snapshot, model: &str) -> Result<(ArcStr, ArcStr, Class), Refusal> {
+    let (name, version) = match model.split_once('@') {
+        Some((name, version)) => (name, Some(version)),
+        None => (model, None),
+    };
+    let unknown = |what: &str| Refusal::not_run(Code::NotFound, format!("unknown {what}: {model}"));
+    let (name, a) = view.adapters.get_key_value(name).ok_or_else(|| unknown("adapter"))?;
+    let version = match version {
+        Some(v) => a.versions.iter().find(|w| w.as_str() == v),
+        None => a.versions.last(),
+    };
+    let version = version.ok_or_else(|| unknown("version"))?;
+    Ok((name.clone(), version.clone(), a.class))
+}
+
+// A caller can only lower the class, otherwise every caller would ask for the first one.
+fn lowered(class: Class, headers: &HeaderMap) -> Result<Class, Refusal> {
+    let Some(v) = headers.get("x-class") else { return Ok(class) };
+    let asked = match v.as_bytes() {
+        b"status" => Class::Status,
+        b"interactive" => Class::Interactive,
+        b"drafting" => Class::Drafting,
+        _ => {
+            let message = "x-class must be status, interactive or drafting";
+            return Err(Refusal::not_run(Code::BadRequest, message));
+        }
+    };
+    Ok(class.max(asked))
+}
+
+fn prefix(prompt: &str) -> u64 {
+    let mut h = DefaultHasher::new();
+    prompt.as_bytes()[..prompt.len().min(PREFIX)].hash(&mut h);
+    h.finish()
+}
+
+fn unix_seconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs())
+}
--- /dev/null
+++ b/crates/daemon/src/edge/context.rs
@@ -0,0 +1,182 @@
+//! Per-request context: id, arrival, the gate's pass, and the record of the end.
+
+use std::{
+    rc::Rc,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use actix_web::{
+    Error, HttpMessage, HttpRequest,
+    body::{EitherBody, MessageBody},
+    dev::{ServiceRequest, ServiceResponse},
+    http::{
+        ConnectionType,
+        header::{HeaderName, HeaderValue},
+    },
+    middleware::Next,
+    web::Data,
+};
+use arcstr::ArcStr;
+use slog::kv;
+use yuccawing_core::rules::Class;
+
+use super::{Shared, failure::Failure};
+use crate::{
+    control::messages::{Code, Refusal, RequestId, Run},
+    events::{Event, emit},
+    metrics::{Ended, NO_ACCOUNT, label},
+    stop::{Pass, Phase},
+    upstream::Upstreams,
+};
+
+/// Deadline of a request without `x-deadline-ms`.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+
+/// Longest deadline, in milliseconds. Pins last 150 s and must outlast it.
+const MAX_DEADLINE_MS: u64 = 120_000;
+
+/// Paths that are served during the whole shutdown.
+const ALWAYS: &[&str] = &["/healthz", "/readyz", "/metrics", "/admin/"];
+
+/// Context of a request.
+#[derive(Clone)]
+pub(super) struct Context {
+    pub(super) id: RequestId,
+    pub(super) arrival: Instant,
+    // Held by the answer's body until it is sent.
+    pub(super) pass: Rc<Option<Pass>>,
+}
+
+impl Context {
+    pub(super) fn of(req: &HttpRequest) -> Self {
+        req.extensions().get::<Self>().expect("the middleware sets the context").clone()
+    }
+
+    /// When the caller's deadline ends.
+    pub(super) fn deadline(&self, req: &HttpRequest) -> Result<Instant, Refusal> {
+        let Some(v) = req.headers().get("x-deadline-ms") else {
+            return Ok(self.arrival + DEFAULT_DEADLINE);
+        };
+        let ms = v.to_str().ok().and_then(|s| s.parse().ok());
+        match ms {
+            Some(ms @ 1..=MAX_DEADLINE_MS) => Ok(self.arrival + Duration::from_millis(ms)),
+            _ => Err(Refusal::not_run(
+                Code::BadRequest,
+                "x-deadline-ms must be a number from 1 to 120000",
+            )),
+        }
+    }
+}
+
+pub(super) fn shared(req: &HttpRequest) -> Data<Shared> {
+    req.app_data::<Data<Shared>>().expect("the app is set up with it").clone()
+}
+
+pub(super) fn upstreams(req: &HttpRequest) -> Rc<Upstreams> {
+    req.app_data::<Rc<Upstreams>>().expect("the app is set up with it").clone()
+}
+
+/// Sets the context before and `x-request-id` after the handler.
+pub(super) async fn wrap<B: MessageBody + 'static>(
+    req: ServiceRequest,
+    next: Next<B>,
+) -> Result<ServiceResponse<EitherBody<B>>, Error> {
+    let shared = shared(req.request());
+    let setup = &shared.setup;
+    let seq = shared.requests.fetch_add(1, Ordering::Relaxed);
+    let id = RequestId { incarnation: setup.handle.view().incarnation, seq };
+    let pass = setup.gate.enter();
+    let refused = pass.is_none() && !ALWAYS.iter().any(|p| req.path().starts_with(p));
+    let mut res = if refused {
+        let refusal = Refusal::not_run(Code::Leaving, "this host is shutting down");
+        let refusal = refusal.retry(Duration::ZERO);
+        req.into_response(Failure(refusal).response()).map_into_right_body()
+    } else {
+        let context = Context { id, arrival: Instant::now(), pass: Rc::new(pass) };
+        req.extensions_mut().insert(context);
+        next.call(req).await?.map_into_left_body()
+    };
+    if let Ok(v) = HeaderValue::from_str(&id.to_string()) {
+        res.headers_mut().insert(HeaderName::from_static("x-request-id"), v);
+    }
+    if setup.gate.phase() != Phase::Open {
+        res.response_mut().head_mut().set_connection_type(ConnectionType::Close);
+    }
+    Ok(res)
+}
+
+/// Counts and logs the end of a request; a drop without an end counts as cancelled.
+pub(super) struct Record {
+    shared: Data<Shared>,
+    id: RequestId,
+    arrival: Instant,
+    account: ArcStr,
+    class: Class,
+    ended: Ended,
+}
+
+impl Record {
+    pub(super) fn new(shared: Data<Shared>, context: &Context) -> Self {
+        let (id, arrival) = (context.id, context.arrival);
+        let account = ArcStr::from(NO_ACCOUNT);
+        Self { shared, id, arrival, account, class: Class::default(), ended: Ended::Cancelled }
+    }
+
+    pub(super) fn set(&mut self, account: ArcStr, class: Class) {
+        self.account = account;
+        self.class = class;
+    }
+
+    pub(super) fn first(&self) {
+        self.shared.setup.metrics.first_token(&self.account, self.arrival.elapsed());
+    }
+
+    pub(super) fn done(&mut self) {
+        self.ended = Ended::Ok;
+    }
+
+    /// Counts a refusal or failure and passes it on.
+    pub(super) fn failed(&mut self, r: Refusal) -> Refusal {
+        let setup = &self.shared.setup;
+        let event = match (r.run, r.code) {
+            (Run::No, Code::BadKey) => Event::KeyRejected,
+            (Run::No, _) => Event::RequestRefused,
+            _ => Event::RequestFailed,
+        };
+        if r.run == Run::No {
+            self.ended = Ended::Refused;
+            setup.metrics.refusal(&self.account, r.code);
+        } else {
+            self.ended = Ended::Failed;
+        }
+        emit(
+            &setup.log,
+            event,
+            &kv!(
+                "request" => %self.id, "account" => self.account.as_str(),
+                "code" => r.code.name(), "message" => &r.message
+            ),
+        );
+        r
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        let (setup, took) = (&self.shared.setup, self.arrival.elapsed());
+        setup.metrics.request(&self.account, self.class, self.ended);
+        if self.class == Class::Status && self.ended == Ended::Ok {
+            setup.metrics.status(&self.account, took);
+        }
+        emit(
+            &setup.log,
+            Event::RequestDone,
+            &kv!(
+                "request" => %self.id, "account" => self.account.as_str(),
+                "class" => label(self.class), "outcome" => self.ended.label(),
+                "ms" => took.as_millis()
+            ),
+        );
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edge/plain.rs
@@ -0,0 +1,131 @@
+//! Calls to plain services, and the answer to unknown paths.
+
+use actix_web::{
+    HttpRequest, HttpResponse,
+    http::{
+        Method,
+        header::{ACCEPT, CONTENT_TYPE},
+    },
+    web::Payload,
+};
+use arcstr::ArcStr;
+use yuccawing_core::rules::Class;
+
+use super::{
+    Shared, auth, body,
+    context::{Context, Record, shared, upstreams},
+    failure::Failure,
+};
+use crate::{
+    control::messages::{AdmitPlain, Code, Refusal, RouteView, Snapshot},
+    upstream::plain::{self, Call, Reply},
+};
+
+/// Longest ticket, in bytes.
+const MAX_TICKET: usize = 64;
+
+/// Calls the plain service of the route that the path belongs to.
+pub(super) async fn call(req: HttpRequest, payload: Payload) -> Result<HttpResponse, Failure> {
+    let (context, shared) = (Context::of(&req), shared(&req));
+    let mut record = Record::new(shared.clone(), &context);
+    match run(&req, payload, &context, &shared, &mut record).await {
+        Ok(reply) => {
+            record.done();
+            let mut res = HttpResponse::build(reply.status);
+            if let Some(v) = reply.content {
+                res.insert_header((CONTENT_TYPE, v));
+            }
+            Ok(res.body(reply.body))
+        }
+        Err(r) => Err(record.failed(r).into()),
+    }
+}
+
+async fn run(
+    req: &HttpRequest,
+    payload: Payload,
+    context: &Context,
+    shared: &Shared,
+    record: &mut Record,
+) -> Result<Reply, Refusal> {
+    let setup = &shared.setup;
+    let (route, account) = {
+        let view = setup.handle.view();
+        let route = route(&view, req.path())?;
+        let account = match auth::account(&view, req) {
+            Ok(a) => Some(a),
+            // A key that is not valid changes nothing on an open route.
+            Err(_) if route.open => None,
+            Err(r) => return Err(r),
+        };
+        (route, account)
+    };
+    if let Some(a) = &account {
+        record.set(a.clone(), Class::default());
+    }
+    if !is_supported(req.method()) {
+        return Err(Refusal::not_run(Code::BadMethod, "the method is not supported"));
+    }
+    let deadline = context.deadline(req)?;
+    let ticket = ticket(req, &route)?;
+    let body = body::read(req, payload, setup.limits.body, deadline).await?;
+    let call = Call {
+        method: req.method().clone(),
+        target: req.uri().path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string),
+        accept: req.headers().get(ACCEPT).cloned(),
+        content: req.headers().get(CONTENT_TYPE).cloned(),
+        body,
+        idempotent: route.idempotent,
+        cost: route.cost,
+    };
+    let admit = AdmitPlain {
+        id: context.id,
+        route: route.prefix,
+        account,
+        cost: route.cost,
+        deadline,
+        ticket,
+    };
+    let admission = setup.handle.admit_plain(admit).await?;
+    plain::call(&upstreams(req), admission, call).await
+}
+
+fn route(view: &Snapshot, path: &str) -> Result<RouteView, Refusal> {
+    if !is_canonical(path) {
+        return Err(Refusal::not_run(Code::BadRequest, "the path is not in canonical form"));
+    }
+    let belongs = |prefix: &str| {
+        path.strip_prefix(prefix)
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/'))
+    };
+    let route = view.routes.iter().find(|r| belongs(&r.prefix));
+    route.cloned().ok_or_else(|| Refusal::not_run(Code::NotFound, "no such path"))
+}
+
+// A service may resolve `..` or a coded slash after the route was chosen, so a path of an open
+// route could reach one that needs a key.
+fn is_canonical(path: &str) -> bool {
+    let lower = path.to_ascii_lowercase();
+    let coded = ["%2e", "%2f", "%5c", "%25", "%00", "\\", "//"];
+    !coded.iter().any(|c| lower.contains(c)) && !lower.split('/').any(|s| s == "." || s == "..")
+}
+
+fn is_supported(m: &Method) -> bool {
+    [Method::GET, Method::HEAD, Method::POST, Method::PUT, Method::PATCH, Method::DELETE]
+        .contains(m)
+}
+
+fn ticket(req: &HttpRequest, route: &RouteView) -> Result<Option<ArcStr>, Refusal> {
+    if route.idempotent {
+        return Ok(None);
+    }
+    let value = req.headers().get("x-ticket").and_then(|v| v.to_str().ok());
+    match value {
+        Some(t) if t.len() <= MAX_TICKET => Ok(Some(t.into())),
+        Some(_) => Err(Refusal::not_run(Code::BadRequest, "x-ticket is too long")),
+        None => Err(Refusal::not_run(
+            Code::TicketNeeded,
+            "the route needs a ticket of this host in x-ticket, see POST /v1/tickets",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edge/render.rs
@@ -0,0 +1,124 @@
+//! Answers in the shape that completions clients expect.
+
+use bytes::Bytes;
+use serde_json::{Value, json};
+
+use super::ask::Shape;
+use crate::upstream::engine::Usage;
+
+/// Renders the answer to one request.
+pub(super) struct Renderer {
+    shape: Shape,
+    id: String,
+    created: u64,
+    model: String,
+    limit: u64,
+    // Everything before a token's text, the same in each chunk.
+    prefix: String,
+}
+
+impl Renderer {
+    pub(super) fn new(shape: Shape, id: &str, created: u64, model: String, limit: u64) -> Self {
+        let mut r = Self { shape, id: String::new(), created, model, limit, prefix: String::new() };
+        let (kind, object, text) = match shape {
+            Shape::Text => ("cmpl", "text_completion", r#""text":"#),
+            Shape::Chat => ("chatcmpl", "chat.completion.chunk", r#""delta":{"content":"#),
+        };
+        r.id = format!("{kind}-{id}");
+        let (id, model) = (&r.id, Value::from(r.model.as_str()));
+        r.prefix = format!(
+            r#"data: {{"id":"{id}","object":"{object}","created":{created},"model":{model},"choices":[{{"index":0,{text}"#
+        );
+        r
+    }
+
+    /// Chunk that opens a stream; empty where the shape has none.
+    pub(super) fn open(&self) -> Option<Bytes> {
+        let delta = json!({"role": "assistant", "content": ""});
+        (self.shape == Shape::Chat).then(|| self.chat(&delta, &Value::Null, None))
+    }
+
+    /// Chunk of one token.
+    pub(super) fn token(&self, text: &str) -> Bytes {
+        let rest = match self.shape {
+            Shape::Text => ",\"logprobs\":null,\"finish_reason\":null}]}\n\n",
+            Shape::Chat => "},\"finish_reason\":null}]}\n\n",
+        };
+        let mut out = Vec::with_capacity(self.prefix.len() + text.len() + rest.len() + 8);
+        out.extend_from_slice(self.prefix.as_bytes());
+        serde_json::to_writer(&mut out, text).expect("a string serialises");
+        out.extend_from_slice(rest.as_bytes());
+        out.into()
+    }
+
+    /// Chunks that end a stream. `extra` adds a chunk without choices for the usage.
+    pub(super) fn end(&self, usage: Usage, extra: bool) -> Bytes {
+        let reason = Value::from(self.reason(usage));
+        let last = match self.shape {
+            Shape::Chat => self.chat(&json!({}), &reason, Some(usage)),
+            Shape::Text => {
+                let choice = json!({
+                    "index": 0, "text": "", "logprobs": null, "finish_reason": reason
+                });
+                self.event("text_completion", &json!([choice]), Some(usage))
+            }
+        };
+        let mut out = Vec::from(last);
+        if extra {
+            let object = match self.shape {
+                Shape::Text => "text_completion",
+                Shape::Chat => "chat.completion.chunk",
+            };
+            out.extend_from_slice(&self.event(object, &json!([]), Some(usage)));
+        }
+        out.extend_from_slice(b"data: [DONE]\n\n");
+        out.into()
+    }
+
+    /// A whole answer.
+    pub(super) fn whole(&self, text: &str, usage: Usage) -> Value {
+        let reason = self.reason(usage);
+        let (object, choice) = match self.shape {
+            Shape::Text => (
+                "text_completion",
+                json!({"index": 0, "text": text, "logprobs": null, "finish_reason": reason}),
+            ),
+            Shape::Chat => (
+                "chat.completion",
+                json!({
+                    "index": 0,
+                    "message": {"role": "assistant", "content": text},
+                    "finish_reason": reason
+                }),
+            ),
+        };
+        self.value(object, &json!([choice]), Some(usage))
+    }
+
+    fn chat(&self, delta: &Value, reason: &Value, usage: Option<Usage>) -> Bytes {
+        let choice = json!({"index": 0, "delta": delta, "finish_reason": reason});
+        self.event("chat.completion.chunk", &json!([choice]), usage)
+    }
+
+    fn event(&self, object: &str, choices: &Value, usage: Option<Usage>) -> Bytes {
+        format!("data: {}\n\n", self.value(object, choices, usage)).into()
+    }
+
+    fn value(&self, object: &str, choices: &Value, usage: Option<Usage>) -> Value {
+        let usage = usage.map(|u| {
+            json!({
+                "prompt_tokens": u.prompt,
+                "completion_tokens": u.completion,
+                "total_tokens": u.prompt + u.completion
+            })
+        });
+        json!({
+            "id": self.id, "object": object, "created": self.created, "model": self.model,
+            "choices": choices, "usage": usage
+        })
+    }
+
+    fn reason(&self, usage: Usage) -> &'static str {
+        if usage.completion >= self.limit { "length" } else { "stop" }
+    }
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -37,7 +37,8 @@
 }
 
 impl Ended {
-    fn label(self) -> &'static str {
+    /// Name in labels and logs.
+    pub fn label(self) -> &'static str {
         match self {
             Self::Ok => "ok",
             Self::Refused => "refused",
--- a/crates/daemon/src/upstream/engine.rs
+++ b/crates/daemon/src/upstream/engine.rs
@@ -134,6 +134,8 @@
     ///
     /// Why the answer is not complete; the answer has ended then.
     pub async fn next(&mut self) -> Result<Option<Piece>, Refusal> {
+        // A caller that reads slowly is no silence of the engine.
+        self.heard = Instant::now();
         loop {
             match &self.link {
                 Link::Idle => self.start().await?,
@@ -264,7 +266,6 @@
             };
             match self.stream.accept(&chunk.id, chunk.offset, chunk.part) {
                 Verdict::Deliver => {
-                    self.heard = Instant::now();
                     self.note(Outcome::Cancelled);
                     return Ok(Some(Piece::Token(chunk.text.into_owned())));
                 }
