Add the decision on configuration versions

Change: config.rs decides on heads, parts, sources, start and staleness; Head::read and Head::check bound outside values. Conclusion: 14 tests of the module pass, two of them property tests.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,1 +1,574 @@
-//! Configuration versions: which one is in force.
+//! Configuration versions: which one is in force, and what is fetched to reach a newer one.
+//!
+//! A version is a [`Head`] and parts addressed by their digest. Parts stay in memory, so a change
+//! fetches only parts that are new, and peers can fetch them from here.
+
+mod fetch;
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    fmt,
+    sync::Arc,
+    time::Duration,
+};
+
+use arcstr::ArcStr;
+use serde::{Deserialize, Serialize};
+
+use self::fetch::Fetches;
+use crate::{
+    ids::Ordinal,
+    rules::{Digest, Head, MAX_PART, PublishError, Rules, digest},
+    time::Tick,
+};
+
+/// Versions that are fetched at the same time. The lowest one makes progress while newer ones keep
+/// arriving, and the highest one is what must be in force in the end; more would only cost memory.
+pub const CANDIDATES: usize = 4;
+
+/// Heads that are fetched at the same time.
+pub const HEADS: usize = 4;
+
+/// Peers remembered as sources of one candidate, besides the service.
+pub const SOURCES: usize = 4;
+
+/// Largest sum of part sizes of one version, in bytes. 21,000 adapters need about 2 MB; the limit
+/// keeps one bad version from exhausting the 64 MB of control memory.
+pub const MAX_BYTES: usize = 16_000_000;
+
+/// How long a candidate may stay incomplete. A version that is still announced comes back as a new
+/// candidate, so the limit only removes versions that nobody can serve.
+pub const CANDIDATE_LIMIT: Duration = Duration::from_secs(30);
+
+/// How long without a confirmation of the newest version keyed requests are still admitted.
+pub const STALE: Duration = Duration::from_secs(10);
+
+/// Refused digests and reports that are remembered. Each entry stands for an operator's mistake
+/// or a faulty peer, so a few are enough to avoid a repeated fetch and a repeated event.
+const REMEMBERED: usize = 16;
+
+/// Where a head or a part comes from.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Source {
+    /// The configuration service.
+    Service,
+    /// A host, by name.
+    Peer(ArcStr),
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Service => f.write_str("the configuration service"),
+            Self::Peer(name) => write!(f, "host {name}"),
+        }
+    }
+}
+
+/// Version and head digest, what probes carry. A head has 65 digests, which would be too much for
+/// a message that is sent every 500 ms.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Version.
+    pub version: u64,
+    /// Digest of the head.
+    pub digest: Digest,
+}
+
+impl From<&Head> for Stamp {
+    fn from(head: &Head) -> Self {
+        Self { version: head.version, digest: head.digest.clone() }
+    }
+}
+
+/// What is fetched.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Want {
+    /// The head that the source has now.
+    Head,
+    /// A part.
+    Part(Digest),
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A head arrived, from a watch, a fetch or a peer.
+    Offered {
+        /// Who has it.
+        from: Source,
+        /// The head.
+        head: Head,
+    },
+    /// A probe or a vote names a version.
+    Announced {
+        /// Who runs it.
+        from: Source,
+        /// Version, 0 for none.
+        version: u64,
+        /// Digest of the head, if the message has it.
+        digest: Option<Digest>,
+    },
+    /// A peer of the group answered this host's question at its start (any probe answer will do).
+    Answered {
+        /// The peer's ordinal.
+        ordinal: Ordinal,
+        /// The peer's name.
+        peer: ArcStr,
+        /// Whether the peer has finished its own start ([`Config::is_ready`]).
+        ready: bool,
+        /// What it runs.
+        stamp: Option<Stamp>,
+    },
+    /// A part arrived.
+    Part {
+        /// Who sent it.
+        from: Source,
+        /// Digest that was asked for.
+        digest: Digest,
+        /// Its bytes.
+        bytes: Vec<u8>,
+    },
+    /// A fetch failed or its deadline passed.
+    Failed {
+        /// Who was asked.
+        from: Source,
+        /// What was asked for.
+        want: Want,
+    },
+    /// A lease round had a majority, so most of the group runs no newer version.
+    Majority,
+    /// The service answered that its head is unchanged.
+    Unchanged,
+    /// Time passed; at least every 500 ms.
+    Tick,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Fetch something and report it as [`Event::Offered`], [`Event::Part`] or [`Event::Failed`].
+    Fetch {
+        /// Whom to ask.
+        from: Source,
+        /// What to ask for.
+        want: Want,
+    },
+    /// A version is in force.
+    Apply {
+        /// Version.
+        version: u64,
+        /// Its rules.
+        rules: Arc<Rules>,
+    },
+    /// A version was rejected; raise a numbered log event.
+    Rejected(Rejection),
+    /// Tell all peers at once what is in force.
+    Announce(Stamp),
+    /// The start is complete.
+    Ready,
+}
+
+/// A version that was rejected. It is reported once.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("version {version} from {from} rejected: {reason}")]
+pub struct Rejection {
+    /// Version.
+    pub version: u64,
+    /// Who offered it.
+    pub from: Source,
+    /// Why.
+    pub reason: Reason,
+}
+
+/// Why a version was rejected.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Reason {
+    /// Another content of the same version is in force or being fetched.
+    #[error("digest {offered} differs from the known digest {known}")]
+    Conflict {
+        /// Digest of the head that is kept.
+        known: Digest,
+        /// Digest of the head that was rejected.
+        offered: Digest,
+    },
+    /// Bytes do not have the digest they were asked for by.
+    #[error("digest of {0} does not match its content")]
+    Mismatch(Digest),
+    /// The version cannot be read or does not pass the checks.
+    #[error("{0}")]
+    Invalid(String),
+    /// Nobody served all its parts in time.
+    #[error("{0} parts could not be fetched")]
+    Unavailable(usize),
+}
+
+/// The version in force and the candidates for the next one.
+#[derive(Debug)]
+pub struct Config {
+    ordinal: Ordinal,
+    found: bool,
+    force: Option<Force>,
+    // Parts of the version before, which peers may still be fetching.
+    previous: Vec<Digest>,
+    parts: BTreeMap<Digest, ArcStr>,
+    // By rising version.
+    candidates: Vec<Candidate>,
+    fetches: Fetches,
+    refused: VecDeque<Digest>,
+    reported: VecDeque<Rejection>,
+    // First answer of each peer that counts.
+    answers: BTreeMap<Ordinal, Option<Stamp>>,
+    // Peers that answered before they were ready themselves; they count only at a first start.
+    starting: BTreeMap<Ordinal, Option<Stamp>>,
+    service: Option<Stamp>,
+    confirmed: Option<Tick>,
+    ready: bool,
+}
+
+#[derive(Debug)]
+struct Force {
+    head: Head,
+    rules: Arc<Rules>,
+}
+
+#[derive(Debug)]
+struct Candidate {
+    head: Head,
+    sources: Vec<Source>,
+    since: Tick,
+}
+
+impl Config {
+    /// Nothing in force. `found` is the setting for the first start of a group.
+    pub fn new(ordinal: Ordinal, found: bool) -> Self {
+        Self {
+            ordinal,
+            found,
+            force: None,
+            previous: Vec::new(),
+            parts: BTreeMap::new(),
+            candidates: Vec::new(),
+            fetches: Fetches::default(),
+            refused: VecDeque::new(),
+            reported: VecDeque::new(),
+            answers: BTreeMap::new(),
+            starting: BTreeMap::new(),
+            service: None,
+            confirmed: None,
+            ready: false,
+        }
+    }
+
+    /// Version in force, 0 for none.
+    pub fn version(&self) -> u64 {
+        self.force.as_ref().map_or(0, |f| f.head.version)
+    }
+
+    /// Version and digest in force, for probes.
+    pub fn stamp(&self) -> Option<Stamp> {
+        self.head().map(Stamp::from)
+    }
+
+    /// Head in force, for peers.
+    pub fn head(&self) -> Option<&Head> {
+        self.force.as_ref().map(|f| &f.head)
+    }
+
+    /// Rules in force.
+    pub fn rules(&self) -> Option<&Arc<Rules>> {
+        self.force.as_ref().map(|f| &f.rules)
+    }
+
+    /// A part, for peers.
+    pub fn part(&self, digest: &Digest) -> Option<&ArcStr> {
+        self.parts.get(digest)
+    }
+
+    /// Whether the start is complete.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Whether the newest version has been unconfirmed for so long that keyed requests are refused.
+    pub fn is_stale(&self, now: Tick) -> bool {
+        self.confirmed.is_none_or(|t| now.since(t) >= STALE)
+    }
+
+    /// Takes an event and appends what to do.
+    pub fn handle(&mut self, now: Tick, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Offered { from, head } => self.offered(now, from, head, out),
+            Event::Announced { from, version, digest } => {
+                self.announced(now, from, version, digest, out);
+            }
+            Event::Answered { ordinal, peer, ready, stamp } => {
+                self.answered(ordinal, ready, stamp.clone());
+                if let Some(s) = stamp {
+                    self.announced(now, Source::Peer(peer), s.version, Some(s.digest), out);
+                }
+            }
+            Event::Part { from, digest, bytes } => self.arrived(from, digest, &bytes, out),
+            Event::Failed { from, want } => self.fetches.failed(&from, &want),
+            Event::Majority => self.confirmed = Some(now),
+            Event::Unchanged => self.confirm(now),
+            Event::Tick => self.expire(now, out),
+        }
+        self.advance(now, out);
+        self.pump(now, out);
+        self.start(now, out);
+    }
+
+    fn offered(&mut self, now: Tick, from: Source, head: Head, out: &mut Vec<Effect>) {
+        self.fetches.failed(&from, &Want::Head);
+        if head.version < self.version() {
+            return;
+        }
+        if let Err(e) = head.check() {
+            let reason = match e {
+                PublishError::Mismatch(d) => Reason::Mismatch(d),
+                e => Reason::Invalid(e.to_string()),
+            };
+            return self.reject(head.version, from, reason, out);
+        }
+        if from == Source::Service && self.service.is_none() {
+            self.service = Some(Stamp::from(&head));
+        }
+        if self.knows(&from, head.version, &head.digest, out) {
+            if from == Source::Service && self.version() == head.version {
+                self.confirm(now);
+            }
+            return;
+        }
+        let at = self.candidates.partition_point(|c| c.head.version < head.version);
+        self.candidates.insert(at, Candidate { head, sources: vec![from], since: now });
+        if self.candidates.len() > CANDIDATES {
+            self.candidates.remove(1);
+            self.collect();
+        }
+    }
+
+    /// Whether a version needs no new candidate: it is older, refused, in force, being fetched, or
+    /// it contradicts one of these.
+    fn knows(
+        &mut self,
+        from: &Source,
+        version: u64,
+        digest: &Digest,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        if version < self.version() || self.refused.contains(digest) {
+            return true;
+        }
+        let known = match self.candidates.iter_mut().find(|c| c.head.version == version) {
+            Some(c) if c.head.digest == *digest => {
+                c.add(from);
+                return true;
+            }
+            Some(c) => c.head.digest.clone(),
+            None => match self.head() {
+                Some(h) if h.version == version && h.digest == *digest => return true,
+                Some(h) if h.version == version => h.digest.clone(),
+                _ => return false,
+            },
+        };
+        let reason = Reason::Conflict { known, offered: digest.clone() };
+        self.reject(version, from.clone(), reason, out);
+        true
+    }
+
+    fn announced(
+        &mut self,
+        now: Tick,
+        from: Source,
+        version: u64,
+        digest: Option<Digest>,
+        out: &mut Vec<Effect>,
+    ) {
+        let known = match digest {
+            Some(d) => self.knows(&from, version, &d, out),
+            None => {
+                version <= self.version()
+                    || self.candidates.iter().any(|c| c.head.version >= version)
+            }
+        };
+        if !known && version > 0 {
+            self.fetches.head(now, from, version, out);
+        }
+    }
+
+    fn answered(&mut self, ordinal: Ordinal, ready: bool, stamp: Option<Stamp>) {
+        if self.ready || ordinal == self.ordinal {
+            return;
+        }
+        if ready {
+            self.answers.entry(ordinal).or_insert(stamp);
+        } else {
+            self.starting.insert(ordinal, stamp);
+        }
+    }
+
+    fn arrived(&mut self, from: Source, want: Digest, bytes: &[u8], out: &mut Vec<Effect>) {
+        let text = std::str::from_utf8(bytes).ok();
+        let (Some(text), true) = (text, bytes.len() <= MAX_PART && digest(bytes) == want) else {
+            let version = self.wanting(&want).map_or(0, |c| c.head.version);
+            self.fetches.failed(&from, &Want::Part(want.clone()));
+            if version > 0 {
+                self.reject(version, from, Reason::Mismatch(want), out);
+            }
+            return;
+        };
+        if self.wanting(&want).is_some() {
+            self.fetches.done(&want);
+            self.parts.insert(want, text.into());
+        }
+    }
+
+    fn wanting(&self, digest: &Digest) -> Option<&Candidate> {
+        if self.parts.contains_key(digest) {
+            return None;
+        }
+        self.candidates.iter().find(|c| c.head.parts.contains(digest))
+    }
+
+    fn confirm(&mut self, now: Tick) {
+        // While a newer version is known but not in force, the service confirms that one instead.
+        if self.force.is_some() && self.candidates.is_empty() {
+            self.confirmed = Some(now);
+        }
+    }
+
+    fn expire(&mut self, now: Tick, out: &mut Vec<Effect>) {
+        self.fetches.expire(now);
+        let late = |c: &Candidate| now.since(c.since) >= CANDIDATE_LIMIT;
+        while let Some(i) = self.candidates.iter().position(late) {
+            let c = self.candidates.remove(i);
+            let missing = c.missing(&self.parts).len();
+            let from = c.sources.into_iter().next().unwrap_or(Source::Service);
+            self.reject(c.head.version, from, Reason::Unavailable(missing), out);
+            self.collect();
+        }
+    }
+
+    /// Applies the highest complete candidate that passes the checks.
+    fn advance(&mut self, now: Tick, out: &mut Vec<Effect>) {
+        let complete = |c: &Candidate, parts: &_| c.missing(parts).is_empty();
+        while let Some(i) = self.candidates.iter().rposition(|c| complete(c, &self.parts)) {
+            let c = self.candidates.remove(i);
+            match self.assemble(&c.head) {
+                Ok(rules) => self.apply(now, c, Arc::new(rules), out),
+                Err(reason) => {
+                    let from = c.sources.into_iter().next().unwrap_or(Source::Service);
+                    remember(&mut self.refused, c.head.digest.clone());
+                    self.reject(c.head.version, from, reason, out);
+                    self.collect();
+                }
+            }
+        }
+    }
+
+    fn assemble(&self, head: &Head) -> Result<Rules, Reason> {
+        let parts: BTreeSet<&Digest> = head.parts.iter().collect();
+        let bytes: usize = parts.iter().filter_map(|d| self.parts.get(*d)).map(|t| t.len()).sum();
+        if bytes > MAX_BYTES {
+            return Err(Reason::Invalid(format!("{bytes} bytes, allowed are {MAX_BYTES}")));
+        }
+        Rules::assemble(head, |d| self.parts.get(d).cloned())
+            .map_err(|e| Reason::Invalid(e.to_string()))
+    }
+
+    fn apply(&mut self, now: Tick, c: Candidate, rules: Arc<Rules>, out: &mut Vec<Effect>) {
+        let (version, stamp) = (c.head.version, Stamp::from(&c.head));
+        let force = Force { head: c.head, rules: rules.clone() };
+        if let Some(old) = self.force.replace(force) {
+            self.previous = old.head.parts;
+        }
+        self.candidates.retain(|c| c.head.version > version);
+        self.collect();
+        if c.sources.contains(&Source::Service) {
+            self.confirm(now);
+        }
+        out.push(Effect::Apply { version, rules });
+        out.push(Effect::Announce(stamp));
+    }
+
+    /// Drops parts and fetches that no kept version names.
+    fn collect(&mut self) {
+        let mut kept: BTreeSet<&Digest> = self.previous.iter().collect();
+        kept.extend(self.force.iter().flat_map(|f| &f.head.parts));
+        kept.extend(self.candidates.iter().flat_map(|c| &c.head.parts));
+        self.parts.retain(|d, _| kept.contains(d));
+        self.fetches.retain(|d| kept.contains(d));
+    }
+
+    fn pump(&mut self, now: Tick, out: &mut Vec<Effect>) {
+        for c in &self.candidates {
+            for d in c.missing(&self.parts) {
+                self.fetches.part(now, d, &c.sources, out);
+            }
+        }
+    }
+
+    fn start(&mut self, now: Tick, out: &mut Vec<Effect>) {
+        if !self.ready && self.force.is_some() && self.has_answers() && self.is_highest() {
+            self.ready = true;
+            self.answers.clear();
+            self.starting.clear();
+            self.confirm(now);
+            out.push(Effect::Ready);
+        }
+    }
+
+    /// Whether enough of the group answered. This host's own memory is empty at its start, so only
+    /// its peers count; the weights are those of the lease.
+    fn has_answers(&self) -> bool {
+        let n = self.rules().map_or(0, |r| r.hosts);
+        let weight = |o: u8| if o == 0 && n.is_multiple_of(2) { 2 } else { 1 };
+        let total: u32 = (0..n).map(weight).sum();
+        let known = |o: &u8| self.answers.contains_key(&Ordinal(*o));
+        let answered: u32 = (0..n).filter(known).map(weight).sum();
+        let own = self.ordinal.0;
+        let all =
+            || (0..n).all(|o| o == own || known(&o) || self.starting.contains_key(&Ordinal(o)));
+        answered * 2 > total || (self.found && all())
+    }
+
+    /// Whether no answer names a version above the one in force, invalid ones aside.
+    fn is_highest(&self) -> bool {
+        let mut heard: Vec<&Stamp> = self.answers.values().flatten().collect();
+        heard.extend(&self.service);
+        if self.found {
+            heard.extend(self.starting.values().flatten());
+        }
+        heard.iter().all(|s| s.version <= self.version() || self.refused.contains(&s.digest))
+    }
+
+    fn reject(&mut self, version: u64, from: Source, reason: Reason, out: &mut Vec<Effect>) {
+        let r = Rejection { version, from, reason };
+        if !self.reported.contains(&r) {
+            remember(&mut self.reported, r.clone());
+            out.push(Effect::Rejected(r));
+        }
+    }
+}
+
+impl Candidate {
+    fn missing(&self, parts: &BTreeMap<Digest, ArcStr>) -> BTreeSet<&Digest> {
+        self.head.parts.iter().filter(|d| !parts.contains_key(*d)).collect()
+    }
+
+    fn add(&mut self, source: &Source) {
+        if self.sources.len() < SOURCES && !self.sources.contains(source) {
+            self.sources.push(source.clone());
+        }
+    }
+}
+
+fn remember<T>(list: &mut VecDeque<T>, item: T) {
+    if list.len() == REMEMBERED {
+        list.pop_front();
+    }
+    list.push_back(item);
+}
--- /dev/null
+++ b/crates/core/src/config/tests.rs
@@ -0,0 +1,310 @@
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+
+use super::{Config, Effect, Event, Reason, Source, Stamp, Want};
+use crate::{
+    ArcStr,
+    ids::Ordinal,
+    rules::{Digest, Head, Rendered, Rules},
+    time::Tick,
+};
+
+const BASE: &str = "hosts = 3\nmodels = [\"base\"]\n";
+
+fn rendered(version: u64, adapters: u32) -> Rendered {
+    let mut text = BASE.to_owned();
+    for i in 0..adapters {
+        text += &format!("[adapters.a{i}]\nmodel = \"base\"\nversions = [\"1\"]\n");
+    }
+    Rules::parse("r.toml", &text).unwrap().render(version)
+}
+
+fn peer(name: &str) -> Source {
+    Source::Peer(name.into())
+}
+
+/// A host, the values that every source serves, and what the host did.
+struct Net {
+    config: Config,
+    values: BTreeMap<Digest, String>,
+    heads: BTreeMap<Source, Head>,
+    now: Tick,
+    log: Vec<Effect>,
+}
+
+impl Net {
+    fn new(found: bool) -> Self {
+        Self {
+            config: Config::new(Ordinal(0), found),
+            values: BTreeMap::new(),
+            heads: BTreeMap::new(),
+            now: Tick(0),
+            log: Vec::new(),
+        }
+    }
+
+    fn publish(&mut self, r: &Rendered, at: Source) {
+        self.values.extend(r.parts.clone());
+        self.heads.insert(at, r.head.clone());
+    }
+
+    fn send(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.config.handle(self.now, event, &mut out);
+        self.log.extend(out);
+    }
+
+    /// Serves fetches until there are none.
+    fn settle(&mut self) {
+        let mut done = 0;
+        while let Some(i) =
+            (done..self.log.len()).find(|i| matches!(self.log[*i], Effect::Fetch { .. }))
+        {
+            done = i + 1;
+            let Effect::Fetch { from, want } = self.log[i].clone() else { unreachable!() };
+            let event = match &want {
+                Want::Head => match self.heads.get(&from) {
+                    Some(h) => Event::Offered { from, head: h.clone() },
+                    None => Event::Failed { from, want },
+                },
+                Want::Part(d) => match self.values.get(d) {
+                    Some(t) => Event::Part { from, digest: d.clone(), bytes: t.clone().into() },
+                    None => Event::Failed { from, want },
+                },
+            };
+            self.send(event);
+        }
+    }
+
+    fn offer(&mut self, r: &Rendered, from: Source) {
+        self.publish(r, from.clone());
+        self.send(Event::Offered { from, head: r.head.clone() });
+        self.settle();
+    }
+
+    fn fetched(&self) -> usize {
+        let part = |e: &&Effect| matches!(e, Effect::Fetch { want: Want::Part(_), .. });
+        self.log.iter().filter(part).count()
+    }
+
+    fn reasons(&self) -> Vec<&Reason> {
+        fn reason(e: &Effect) -> Option<&Reason> {
+            if let Effect::Rejected(r) = e { Some(&r.reason) } else { None }
+        }
+        self.log.iter().filter_map(reason).collect()
+    }
+
+    fn answer(&mut self, ordinal: u8, ready: bool, r: Option<&Rendered>) {
+        let name: ArcStr = format!("h{ordinal}").into();
+        if let Some(r) = r {
+            self.publish(r, Source::Peer(name.clone()));
+        }
+        let stamp = r.map(|r| Stamp::from(&r.head));
+        self.send(Event::Answered { ordinal: Ordinal(ordinal), peer: name, ready, stamp });
+        self.settle();
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against an inventory that is sent in full for a change to one adapter.
+    a_change_fetches_only_new_parts: {
+        let mut net = Net::new(false);
+        net.offer(&rendered(1, 500), Source::Service);
+        assert_eq!(net.config.version(), 1);
+        let before = net.fetched();
+        net.offer(&rendered(2, 501), Source::Service);
+        assert_eq!(net.config.version(), 2);
+        assert_eq!(net.fetched() - before, 1);
+    }
+    // Guards against a version that goes back when a stale service or peer offers an old one.
+    a_lower_version_is_ignored: {
+        let mut net = Net::new(false);
+        net.offer(&rendered(5, 3), Source::Service);
+        net.offer(&rendered(4, 1), peer("h1"));
+        assert_eq!(net.config.version(), 5);
+        assert!(net.reasons().is_empty());
+    }
+    // Guards against two contents of one version taking turns, and against an event per probe.
+    the_same_version_with_another_digest_is_rejected_once: {
+        let mut net = Net::new(false);
+        net.offer(&rendered(5, 3), Source::Service);
+        net.offer(&rendered(5, 4), peer("h1"));
+        net.offer(&rendered(5, 4), peer("h1"));
+        assert_eq!(net.config.rules().unwrap().adapters.len(), 3);
+        assert!(matches!(net.reasons()[..], [Reason::Conflict { .. }]));
+    }
+    // Guards against an invalid version that is applied, fetched again or blocks the next one.
+    an_invalid_version_is_refused_and_the_next_one_applies: {
+        let mut net = Net::new(false);
+        net.offer(&rendered(1, 1), Source::Service);
+        let mut bad = Rules::parse("r.toml", BASE).unwrap();
+        bad.hosts = 9;
+        net.offer(&bad.render(2), Source::Service);
+        assert!(matches!(net.reasons()[..], [Reason::Invalid(_)]));
+        let before = net.fetched();
+        net.offer(&bad.render(2), peer("h1"));
+        assert_eq!((net.config.version(), net.fetched()), (1, before));
+        net.offer(&rendered(3, 1), Source::Service);
+        assert_eq!(net.config.version(), 3);
+    }
+    // Guards against a peer that sends wrong bytes and thereby blocks a version.
+    a_wrong_part_is_fetched_from_the_service: {
+        let mut net = Net::new(false);
+        let r = rendered(1, 0);
+        net.publish(&r, Source::Service);
+        net.send(Event::Offered { from: peer("h1"), head: r.head.clone() });
+        let wrong = r.head.parts[0].clone();
+        let bytes = b"{}  ".to_vec();
+        net.send(Event::Part { from: peer("h1"), digest: wrong.clone(), bytes });
+        assert!(net.log.contains(&Effect::Fetch {
+            from: Source::Service,
+            want: Want::Part(wrong),
+        }));
+        net.settle();
+        assert_eq!(net.config.version(), 1);
+    }
+    // Guards against a fetch that never ends because the daemon reports neither result nor failure.
+    a_silent_source_is_given_up: {
+        let mut net = Net::new(false);
+        let r = rendered(1, 0);
+        net.publish(&r, Source::Service);
+        net.send(Event::Offered { from: peer("h1"), head: r.head.clone() });
+        net.log.clear();
+        net.now = Tick(2_000_000);
+        net.send(Event::Tick);
+        net.settle();
+        assert_eq!(net.config.version(), 1);
+    }
+    // Guards against a version that nobody can serve staying a candidate for good: it would keep
+    // the host unconfirmed, so that it refuses keyed requests.
+    an_unavailable_version_is_dropped: {
+        let mut net = Net::new(false);
+        net.offer(&rendered(1, 1), Source::Service);
+        net.send(Event::Offered { from: peer("h1"), head: rendered(2, 2).head });
+        net.now = Tick(40_000_000);
+        net.send(Event::Tick);
+        assert!(matches!(net.reasons()[..], [Reason::Unavailable(_)]));
+        net.send(Event::Unchanged);
+        assert!(!net.config.is_stale(net.now));
+    }
+    // Guards against a host that keeps admitting keyed requests under rules that may be old.
+    a_host_without_confirmation_is_stale_after_ten_seconds: {
+        let mut net = Net::new(false);
+        net.offer(&rendered(1, 1), Source::Service);
+        assert!(!net.config.is_stale(Tick(9_999_999)));
+        assert!(net.config.is_stale(Tick(10_000_000)));
+        net.now = Tick(10_000_000);
+        net.send(Event::Majority);
+        assert!(!net.config.is_stale(Tick(19_000_000)));
+    }
+    // Guards against a replacement that starts with an old version: in a group of 3 only both
+    // peers together are certain to include one that runs the newest version.
+    a_replacement_waits_for_a_majority_and_its_highest_version: {
+        let mut net = Net::new(false);
+        net.answer(1, true, Some(&rendered(7, 1)));
+        assert_eq!(net.config.version(), 7);
+        assert!(!net.config.is_ready());
+        net.answer(2, true, Some(&rendered(8, 2)));
+        assert_eq!(net.config.version(), 8);
+        assert!(net.log.contains(&Effect::Ready));
+    }
+    // Guards against counting a peer that has just started and knows nothing itself.
+    a_starting_peer_counts_only_at_a_first_start: {
+        for found in [false, true] {
+            let mut net = Net::new(found);
+            net.offer(&rendered(1, 1), Source::Service);
+            net.answer(1, true, Some(&rendered(1, 1)));
+            net.answer(2, false, None);
+            assert_eq!(net.config.is_ready(), found);
+        }
+    }
+    // Guards against a version that is announced by probe or vote only and never fetched.
+    an_announced_version_is_fetched_from_its_announcer: {
+        let mut net = Net::new(false);
+        net.offer(&rendered(1, 1), Source::Service);
+        net.publish(&rendered(2, 2), peer("h1"));
+        net.send(Event::Announced { from: peer("h1"), version: 2, digest: None });
+        net.settle();
+        assert_eq!(net.config.version(), 2);
+        let last = Stamp::from(&rendered(2, 2).head);
+        assert!(net.log.contains(&Effect::Announce(last)));
+    }
+    // Guards against parts of replaced versions that stay in memory for good.
+    old_parts_are_dropped: {
+        let mut net = Net::new(false);
+        for v in 1..20 {
+            net.offer(&rendered(v, v as u32), Source::Service);
+        }
+        assert!(net.config.parts.len() <= 24);
+        assert!(net.config.fetches.is_empty());
+    }
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let source =
+        || prop_oneof![Just(Source::Service), (0..3u8).prop_map(|i| peer(&format!("h{i}")))];
+    let one = |(v, n): (u64, u32)| rendered(v, n);
+    let version = || (1..6u64, 0..3u32).prop_map(one);
+    prop_oneof![
+        (source(), version()).prop_map(|(from, r)| Event::Offered { from, head: r.head }),
+        (source(), version(), any::<bool>()).prop_map(|(from, r, with)| Event::Announced {
+            from,
+            version: r.head.version,
+            digest: with.then_some(r.head.digest),
+        }),
+        (source(), version(), any::<prop::sample::Index>()).prop_map(|(from, r, i)| {
+            let digest = i.get(&r.head.parts).clone();
+            Event::Part { from, bytes: r.parts[&digest].clone().into(), digest }
+        }),
+        (source(), version(), any::<Vec<u8>>()).prop_map(|(from, r, bytes)| Event::Part {
+            from,
+            digest: r.head.parts[0].clone(),
+            bytes,
+        }),
+        source().prop_map(|from| Event::Failed { from, want: Want::Head }),
+        Just(Event::Majority),
+        Just(Event::Unchanged),
+        Just(Event::Tick),
+    ]
+}
+
+proptest! {
+    // Guards against a version in force that goes back, and against effects without a bound,
+    // whatever arrives in whatever order.
+    #[test]
+    fn the_version_in_force_only_rises(
+        events in prop::collection::vec((event(), 0..2_000_000u64), 1..80),
+    ) {
+        let mut c = Config::new(Ordinal(0), false);
+        let mut now = Tick(0);
+        for (e, us) in events {
+            now = Tick(now.0 + us);
+            let before = c.stamp();
+            let mut out = Vec::new();
+            c.handle(now, e, &mut out);
+            prop_assert!(out.len() < 40);
+            let after = c.stamp();
+            prop_assert!(before == after || c.version() > before.map_or(0, |s| s.version));
+            prop_assert!(c.candidates.len() <= super::CANDIDATES);
+        }
+    }
+    // Guards against a panic on a head that is no JSON, no head or has wrong digests.
+    #[test]
+    fn any_bytes_are_read_as_a_head_without_panic(
+        bytes in any::<Vec<u8>>(), version: u64, parts: Vec<String>,
+    ) {
+        prop_assert!(Head::read(&bytes).is_err());
+        let parts = parts.into_iter().map(ArcStr::from).collect();
+        let head = Head { version, digest: "0".into(), parts };
+        prop_assert!(Head::read(&serde_json::to_vec(&head).unwrap()).is_err());
+        let mut out = Vec::new();
+        let mut c = Config::new(Ordinal(0), false);
+        c.handle(Tick(0), Event::Offered { from: Source::Service, head }, &mut out);
+        prop_assert!(matches!(out[..], [Effect::Rejected(_)]));
+    }
+}
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -15,7 +15,7 @@
 
 pub use self::{
     parse::{Finding, Findings},
-    publish::{Digest, Head, PARTS, PublishError, Rendered, digest},
+    publish::{Digest, Head, MAX_PART, MAX_PARTS, PARTS, PublishError, Rendered, digest},
 };
 
 /// Inventory and rules of one version.
--- a/crates/core/src/rules/publish.rs
+++ b/crates/core/src/rules/publish.rs
@@ -12,6 +12,13 @@
 /// that a change of one adapter sends one part and not the inventory.
 pub const PARTS: usize = 64;
 
+/// Largest value of the configuration service, in bytes.
+pub const MAX_PART: usize = 1_000_000;
+
+/// Most parts of a head; more than [`PARTS`] and the rules, so that the number of parts can grow
+/// without a new format.
+pub const MAX_PARTS: usize = 256;
+
 /// Hexadecimal digest of a value: the first 128 bits of its SHA-256.
 pub type Digest = ArcStr;
 
@@ -53,6 +60,44 @@
 }
 
 impl Head {
+    /// Reads a published head.
+    ///
+    /// # Errors
+    ///
+    /// The value is too large, is no JSON of a head, or does not pass [`Head::check`].
+    pub fn read(bytes: &[u8]) -> Result<Self, PublishError> {
+        let format = |m: String| PublishError::Format("head".into(), m);
+        if bytes.len() > MAX_PART {
+            return Err(format(format!("{} bytes, allowed are {MAX_PART}", bytes.len())));
+        }
+        let head: Self = serde_json::from_slice(bytes).map_err(|e| format(e.to_string()))?;
+        head.check()?;
+        Ok(head)
+    }
+
+    /// Checks ranges, the form of the digests and the head's own digest.
+    ///
+    /// # Errors
+    ///
+    /// The first thing that is wrong.
+    pub fn check(&self) -> Result<(), PublishError> {
+        let invalid = |m: String| Err(PublishError::Invalid(self.version, m));
+        if self.version == 0 {
+            return invalid("versions start at 1".into());
+        }
+        let n = self.parts.len();
+        if !(1..=MAX_PARTS).contains(&n) {
+            return invalid(format!("the head has {n} parts, allowed are 1 to {MAX_PARTS}"));
+        }
+        if !self.parts.iter().all(is_digest) {
+            return invalid("the head names a part by something that is no digest".into());
+        }
+        if !self.is_intact() {
+            return Err(PublishError::Mismatch(self.digest.clone()));
+        }
+        Ok(())
+    }
+
     /// Whether the head's own digest is that of its version and parts.
     pub fn is_intact(&self) -> bool {
         self.digest == head_digest(self.version, &self.parts)
@@ -122,6 +167,10 @@
     hash[..16].iter().map(|b| format!("{b:02x}")).collect::<String>().into()
 }
 
+fn is_digest(d: &Digest) -> bool {
+    d.len() == 32 && d.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
+}
+
 fn head_digest(version: u64, parts: &[Digest]) -> Digest {
     let mut text = version.to_string();
     for p in parts {
