--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,135 @@
+//! Model engine.
+//!
+//! Streams are generated whether or not someone reads them, so that an interrupted answer can be
+//! resumed. An engine never evicts by itself: it does what commands say and records in its journal
+//! whether an instance was in use.
+
+mod http;
+mod state;
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::Instant;
+
+pub use self::http::routes;
+use self::state::{Phase, State, Stream};
+use crate::{common::lock, settings::EngineSettings};
+
+/// Time for which a stream can be resumed after its end.
+const KEEP: Duration = Duration::from_secs(30);
+
+/// State of an engine.
+pub struct Engine {
+    settings: EngineSettings,
+    state: Mutex<State>,
+}
+
+/// Faults and pace. A field that a request leaves out keeps its value.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FaultChange {
+    token_ms: Option<u64>,
+    first_ms: Option<u64>,
+    lag_ms: Option<u64>,
+    load_fail_ppm: Option<u64>,
+    cut_after: Option<u64>,
+    duplicate: Option<bool>,
+    cross: Option<bool>,
+    silent: Option<bool>,
+}
+
+/// Faults and pace in force.
+#[derive(Clone, Copy, Debug, Default)]
+struct Faults {
+    /// Milliseconds between tokens.
+    token_ms: u64,
+    /// Milliseconds to the first token.
+    first_ms: u64,
+    /// Milliseconds by which reports are late.
+    lag_ms: u64,
+    /// Loads that fail, in parts per million.
+    load_fail_ppm: u64,
+    /// Tokens after which each response's connection breaks; 0 is never.
+    cut_after: u64,
+    /// Send each chunk twice.
+    duplicate: bool,
+    /// Send a chunk of another request before each second chunk.
+    cross: bool,
+    /// Streams that were open when this was switched on stay silent for good; new ones work.
+    silent: bool,
+}
+
+impl Faults {
+    fn change(&mut self, c: &FaultChange) {
+        self.token_ms = c.token_ms.unwrap_or(self.token_ms);
+        self.first_ms = c.first_ms.unwrap_or(self.first_ms);
+        self.lag_ms = c.lag_ms.unwrap_or(self.lag_ms);
+        self.load_fail_ppm = c.load_fail_ppm.unwrap_or(self.load_fail_ppm);
+        self.cut_after = c.cut_after.unwrap_or(self.cut_after);
+        self.duplicate = c.duplicate.unwrap_or(self.duplicate);
+        self.cross = c.cross.unwrap_or(self.cross);
+        self.silent = c.silent.unwrap_or(self.silent);
+    }
+}
+
+impl Engine {
+    /// An engine with nothing resident.
+    pub fn new(settings: EngineSettings) -> Self {
+        let faults = Faults {
+            token_ms: settings.token_ms,
+            first_ms: settings.first_ms,
+            ..Faults::default()
+        };
+        Self { settings, state: Mutex::new(State::new(faults)) }
+    }
+
+    /// Generates a stream: waits for a place in the batch, then makes one token after another.
+    async fn generate(&self, stream: Arc<Stream>) {
+        if let Some(place) = stream.place()
+            && place.await.is_err()
+        {
+            return;
+        }
+        let first = {
+            let mut s = lock(&self.state);
+            if s.boot != stream.boot {
+                return;
+            }
+            if !stream.is_running() {
+                s.leave(&self.settings);
+                s.forget(&stream);
+                return;
+            }
+            s.record(json!({
+                "kind": "begin", "request_id": stream.id, "instance": stream.instance,
+            }));
+            s.faults.first_ms
+        };
+        let mut next = Instant::now() + Duration::from_millis(first);
+        for i in 0..stream.total {
+            tokio::time::sleep_until(next).await;
+            if !stream.is_running() {
+                break;
+            }
+            stream.progress.send_modify(|p| p.made = i + 1);
+            next += Duration::from_millis(lock(&self.state).faults.token_ms);
+        }
+        {
+            let mut s = lock(&self.state);
+            if s.boot != stream.boot {
+                return;
+            }
+            if stream.is_running() {
+                s.end(&stream, Phase::Done);
+            }
+            s.leave(&self.settings);
+        }
+        tokio::time::sleep(KEEP).await;
+        lock(&self.state).forget(&stream);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/state.rs
@@ -0,0 +1,320 @@
+//! Residents, batch and streams of an engine.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap, VecDeque},
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use serde::Serialize;
+use serde_json::{Value, json};
+use tokio::sync::{oneshot, watch};
+
+use super::Faults;
+use crate::{
+    common::{Dice, Journal, lock},
+    settings::EngineSettings,
+};
+
+/// Reports that are kept for `lag_ms`.
+const REPORT_LIMIT: usize = 1024;
+
+/// Prompt prefixes that are cached.
+const PREFIX_LIMIT: usize = 32;
+
+/// Bytes of a prompt that make a prefix.
+const PREFIX_LEN: usize = 32;
+
+/// What an engine knows.
+pub struct State {
+    pub faults: Faults,
+    pub boot: u64,
+    /// Highest fencing number seen; it outlives a restart.
+    pub fence: u64,
+    pub resident: BTreeMap<String, u64>,
+    pub loading: BTreeMap<String, watch::Receiver<bool>>,
+    pub streams: HashMap<String, Arc<Stream>>,
+    pub running: usize,
+    pub dice: Dice,
+    pub journal: Journal,
+    /// Rises when `silent` is switched on: responses that began before stay silent.
+    pub silence: u64,
+    waiting: BinaryHeap<Reverse<Waiting>>,
+    arrivals: u64,
+    prefixes: VecDeque<String>,
+    reports: VecDeque<(Instant, Report)>,
+}
+
+/// Load report.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    boot: String,
+    running: usize,
+    waiting: usize,
+    batch: usize,
+    slots: usize,
+    resident: Vec<ResidentReport>,
+    prefixes: Vec<String>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct ResidentReport {
+    name: String,
+    running: u64,
+}
+
+/// One answer, as a function of instance and prompt.
+pub struct Stream {
+    pub id: String,
+    pub instance: String,
+    pub boot: u64,
+    pub total: u64,
+    pub prompt_tokens: u64,
+    pub progress: watch::Sender<Progress>,
+    place: Mutex<Option<oneshot::Receiver<()>>>,
+}
+
+/// How far a stream is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    pub made: u64,
+    pub phase: Phase,
+}
+
+/// Phase of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// Waiting or running.
+    Running,
+    /// Complete.
+    Done,
+    /// Cancelled by its caller.
+    Cancelled,
+    /// Gone with a restart of the engine.
+    Lost,
+}
+
+/// A stream that waits for a place in the batch: the lowest priority number, then the first come.
+struct Waiting {
+    key: (u8, u64),
+    go: oneshot::Sender<()>,
+}
+
+impl PartialEq for Waiting {
+    fn eq(&self, other: &Self) -> bool {
+        self.key == other.key
+    }
+}
+
+impl Eq for Waiting {}
+
+impl PartialOrd for Waiting {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Waiting {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.key.cmp(&other.key)
+    }
+}
+
+impl Stream {
+    /// The wait for a place, once, if the stream has to wait.
+    pub fn place(&self) -> Option<oneshot::Receiver<()>> {
+        lock(&self.place).take()
+    }
+
+    pub fn is_running(&self) -> bool {
+        self.progress.borrow().phase == Phase::Running
+    }
+
+    /// Token `i`.
+    pub fn text(&self, i: u64) -> String {
+        let mut parts = self.instance.splitn(3, ':');
+        let (adapter, version) = (parts.next().unwrap_or(""), parts.next().unwrap_or(""));
+        format!("{adapter}:{version}#{i} ")
+    }
+}
+
+impl State {
+    pub fn new(faults: Faults) -> Self {
+        Self {
+            faults,
+            boot: 1,
+            fence: 0,
+            resident: BTreeMap::new(),
+            loading: BTreeMap::new(),
+            streams: HashMap::new(),
+            running: 0,
+            dice: Dice::default(),
+            journal: Journal::default(),
+            silence: 0,
+            waiting: BinaryHeap::new(),
+            arrivals: 0,
+            prefixes: VecDeque::new(),
+            reports: VecDeque::new(),
+        }
+    }
+
+    /// Adds an entry to the journal, with the boot id.
+    pub fn record(&mut self, mut what: Value) {
+        what["boot"] = json!(self.boot);
+        self.journal.push(what);
+    }
+
+    /// Whether a command with this fencing number is old; a newer number is remembered.
+    pub fn is_fenced(&mut self, s: &EngineSettings, fence: u64) -> bool {
+        if !s.fencing {
+            return false;
+        }
+        if fence < self.fence {
+            return true;
+        }
+        self.fence = fence;
+        false
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Takes a place in the batch or in the queue.
+    pub fn enter(
+        &mut self,
+        s: &EngineSettings,
+        id: &str,
+        instance: &str,
+        prompt: &str,
+        (priority, max): (u8, u64),
+    ) -> Arc<Stream> {
+        let place = if self.running < s.batch {
+            self.running += 1;
+            None
+        } else {
+            let (go, place) = oneshot::channel();
+            self.arrivals += 1;
+            self.waiting.push(Reverse(Waiting { key: (priority, self.arrivals), go }));
+            Some(place)
+        };
+        let progress = Progress { made: 0, phase: Phase::Running };
+        let stream = Arc::new(Stream {
+            id: id.into(),
+            instance: instance.into(),
+            boot: self.boot,
+            total: answer_len(prompt, max),
+            prompt_tokens: prompt_tokens(prompt),
+            progress: watch::channel(progress).0,
+            place: Mutex::new(place),
+        });
+        *self.resident.entry(instance.into()).or_default() += 1;
+        self.streams.insert(id.into(), stream.clone());
+        let prefix: String = prompt.chars().take(PREFIX_LEN).collect();
+        self.prefixes.retain(|p| *p != prefix);
+        self.prefixes.push_front(prefix);
+        self.prefixes.truncate(PREFIX_LIMIT);
+        self.note(s);
+        stream
+    }
+
+    /// Ends a stream that is running.
+    pub fn end(&mut self, stream: &Stream, phase: Phase) {
+        let mut made = 0;
+        stream.progress.send_modify(|p| {
+            p.phase = phase;
+            made = p.made;
+        });
+        if let Some(n) = self.resident.get_mut(&stream.instance) {
+            *n = n.saturating_sub(1);
+        }
+        self.record(json!({
+            "kind": "end", "request_id": stream.id, "instance": stream.instance, "tokens": made,
+            "prompt_tokens": stream.prompt_tokens, "outcome": phase,
+        }));
+    }
+
+    /// Gives a place in the batch to the next that waits.
+    pub fn leave(&mut self, s: &EngineSettings) {
+        self.running = self.running.saturating_sub(1);
+        while self.running < s.batch {
+            let Some(Reverse(w)) = self.waiting.pop() else { break };
+            if w.go.send(()).is_ok() {
+                self.running += 1;
+            }
+        }
+        self.note(s);
+    }
+
+    pub fn forget(&mut self, stream: &Arc<Stream>) {
+        if self.streams.get(&stream.id).is_some_and(|s| Arc::ptr_eq(s, stream)) {
+            self.streams.remove(&stream.id);
+        }
+    }
+
+    /// Cold restart: nothing resident, nothing running.
+    pub fn restart(&mut self, s: &EngineSettings) {
+        let streams: Vec<_> = self.streams.drain().map(|(_, s)| s).collect();
+        for stream in streams {
+            if stream.is_running() {
+                self.end(&stream, Phase::Lost);
+            }
+        }
+        self.boot += 1;
+        self.resident.clear();
+        self.loading.clear();
+        self.waiting.clear();
+        self.prefixes.clear();
+        self.running = 0;
+        self.record(json!({"kind": "restart"}));
+        self.note(s);
+    }
+
+    /// Keeps the current report for readers of late reports.
+    pub fn note(&mut self, s: &EngineSettings) {
+        let report = self.report(s);
+        self.reports.push_back((Instant::now(), report));
+        if self.reports.len() > REPORT_LIMIT {
+            self.reports.pop_front();
+        }
+    }
+
+    /// The report as of `lag_ms` ago.
+    pub fn late_report(&self, s: &EngineSettings) -> Report {
+        let lag = Duration::from_millis(self.faults.lag_ms);
+        if lag.is_zero() {
+            return self.report(s);
+        }
+        let now = Instant::now();
+        let old = self.reports.iter().rev().find(|(at, _)| now.duration_since(*at) >= lag);
+        old.or(self.reports.front()).map_or_else(|| self.report(s), |r| r.1.clone())
+    }
+
+    fn report(&self, s: &EngineSettings) -> Report {
+        let resident = self.resident.iter();
+        Report {
+            boot: format!("{}-{}", s.name, self.boot),
+            running: self.running,
+            waiting: self.waiting.len(),
+            batch: s.batch,
+            slots: s.slots,
+            resident: resident
+                .map(|(name, running)| ResidentReport { name: name.clone(), running: *running })
+                .collect(),
+            prefixes: self.prefixes.iter().cloned().collect(),
+        }
+    }
+}
+
+/// Tokens of a prompt: a quarter of its bytes, at least 1.
+fn prompt_tokens(prompt: &str) -> u64 {
+    (prompt.len() as u64).div_ceil(4).max(1)
+}
+
+/// Tokens of an answer: `max_tokens`, or fewer if the prompt has a word `stop=N`.
+fn answer_len(prompt: &str, max: u64) -> u64 {
+    let stop = prompt.split_whitespace().find_map(|w| w.strip_prefix("stop=")?.parse().ok());
+    stop.unwrap_or(max).min(max)
+}
--- /dev/null
+++ b/crates/standin/src/hosts.rs
@@ -0,0 +1,125 @@
+//! The platform's host list.
+
+use std::{
+    collections::VecDeque,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use actix_web::{
+    HttpResponse,
+    web::{self, Data, Json, ServiceConfig},
+};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::common::{PlatformFaults, lock, refuse};
+
+/// Replaced lists that are kept for `lag_ms`.
+const HISTORY_LIMIT: usize = 64;
+
+/// State of the host list.
+pub struct Hosts {
+    state: Mutex<State>,
+}
+
+struct State {
+    // Lists and the time since when each is current, oldest first, never empty.
+    history: VecDeque<(Instant, List)>,
+    old: Option<List>,
+    faults: PlatformFaults,
+}
+
+/// The list.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct List {
+    generation: u64,
+    #[serde(default)]
+    hosts: Vec<Host>,
+    #[serde(default)]
+    upstreams: Vec<Upstream>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Host {
+    name: String,
+    ordinal: u8,
+    domain: String,
+    http: String,
+    peer: String,
+    state: Life,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Upstream {
+    name: String,
+    state: Life,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Life {
+    Live,
+    Leaving,
+}
+
+impl Default for Hosts {
+    fn default() -> Self {
+        let history = VecDeque::from([(Instant::now(), List::default())]);
+        let state = State { history, old: None, faults: PlatformFaults::default() };
+        Self { state: Mutex::new(state) }
+    }
+}
+
+impl State {
+    fn current(&self) -> &List {
+        if let Some(old) = &self.old {
+            return old;
+        }
+        let lag = Duration::from_millis(self.faults.lag_ms);
+        let now = Instant::now();
+        let seen = self.history.iter().rev().find(|(at, _)| now.duration_since(*at) >= lag);
+        &seen.unwrap_or(&self.history[0]).1
+    }
+}
+
+/// Routes of the list.
+pub fn routes(cfg: &mut ServiceConfig, state: Data<Hosts>) {
+    cfg.app_data(state)
+        .route("/v1/hosts", web::get().to(get))
+        .route("/control/hosts", web::put().to(put))
+        .route("/control/faults", web::post().to(faults));
+}
+
+async fn get(s: Data<Hosts>) -> HttpResponse {
+    let f = lock(&s.state).faults;
+    tokio::time::sleep(Duration::from_millis(f.delay_ms)).await;
+    if f.down {
+        return refuse(503, "down");
+    }
+    let list = lock(&s.state).current().clone();
+    HttpResponse::Ok().json(list)
+}
+
+async fn put(s: Data<Hosts>, list: Json<List>) -> HttpResponse {
+    let mut state = lock(&s.state);
+    state.history.push_back((Instant::now(), list.into_inner()));
+    if state.history.len() > HISTORY_LIMIT {
+        state.history.pop_front();
+    }
+    HttpResponse::Ok().json(json!({}))
+}
+
+async fn faults(s: Data<Hosts>, f: Json<PlatformFaults>) -> HttpResponse {
+    let mut state = lock(&s.state);
+    match (f.stale, state.old.is_some()) {
+        (true, false) => state.old = Some(state.current().clone()),
+        (false, _) => state.old = None,
+        _ => {}
+    }
+    state.faults = *f;
+    HttpResponse::Ok().json(json!({}))
+}
--- /dev/null
+++ b/crates/standin/src/plain.rs
@@ -0,0 +1,80 @@
+//! Plain service.
+
+use std::{sync::Mutex, time::Duration};
+
+use actix_web::{
+    HttpRequest, HttpResponse,
+    web::{self, Data, Json, Query, ServiceConfig},
+};
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::json;
+use sha2::{Digest as _, Sha256};
+
+use crate::common::{Journal, JournalQuery, cut, header_values, headers, lock, refuse};
+
+/// State of a plain service.
+#[derive(Default)]
+pub struct Plain {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    count: u64,
+    faults: Faults,
+    journal: Journal,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Faults {
+    /// Milliseconds before each answer.
+    delay_ms: u64,
+    /// Break the connection after the call has run.
+    cut: bool,
+    /// Answer 503 without running the call.
+    down: bool,
+}
+
+/// Routes of the service.
+pub fn routes(cfg: &mut ServiceConfig, state: Data<Plain>) {
+    cfg.app_data(state)
+        .route("/control/faults", web::post().to(faults))
+        .route("/control/journal", web::get().to(journal))
+        .default_service(web::route().to(call));
+}
+
+async fn call(s: Data<Plain>, req: HttpRequest, body: Bytes) -> HttpResponse {
+    let digest: String = Sha256::digest(&body).iter().map(|b| format!("{b:02x}")).collect();
+    let (count, f) = {
+        let mut state = lock(&s.state);
+        if state.faults.down {
+            return refuse(503, "down");
+        }
+        state.count += 1;
+        let count = state.count;
+        let id = req.headers().get("x-request-id").and_then(|v| v.to_str().ok());
+        state.journal.push(json!({
+            "kind": "call", "method": req.method().as_str(), "path": req.path(),
+            "query": req.query_string(), "request_id": id, "headers": headers(&req),
+            "header_values": header_values(&req), "body_digest": digest,
+            "body": String::from_utf8_lossy(&body), "count": count,
+        }));
+        (count, state.faults)
+    };
+    tokio::time::sleep(Duration::from_millis(f.delay_ms)).await;
+    if f.cut {
+        return cut(Bytes::from_static(b"{"));
+    }
+    HttpResponse::Ok().json(json!({"path": req.path(), "body_digest": digest, "count": count}))
+}
+
+async fn faults(s: Data<Plain>, f: Json<Faults>) -> HttpResponse {
+    lock(&s.state).faults = *f;
+    HttpResponse::Ok().json(json!({}))
+}
+
+async fn journal(s: Data<Plain>, q: Query<JournalQuery>) -> HttpResponse {
+    lock(&s.state).journal.answer(&q)
+}
