--- /dev/null
+++ b/crates/daemon/src/control/group.rs
@@ -0,0 +1,268 @@
+//! Lease and membership: rounds, probes and calls of peers.
+
+use std::net::SocketAddr;
+
+use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
+use arcstr::ArcStr;
+use yuccawing_core::{
+    allowance::Allowance,
+    config,
+    ids::{Generation, Incarnation, Ordinal},
+    lease::{self, LeaseRequest},
+    membership::{self, Status},
+    placement,
+    time::Tick,
+};
+
+use super::Control;
+use crate::{
+    events::{Event, emit},
+    mesh::{CALL_LIMIT, Link, PeerCall, Probe},
+};
+
+/// Hosts of one ordinal that are asked in a round. During a replacement there may be two.
+const ASKED: usize = 2;
+
+impl Control {
+    /// Answers a call of a peer.
+    pub(super) fn peer_call(&mut self, now: Tick, call: PeerCall, ctx: &mut Context<Self>) {
+        match call {
+            PeerCall::Confirm(request, answer) => {
+                let _ = answer.send(self.lease.as_mut().map(|l| l.vote(now, &request)));
+            }
+            PeerCall::Borrow(from, request, answer) => {
+                let authority = self.authority(now);
+                let _ = answer.send(Some(self.allowance.lend(now, authority, from, &request)));
+            }
+            PeerCall::Probe(probe, answer) => {
+                let _ = answer.send(Some(self.probe(now)));
+                let about = probe.about;
+                let event = membership::Event::Probed { peer: probe.name.clone(), about };
+                self.on_member(now, event, ctx);
+                self.heard_version(now, probe, ctx);
+            }
+            PeerCall::Head(answer) => {
+                let _ = answer.send(self.config.head().cloned());
+            }
+            PeerCall::Part(digest, answer) => {
+                let _ = answer.send(self.config.part(&digest).cloned());
+            }
+            PeerCall::Pin(request, answer) => {
+                self.commands.waiters.insert((request.host, request.id), answer);
+                self.place(now, placement::Event::Pin(request), ctx);
+            }
+            PeerCall::Unpin(unpin) => self.place(now, placement::Event::Unpin(unpin), ctx),
+        }
+    }
+
+    /// What this host tells about itself.
+    pub(super) fn probe(&self, now: Tick) -> Probe {
+        Probe {
+            name: self.setup.settings.name.clone(),
+            ordinal: self.ordinal(),
+            about: self.membership.about(self.authority(now).is_some()),
+            ready: self.config.is_ready(),
+            stamp: self.config.stamp(),
+        }
+    }
+
+    /// Passes an event to the membership and carries out its effects.
+    pub(super) fn on_member(
+        &mut self,
+        now: Tick,
+        event: membership::Event,
+        ctx: &mut Context<Self>,
+    ) {
+        let mut out = Vec::new();
+        self.membership.handle(now, event, &mut out);
+        for e in out {
+            match e {
+                membership::Effect::Probe { peer, addr } => self.send_probe(peer, &addr, ctx),
+                membership::Effect::Peer { peer, status } => self.peer_changed(now, &peer, status),
+                membership::Effect::Upstream { upstream, leaving } => {
+                    if leaving {
+                        let f = slog::b!("upstream" => upstream.as_str());
+                        emit(&self.setup.log, Event::UpstreamLeaving, &f);
+                    }
+                    self.refresh_engines(now, ctx);
+                }
+                membership::Effect::Rejected(e) => {
+                    let f = slog::b!("error" => e.to_string());
+                    emit(&self.setup.log, Event::HostListFailed, &f);
+                }
+            }
+        }
+    }
+
+    /// Tells all probed peers at once what this host has in force.
+    pub(super) fn announce(&mut self, now: Tick, ctx: &mut Context<Self>) {
+        let peers: Vec<_> = self
+            .membership
+            .peers(now)
+            .filter(|(_, s)| *s == Status::Alive)
+            .map(|(h, _)| (h.name.clone(), h.peer.clone()))
+            .collect();
+        for (name, addr) in peers {
+            self.send_probe(name, &addr, ctx);
+        }
+    }
+
+    /// The link to a host, opened anew when its address has changed.
+    pub(super) fn link(&mut self, name: &ArcStr, addr: &str) -> Option<Link> {
+        let addr: SocketAddr = addr.parse().ok()?;
+        let link = self.links.entry(name.clone()).or_insert_with(|| Link::new(addr));
+        if link.addr() != addr {
+            *link = Link::new(addr);
+        }
+        Some(link.clone())
+    }
+
+    /// Link to the best host of an ordinal of the group.
+    pub(super) fn ordinal_link(&mut self, now: Tick, o: Ordinal) -> Option<Link> {
+        self.ordinal_links(now, o).into_iter().next()
+    }
+
+    fn ordinal_links(&mut self, now: Tick, o: Ordinal) -> Vec<Link> {
+        let hosts: Vec<_> = self
+            .membership
+            .ordinal(now, o)
+            .into_iter()
+            .take(ASKED)
+            .map(|(h, _)| (h.name.clone(), h.peer.clone()))
+            .collect();
+        hosts.iter().filter_map(|(n, a)| self.link(n, a)).collect()
+    }
+
+    fn send_probe(&mut self, peer: ArcStr, addr: &str, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        let probe = self.probe(now);
+        let Some(link) = self.link(&peer, addr) else { return };
+        let call =
+            async move { link.call(CALL_LIMIT, |c, x| async move { c.probe(x, probe).await }).await };
+        ctx.spawn(call.into_actor(self).map(move |answer, act, ctx| {
+            // A host that took over the address is not the peer that was asked.
+            let Ok(Some(p)) = answer else { return };
+            if p.name != peer {
+                return;
+            }
+            let received = act.clock.now();
+            let event = membership::Event::Answered { peer, sent: now, about: p.about };
+            act.on_member(received, event, ctx);
+            act.heard_version(received, p, ctx);
+        }));
+    }
+
+    fn peer_changed(&mut self, now: Tick, peer: &ArcStr, status: Status) {
+        let event = match status {
+            Status::Alive => Event::PeerAlive,
+            Status::Lost => Event::PeerLost,
+            Status::Leaving => Event::PeerLeaving,
+            Status::Suspect => return,
+        };
+        emit(&self.setup.log, event, &slog::b!("peer" => peer.as_str()));
+        let alive = self.membership.peers(now).filter(|(_, s)| *s == Status::Alive).count();
+        self.setup.metrics.peers.set(i64::try_from(alive).unwrap_or(i64::MAX));
+    }
+
+    /// Drives the lease: rounds, renewals and its end.
+    pub(super) fn poll_lease(&mut self, now: Tick, ctx: &mut Context<Self>) {
+        let mut out = Vec::new();
+        if let Some(l) = &mut self.lease
+            && !self.released
+        {
+            l.poll(now, &mut out);
+        }
+        self.lease_effects(now, out, ctx);
+    }
+
+    /// Carries out effects of the lease.
+    pub(super) fn lease_effects(
+        &mut self,
+        now: Tick,
+        out: Vec<lease::Effect>,
+        ctx: &mut Context<Self>,
+    ) {
+        for e in out {
+            match e {
+                lease::Effect::Ask { to, request } => self.ask_vote(now, to, &request, ctx),
+                lease::Effect::Admitted(g) => self.log_lease(Event::LeaseAdmitted, g),
+                lease::Effect::Lost => {
+                    let g = self.lease.as_ref().and_then(lease::Lease::admitted);
+                    self.log_lease(Event::LeaseLost, g.unwrap_or_default());
+                    self.place(now, placement::Event::Lost, ctx);
+                    self.publish(now);
+                }
+                lease::Effect::Regained => {
+                    let g = self.lease.as_ref().and_then(lease::Lease::admitted);
+                    self.log_lease(Event::LeaseAdmitted, g.unwrap_or_default());
+                }
+                lease::Effect::Replaced(g) => {
+                    self.log_lease(Event::LeaseReplaced, g);
+                    self.apply_again(now, ctx);
+                }
+                lease::Effect::Behind { from, version } => {
+                    let hosts = self.membership.ordinal(now, from);
+                    let Some(peer) = hosts.first().map(|(h, _)| h.name.clone()) else { continue };
+                    let from = config::Source::Peer(peer);
+                    let event = config::Event::Announced { from, version, digest: None };
+                    self.on_config(now, event, ctx);
+                }
+            }
+        }
+        self.note_renewal(now, ctx);
+    }
+
+    // A later end of the lease means that a round had a majority.
+    fn note_renewal(&mut self, now: Tick, ctx: &mut Context<Self>) {
+        let authority = self.authority(now);
+        self.setup.metrics.lease.set(i64::from(authority.is_some()));
+        let Some(a) = authority.filter(|a| a.until > self.renewed) else { return };
+        self.renewed = a.until;
+        let event = placement::Event::Held { generation: a.generation, until: a.until };
+        self.place(now, event, ctx);
+        self.on_config(now, config::Event::Majority, ctx);
+    }
+
+    fn ask_vote(&mut self, now: Tick, to: Ordinal, q: &LeaseRequest, ctx: &mut Context<Self>) {
+        for link in self.ordinal_links(now, to) {
+            let q = q.clone();
+            let call =
+                async move { link.call(CALL_LIMIT, |c, x| async move { c.confirm(x, q).await }).await };
+            ctx.spawn(call.into_actor(self).map(move |vote, act, ctx| {
+                let (Ok(Some(vote)), Some(l)) = (vote, &mut act.lease) else { return };
+                let (now, mut out) = (act.clock.now(), Vec::new());
+                l.voted(now, to, vote, &mut out);
+                act.lease_effects(now, out, ctx);
+            }));
+        }
+    }
+
+    /// A process that has been replaced goes on as a new candidate with nothing of its own.
+    fn apply_again(&mut self, now: Tick, ctx: &mut Context<Self>) {
+        let Some(rules) = self.config.rules().cloned() else { return };
+        let identity = Incarnation(self.random.next());
+        self.lease = Some(self.new_lease(now, rules.hosts, identity, None));
+        self.allowance = Allowance::new(self.ordinal());
+        self.configure_allowances(now, &rules);
+        self.place(now, placement::Event::Lost, ctx);
+        self.publish(now);
+    }
+
+    /// A lease that starts as a candidate.
+    pub(super) fn new_lease(
+        &self,
+        now: Tick,
+        hosts: u8,
+        incarnation: Incarnation,
+        found: Option<Generation>,
+    ) -> lease::Lease {
+        let version = self.config.version();
+        let ordinal = self.ordinal();
+        lease::Lease::new(lease::Setup { ordinal, hosts, incarnation, found, version }, now)
+    }
+
+    fn log_lease(&self, event: Event, g: Generation) {
+        let f = slog::b!("ordinal" => self.ordinal().0, "generation" => g.0);
+        emit(&self.setup.log, event, &f);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/requests.rs
@@ -0,0 +1,821 @@
+//! Admitted requests: allowance, queue, pins and dispatch.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    time::Duration,
+};
+
+use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
+use arcstr::ArcStr;
+use serde_json::json;
+use slotmap::SlotMap;
+use tokio::sync::oneshot;
+use yuccawing_core::{
+    allowance::{Grant, Verdict},
+    placement::{self, PinAnswer, PinRequest, Target, Unpin},
+    queue::{Item, Limits, Popped, Reason, Running},
+    route::{self, Choice, Need},
+    rules::{Class, Rules, Upstream},
+    ticket::{Denied, Fate, Ticket},
+    time::Tick,
+};
+
+use super::{
+    Control,
+    commands::controller,
+    messages::{
+        Admit, AdmitPlain, Again, Call, Code, Dispatch, Done, Flight, NotRun, Outcome, Refusal,
+        Reply, RequestId, Run,
+    },
+};
+use crate::mesh::CALL_LIMIT;
+
+/// How long a request waits for loans before it is refused.
+const LOAN_WAIT: Duration = Duration::from_millis(400);
+/// Upstreams that one request may be sent to.
+const MAX_TRIES: u32 = 6;
+/// Longest wait for a pin. A request that still waits asks again, elsewhere if need be.
+const PIN_WAIT: Duration = Duration::from_secs(10);
+/// Pause after a refused pin before the same engine is asked again for the same adapter version.
+const PIN_PAUSE: Duration = Duration::from_millis(100);
+/// Waiting requests of one account in one class.
+const PER_ACCOUNT: usize = 1024;
+/// Waiting requests of a host: about 4 MB.
+const TOTAL: usize = 4096;
+/// Tokens per second of one running request before any has been measured: 40 ms per token.
+const SPEED: u64 = 25;
+/// Refusals that `explain` remembers.
+const REMEMBERED: usize = 512;
+/// Prefixes whose engine is remembered, about 0.5 MB. All are dropped when it is exceeded; they
+/// are only a hint.
+const PREFIXES: usize = 8192;
+
+/// Open requests and the pins that they wait for.
+#[derive(Default)]
+pub(super) struct Requests {
+    open: SlotMap<Flight, Open>,
+    ids: HashMap<RequestId, Flight>,
+    // Requests that wait for loans, oldest first.
+    pending: VecDeque<RequestId>,
+    refused: VecDeque<(RequestId, Refusal)>,
+    // Engines asked for a pin: `None` while the answer is awaited, else when to ask again.
+    pins: BTreeMap<(ArcStr, Target), Option<Tick>>,
+    last_pin: u64,
+    prefixes: HashMap<u64, ArcStr>,
+    plain: BTreeMap<ArcStr, u32>,
+    turn: usize,
+    spent: HashMap<RequestId, Ticket>,
+}
+
+struct Open {
+    id: RequestId,
+    account: Option<ArcStr>,
+    cost: u64,
+    deadline: Tick,
+    loan_limit: Tick,
+    grant: Option<Grant>,
+    work: Work,
+    avoid: Vec<ArcStr>,
+    at: Option<Place>,
+    reply: Option<Reply<Result<Dispatch, Refusal>>>,
+    running: Option<Running>,
+    stalled: bool,
+    tries: u32,
+}
+
+struct Place {
+    upstream: ArcStr,
+    instance: ArcStr,
+}
+
+#[derive(Clone)]
+enum Work {
+    Completion { target: Target, model: ArcStr, class: Class, weight: u32, prefix: u64 },
+    Plain { upstreams: Vec<ArcStr> },
+}
+
+impl Control {
+    /// Takes a call of a traffic thread.
+    pub(super) fn traffic_call(&mut self, now: Tick, call: Call, ctx: &mut Context<Self>) {
+        match call {
+            Call::Admit(a, reply) => self.admit(now, a, reply, ctx),
+            Call::AdmitPlain(a, reply) => self.admit_plain(now, a, reply, ctx),
+            Call::Again(a, reply) => self.again(now, a, reply, ctx),
+            Call::Done(d) => self.done(now, d, ctx),
+            Call::Ticket(account, reply) => {
+                let nonce = self.random.next();
+                let out = match self.tickets.issue(now, account, nonce) {
+                    Ok(t) => Ok(t.to_string().into()),
+                    Err(e) => {
+                        Err(Refusal::not_run(Code::Overloaded, e.to_string()).retry(e.retry))
+                    }
+                };
+                let _ = reply.send(out);
+            }
+            Call::Status(reply) => {
+                let _ = reply.send(self.status(now));
+            }
+            Call::Explain(what, reply) => {
+                let _ = reply.send(self.explain(now, &what));
+            }
+            Call::Leave(reply) => {
+                self.leaving = true;
+                self.on_member(now, yuccawing_core::membership::Event::Leave, ctx);
+                self.publish(now);
+                self.announce(now, ctx);
+                let _ = reply.send(());
+            }
+            Call::Release(reply) => self.release(now, reply, ctx),
+        }
+    }
+
+    /// Open requests.
+    pub(super) fn open_requests(&self) -> usize {
+        self.requests.open.len()
+    }
+
+    /// Where a request stands, or why it was refused.
+    pub(super) fn explain_request(&self, id: RequestId) -> Option<serde_json::Value> {
+        if let Some(o) = self.requests.ids.get(&id).and_then(|f| self.requests.open.get(*f)) {
+            let state = match (&o.at, &o.grant) {
+                (Some(_), _) => "running",
+                (None, Some(_)) => "waiting for an upstream",
+                (None, None) => "waiting for tokens",
+            };
+            let upstream = o.at.as_ref().map(|p| p.upstream.clone());
+            return Some(json!({
+                "request": id.to_string(), "state": state, "account": o.account,
+                "tokens": o.cost, "upstream": upstream, "tries": o.tries, "avoid": o.avoid,
+            }));
+        }
+        let (_, r) = self.requests.refused.iter().rev().find(|(i, _)| *i == id)?;
+        Some(json!({
+            "request": id.to_string(), "state": "refused", "code": r.code,
+            "message": r.message, "run": r.run,
+        }))
+    }
+
+    fn admit(
+        &mut self,
+        now: Tick,
+        a: Admit,
+        reply: Reply<Result<Dispatch, Refusal>>,
+        ctx: &mut Context<Self>,
+    ) {
+        let rules = match self.usable_rules(now) {
+            Ok(r) => r,
+            Err(r) => return self.refuse(a.id, reply, r),
+        };
+        let found = rules.adapters.get(&a.adapter).filter(|d| d.versions.contains(&a.version));
+        let Some(adapter) = found else {
+            let r = Refusal::not_run(Code::NotFound, "no such adapter or version");
+            return self.refuse(a.id, reply, r);
+        };
+        let Some(account) = rules.accounts.get(&a.account) else {
+            let r = Refusal::not_run(Code::BadKey, "the account has been removed");
+            return self.refuse(a.id, reply, r);
+        };
+        let work = Work::Completion {
+            target: Target { adapter: a.adapter, version: a.version },
+            model: adapter.model.clone(),
+            class: a.class,
+            weight: account.weight,
+            prefix: a.prefix,
+        };
+        self.open(now, a.id, Some(a.account), a.cost, a.deadline, work, reply, ctx);
+    }
+
+    fn admit_plain(
+        &mut self,
+        now: Tick,
+        a: AdmitPlain,
+        reply: Reply<Result<Dispatch, Refusal>>,
+        ctx: &mut Context<Self>,
+    ) {
+        // An open route needs no allowance, so it works without a lease as well.
+        let rules = match (&a.account, self.config.rules()) {
+            (None, Some(r)) => Ok(r.clone()),
+            _ => self.usable_rules(now),
+        };
+        let rules = match rules {
+            Ok(r) => r,
+            Err(r) => return self.refuse(a.id, reply, r),
+        };
+        let Some(route) = rules.routes.get(&a.route) else {
+            let r = Refusal::not_run(Code::NotFound, "no such route");
+            return self.refuse(a.id, reply, r);
+        };
+        if !route.idempotent
+            && let Err(r) = self.spend(now, &a)
+        {
+            return self.refuse(a.id, reply, r);
+        }
+        let work = Work::Plain { upstreams: route.upstreams.clone() };
+        self.open(now, a.id, a.account, a.cost, a.deadline, work, reply, ctx);
+    }
+
+    fn spend(&mut self, now: Tick, a: &AdmitPlain) -> Result<(), Refusal> {
+        let needed = || Refusal::not_run(Code::TicketNeeded, "this route needs a ticket");
+        let ticket = a.ticket.as_ref().ok_or_else(needed)?;
+        let ticket: Ticket = ticket
+            .parse()
+            .map_err(|e| Refusal::not_run(Code::BadRequest, format!("ticket: {e}")))?;
+        match self.tickets.spend(now, &ticket, a.account.as_ref()) {
+            Ok(()) => {
+                self.requests.spent.insert(a.id, ticket);
+                Ok(())
+            }
+            Err(d) => Err(denied(d)),
+        }
+    }
+
+    fn usable_rules(&self, now: Tick) -> Result<std::sync::Arc<Rules>, Refusal> {
+        let not_ready = || Refusal::not_run(Code::NotReady, "this host is starting");
+        let rules = self.config.rules().ok_or_else(not_ready)?;
+        if !self.config.is_ready() {
+            return Err(not_ready());
+        }
+        if self.config.is_stale(now) {
+            let text = "the newest configuration has not been confirmed";
+            return Err(Refusal::not_run(Code::StaleConfig, text));
+        }
+        if self.authority(now).is_none() {
+            return Err(Refusal::not_run(Code::NoLease, "this host does not hold its lease"));
+        }
+        Ok(rules.clone())
+    }
+
+    #[allow(clippy::too_many_arguments, reason = "private constructor of the request's record")]
+    fn open(
+        &mut self,
+        now: Tick,
+        id: RequestId,
+        account: Option<ArcStr>,
+        cost: u64,
+        deadline: std::time::Instant,
+        work: Work,
+        reply: Reply<Result<Dispatch, Refusal>>,
+        ctx: &mut Context<Self>,
+    ) {
+        let o = Open {
+            id,
+            account,
+            cost,
+            deadline: self.clock.tick(deadline),
+            loan_limit: now + LOAN_WAIT,
+            grant: None,
+            work,
+            avoid: Vec::new(),
+            at: None,
+            reply: Some(reply),
+            running: None,
+            stalled: false,
+            tries: 0,
+        };
+        let flight = self.requests.open.insert(o);
+        self.requests.ids.insert(id, flight);
+        if self.reserve(now, flight) {
+            self.enqueue(now, flight, ctx);
+        } else if self.requests.open.contains_key(flight) {
+            self.requests.pending.push_back(id);
+            self.poll_loans(now, ctx);
+        }
+    }
+
+    /// Reserves the tokens of a request. False: it waits for loans, or it was refused.
+    fn reserve(&mut self, now: Tick, flight: Flight) -> bool {
+        let authority = self.authority(now);
+        let Some(o) = self.requests.open.get_mut(flight) else { return false };
+        let Some(account) = o.account.as_ref().filter(|_| o.cost > 0) else { return true };
+        let refusal = match self.allowance.reserve(now, authority, account, o.cost) {
+            Verdict::Granted(g) => {
+                o.grant = Some(g);
+                return true;
+            }
+            Verdict::Pending if now < o.loan_limit => return false,
+            Verdict::Pending => {
+                Refusal::not_run(Code::RateLimited, "the account's allowance is used up")
+                    .retry(LOAN_WAIT)
+            }
+            Verdict::Refused { retry: Some(t) } => {
+                Refusal::not_run(Code::RateLimited, "the account's allowance is used up").retry(t)
+            }
+            Verdict::Refused { retry: None } => Refusal::not_run(
+                Code::OverBurst,
+                "the request can cost more tokens than the account's burst",
+            ),
+            Verdict::NoAuthority => {
+                Refusal::not_run(Code::NoLease, "this host does not hold its lease")
+            }
+        };
+        self.close(now, flight, refusal);
+        false
+    }
+
+    /// Tries again for the requests that wait for loans.
+    pub(super) fn retry_pending(&mut self, now: Tick, ctx: &mut Context<Self>) {
+        for _ in 0..self.requests.pending.len() {
+            let Some(id) = self.requests.pending.pop_front() else { return };
+            let Some(flight) = self.requests.ids.get(&id).copied() else { continue };
+            if self.reserve(now, flight) {
+                self.enqueue(now, flight, ctx);
+            } else if self.requests.open.contains_key(flight) {
+                self.requests.pending.push_back(id);
+            }
+        }
+    }
+
+    fn enqueue(&mut self, now: Tick, flight: Flight, ctx: &mut Context<Self>) {
+        let Some(o) = self.requests.open.get(flight) else { return };
+        match &o.work {
+            Work::Plain { upstreams } => {
+                let upstreams = upstreams.clone();
+                self.dispatch_plain(now, flight, &upstreams);
+            }
+            Work::Completion { class, weight, .. } => {
+                let item = Item {
+                    account: o.account.clone().unwrap_or_default(),
+                    weight: *weight,
+                    class: *class,
+                    tokens: o.cost,
+                    deadline: o.deadline,
+                    data: o.id,
+                };
+                if let Err(r) = self.queue.push(now, item) {
+                    let text = match r.reason {
+                        Reason::Full => "too many requests wait",
+                        Reason::Late => "the expected wait exceeds the deadline",
+                    };
+                    let refusal = Refusal::not_run(Code::Overloaded, text).retry(r.retry);
+                    return self.close(now, flight, refusal);
+                }
+                self.drive(now, ctx);
+            }
+        }
+    }
+
+    /// Starts the waiting requests that can start, and asks for the pins that others need.
+    pub(super) fn drive(&mut self, now: Tick, ctx: &mut Context<Self>) {
+        // One answer per adapter version, class and set of avoided engines is enough in one pass.
+        let mut blocked = BTreeSet::new();
+        for _ in 0..=self.queue.len() {
+            let mut wants = Vec::new();
+            let mut nowhere = Vec::new();
+            let mut chosen = None;
+            let Self { queue, route, requests, random, .. } = self;
+            let popped = queue.pop(now, |item| {
+                let Some(o) = requests.ids.get(&item.data).and_then(|f| requests.open.get(*f))
+                else {
+                    return false;
+                };
+                let Work::Completion { target, model, class, prefix, .. } = &o.work else {
+                    return false;
+                };
+                let key = (target.clone(), *class, o.avoid.clone());
+                if blocked.contains(&key) {
+                    return false;
+                }
+                let need = Need {
+                    model,
+                    target,
+                    class: *class,
+                    deadline: o.deadline,
+                    avoid: &o.avoid,
+                    prefix: requests.prefixes.get(prefix),
+                };
+                match route.pick(now, &need, random.next()) {
+                    Choice::Run { engine, instance } => {
+                        chosen = Some((engine, instance));
+                        return true;
+                    }
+                    Choice::Pin { engine, load } => {
+                        wants.push((engine, target.clone(), model.clone(), load));
+                    }
+                    Choice::Nowhere => nowhere.push(item.data),
+                    Choice::Wait => {}
+                }
+                blocked.insert(key);
+                false
+            });
+            for (engine, target, model, load) in wants {
+                if load {
+                    self.mark_stalled(&target);
+                }
+                self.ask_pin(now, engine, target, model, 1, ctx);
+            }
+            for id in nowhere {
+                self.give_up(now, id);
+            }
+            match (popped, chosen) {
+                (Some(p), Some((engine, instance))) => {
+                    self.dispatch(now, p, engine, instance, ctx);
+                }
+                _ => return,
+            }
+        }
+    }
+
+    // No engine is left for it: all were tried or are unusable.
+    fn give_up(&mut self, now: Tick, id: RequestId) {
+        let Some(flight) = self.requests.ids.get(&id).copied() else { return };
+        let Some(o) = self.requests.open.get_mut(flight) else { return };
+        if !o.avoid.is_empty() && o.tries < MAX_TRIES {
+            o.avoid.clear();
+            o.tries += 1;
+            return;
+        }
+        self.queue.retain(|i| i.data != id);
+        let r = Refusal::not_run(Code::NoUpstream, "no engine can take the request")
+            .retry(Duration::from_secs(1));
+        self.close(now, flight, r);
+    }
+
+    fn mark_stalled(&mut self, target: &Target) {
+        for o in self.requests.open.values_mut().filter(|o| o.at.is_none()) {
+            if matches!(&o.work, Work::Completion { target: t, .. } if t == target) {
+                o.stalled = true;
+            }
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        now: Tick,
+        p: Popped<RequestId>,
+        engine: ArcStr,
+        instance: ArcStr,
+        ctx: &mut Context<Self>,
+    ) {
+        let addr = self.config.rules().and_then(|r| r.upstreams.get(&engine)?.addr().parse().ok());
+        let flight = self.requests.ids.get(&p.item.data).copied();
+        let open = flight.and_then(|f| Some((f, self.requests.open.get_mut(f)?)));
+        let (Some(addr), Some((flight, o))) = (addr, open) else {
+            return self.queue.done(now, p.running, 0);
+        };
+        let Work::Completion { target, model, class, prefix, .. } = &o.work else { return };
+        let (target, model, class) = (target.clone(), model.clone(), *class);
+        self.requests.prefixes.insert(*prefix, engine.clone());
+        o.running = Some(p.running);
+        o.tries += 1;
+        let (stalled, account, deadline) = (o.stalled, o.account.clone(), o.deadline);
+        let d = Dispatch {
+            upstream: engine.clone(),
+            addr,
+            instance: instance.clone(),
+            priority: class as u8,
+            flight,
+        };
+        o.at = Some(Place { upstream: engine.clone(), instance });
+        self.route.started(now, &engine, &target);
+        let sent = o.reply.take().is_some_and(|r| r.send(Ok(d)).is_ok());
+        if !sent {
+            // The caller has gone: its `Done` is on the way or was dropped with the channel.
+            return;
+        }
+        if stalled && let Some(a) = account {
+            self.setup.metrics.stall(&a);
+        }
+        if self.requests.prefixes.len() > PREFIXES {
+            self.requests.prefixes.clear();
+        }
+        let need = Need {
+            model: &model,
+            target: &target,
+            class,
+            deadline,
+            avoid: &[],
+            prefix: None,
+        };
+        if let Some(extra) = self.route.spread(now, &need) {
+            self.ask_pin(now, extra, target, model, 0, ctx);
+        }
+    }
+
+    fn dispatch_plain(&mut self, now: Tick, flight: Flight, upstreams: &[ArcStr]) {
+        let rules = self.config.rules().cloned();
+        self.requests.turn = self.requests.turn.wrapping_add(1);
+        let turn = self.requests.turn;
+        let Some(o) = self.requests.open.get_mut(flight) else { return };
+        let plain = &mut self.requests.plain;
+        let free = |u: &&ArcStr| {
+            let limit = match rules.as_ref().and_then(|r| r.upstreams.get(*u)) {
+                Some(Upstream::Plain { limit, .. }) => *limit,
+                _ => 0,
+            };
+            plain.get(*u).copied().unwrap_or(0) < limit
+        };
+        let known: Vec<_> = upstreams
+            .iter()
+            .filter(|u| !o.avoid.contains(u) && !self.membership.is_upstream_leaving(u))
+            .collect();
+        let open: Vec<_> = known.iter().copied().filter(free).collect();
+        // The least busy one, and by turns among equals.
+        let least = (0..open.len())
+            .map(|i| open[(i + turn) % open.len()])
+            .min_by_key(|u| plain.get(*u).copied().unwrap_or(0));
+        let addr = |u: &ArcStr| rules.as_ref()?.upstreams.get(u)?.addr().parse().ok();
+        let Some((upstream, addr)) = least.and_then(|u| Some((u.clone(), addr(u)?))) else {
+            let r = if known.is_empty() {
+                Refusal::not_run(Code::NoUpstream, "no upstream can take the call")
+            } else {
+                Refusal::not_run(Code::Overloaded, "all upstreams of the route are busy")
+            };
+            return self.close(now, flight, r.retry(Duration::from_secs(1)));
+        };
+        *plain.entry(upstream.clone()).or_default() += 1;
+        o.tries += 1;
+        let instance = ArcStr::new();
+        o.at = Some(Place { upstream: upstream.clone(), instance: instance.clone() });
+        let d = Dispatch { upstream, addr, instance, priority: 0, flight };
+        if let Some(r) = o.reply.take() {
+            let _ = r.send(Ok(d));
+        }
+    }
+
+    fn again(
+        &mut self,
+        now: Tick,
+        a: Again,
+        reply: Reply<Result<Dispatch, Refusal>>,
+        ctx: &mut Context<Self>,
+    ) {
+        let Some(o) = self.requests.open.get_mut(a.flight).filter(|o| o.id == a.id) else {
+            let r = Refusal::not_run(Code::Internal, "the request is not known");
+            let _ = reply.send(Err(r));
+            return;
+        };
+        o.reply = Some(reply);
+        let tries = o.tries;
+        if let Some(p) = &o.at {
+            o.avoid.push(p.upstream.clone());
+        }
+        let outcome = match a.reason {
+            NotRun::Connect | NotRun::Silent => route::Outcome::Bad,
+            NotRun::UnknownInstance | NotRun::Overloaded | NotRun::Caller => {
+                route::Outcome::Neutral
+            }
+        };
+        self.leave_upstream(now, a.flight, 0, outcome, a.reason == NotRun::UnknownInstance, ctx);
+        if tries >= MAX_TRIES {
+            let r = Refusal::not_run(Code::NoUpstream, "no upstream took the request")
+                .retry(Duration::from_secs(1));
+            return self.close(now, a.flight, r);
+        }
+        self.enqueue(now, a.flight, ctx);
+    }
+
+    fn done(&mut self, now: Tick, d: Done, ctx: &mut Context<Self>) {
+        if let Some(t) = self.requests.spent.remove(&d.id) {
+            let ran = matches!(d.outcome, Outcome::Finished);
+            self.tickets.ended(&t, if ran { Fate::Ran } else { Fate::Unknown });
+        }
+        let Some(flight) = self.requests.ids.get(&d.id).copied() else { return };
+        let outcome = match d.outcome {
+            Outcome::Finished => route::Outcome::Good,
+            Outcome::Broken | Outcome::NotRun(NotRun::Connect | NotRun::Silent) => {
+                route::Outcome::Bad
+            }
+            Outcome::Cancelled | Outcome::NotRun(_) => route::Outcome::Neutral,
+        };
+        let gone = matches!(d.outcome, Outcome::NotRun(NotRun::UnknownInstance));
+        self.leave_upstream(now, flight, d.used, outcome, gone, ctx);
+        self.requests.ids.remove(&d.id);
+        let Some(o) = self.requests.open.remove(flight) else { return };
+        if let Some(g) = o.grant {
+            self.allowance.settle(now, g, d.used);
+        }
+        if o.at.is_none() {
+            self.queue.retain(|i| i.data != d.id);
+        }
+        self.drive(now, ctx);
+    }
+
+    // Ends a request's stay on an upstream.
+    fn leave_upstream(
+        &mut self,
+        now: Tick,
+        flight: Flight,
+        used: u64,
+        outcome: route::Outcome,
+        gone: bool,
+        ctx: &mut Context<Self>,
+    ) {
+        let Some(o) = self.requests.open.get_mut(flight) else { return };
+        let (Some(p), running) = (o.at.take(), o.running.take()) else { return };
+        match o.work.clone() {
+            Work::Plain { .. } => {
+                if let Some(n) = self.requests.plain.get_mut(&p.upstream) {
+                    *n = n.saturating_sub(1);
+                }
+            }
+            Work::Completion { target, .. } => {
+                if let Some(r) = running {
+                    self.queue.done(now, r, used);
+                }
+                self.route.ended(now, &p.upstream, &target, &p.instance, outcome);
+                if gone {
+                    self.route.dropped(&p.upstream, &target);
+                    let (engine, instance) = (p.upstream, p.instance);
+                    self.place(now, placement::Event::Missing { engine, instance }, ctx);
+                }
+            }
+        }
+    }
+
+    fn ask_pin(
+        &mut self,
+        now: Tick,
+        engine: ArcStr,
+        target: Target,
+        model: ArcStr,
+        requests: u32,
+        ctx: &mut Context<Self>,
+    ) {
+        let key = (engine.clone(), target.clone());
+        if self.requests.pins.get(&key).is_some_and(|t| t.is_none_or(|t| now < t)) {
+            return;
+        }
+        self.requests.pins.insert(key, None);
+        self.requests.last_pin += 1;
+        let (id, host) = (self.requests.last_pin, self.setup.incarnation);
+        let wait = PIN_WAIT;
+        let q = PinRequest { host, id, engine, model, target, wait, requests };
+        let hosts = self.config.rules().map_or(1, |r| r.hosts);
+        let by = controller(&q.engine, hosts);
+        let (engine, target) = (q.engine.clone(), q.target.clone());
+        let local = by == self.ordinal();
+        let link = if local { None } else { self.ordinal_link(now, by) };
+        let (tx, rx) = oneshot::channel();
+        if local {
+            self.commands.waiters.insert((host, id), tx);
+            self.place(now, placement::Event::Pin(q.clone()), ctx);
+        }
+        let call = async move {
+            match link {
+                None if local => rx.await.ok(),
+                None => None,
+                Some(link) => {
+                    let limit = wait + CALL_LIMIT;
+                    link.call(limit, |c, x| async move { c.pin(x, q).await }).await.ok().flatten()
+                }
+            }
+        };
+        ctx.spawn(call.into_actor(self).map(move |answer, act, ctx| {
+            act.pin_answered(now, engine, target, id, answer, ctx);
+        }));
+    }
+
+    fn pin_answered(
+        &mut self,
+        sent: Tick,
+        engine: ArcStr,
+        target: Target,
+        id: u64,
+        answer: Option<PinAnswer>,
+        ctx: &mut Context<Self>,
+    ) {
+        let now = self.clock.now();
+        let key = (engine.clone(), target.clone());
+        match answer {
+            Some(PinAnswer::Pinned { instance, duration }) => {
+                self.requests.pins.remove(&key);
+                let back =
+                    self.route.pinned(now, &engine, &target, instance, id, sent, duration);
+                if let Some(u) = back {
+                    self.send_unpin(now, u, ctx);
+                }
+            }
+            Some(PinAnswer::Refused { elsewhere, .. }) => {
+                self.requests.pins.insert(key, Some(now + PIN_PAUSE));
+                if elsewhere {
+                    self.avoid(&engine, &target);
+                }
+            }
+            None => {
+                self.requests.pins.insert(key, Some(now + PIN_PAUSE));
+                self.avoid(&engine, &target);
+            }
+        }
+        self.drive(now, ctx);
+    }
+
+    // Requests that wait for the adapter version go elsewhere.
+    fn avoid(&mut self, engine: &ArcStr, target: &Target) {
+        for o in self.requests.open.values_mut().filter(|o| o.at.is_none()) {
+            if matches!(&o.work, Work::Completion { target: t, .. } if t == target)
+                && !o.avoid.contains(engine)
+            {
+                o.avoid.push(engine.clone());
+            }
+        }
+    }
+
+    /// Releases pins without requests; all of them when `all` is set.
+    pub(super) fn release_pins(&mut self, now: Tick, all: bool, ctx: &mut Context<Self>) {
+        let mut out = Vec::new();
+        self.route.release(now, all, &mut out);
+        for u in out {
+            self.send_unpin(now, u, ctx);
+        }
+        self.requests.pins.retain(|_, t| t.is_none_or(|t| now < t));
+    }
+
+    fn send_unpin(&mut self, now: Tick, u: Unpin, ctx: &mut Context<Self>) {
+        let hosts = self.config.rules().map_or(1, |r| r.hosts);
+        let by = controller(&u.engine, hosts);
+        if by == self.ordinal() {
+            return self.place(now, placement::Event::Unpin(u), ctx);
+        }
+        let Some(link) = self.ordinal_link(now, by) else { return };
+        // A lost unpin only delays an eviction until the pin ends.
+        actix_rt::spawn(async move {
+            let _ = link.call(CALL_LIMIT, |c, x| async move { c.unpin(x, u).await }).await;
+        });
+    }
+
+    /// Refuses the requests whose deadline has passed and tries again for those that wait.
+    pub(super) fn expire_requests(&mut self, now: Tick, ctx: &mut Context<Self>) {
+        let mut late = Vec::new();
+        self.queue.expire(now, &mut late);
+        for item in late {
+            if let Some(f) = self.requests.ids.get(&item.data).copied() {
+                let r = Refusal::not_run(Code::Deadline, "the deadline passed in the queue");
+                self.close(now, f, r);
+            }
+        }
+        self.retry_pending(now, ctx);
+        self.drive(now, ctx);
+    }
+
+    /// Sets the queue's capacity from the engines.
+    pub(super) fn size_queue(&mut self, rules: &Rules) {
+        let usable = self.specs.iter().filter(|s| !s.leaving);
+        let slots: u32 = usable.map(|s| s.batch).sum();
+        let reserved: u32 = self.specs.iter().filter(|s| !s.leaving).map(|s| s.reserved).sum();
+        let status = rules.adapters.values().any(|a| a.class == Class::Status);
+        self.queue.set_limits(Limits {
+            slots,
+            reserved: if status { reserved } else { 0 },
+            per_account: PER_ACCOUNT,
+            total: TOTAL,
+            speed: SPEED,
+        });
+    }
+
+    fn release(&mut self, now: Tick, reply: Reply<()>, ctx: &mut Context<Self>) {
+        self.release_pins(now, true, ctx);
+        self.allowance.close();
+        // Loans that peers still use must end before a successor may start.
+        let until = self.allowance.lent_until().filter(|t| *t > now);
+        let wait = until.map_or(Duration::ZERO, |t| t.since(now));
+        let pause = tokio::time::sleep(wait);
+        ctx.spawn(pause.into_actor(self).map(move |(), act, ctx| {
+            let (now, mut out) = (act.clock.now(), Vec::new());
+            act.released = true;
+            if let Some(l) = &mut act.lease {
+                l.release(now, &mut out);
+            }
+            act.lease_effects(now, out, ctx);
+            act.publish(now);
+            // The peers are told by calls that this waits for.
+            let told = tokio::time::sleep(CALL_LIMIT / 2);
+            ctx.spawn(told.into_actor(act).map(move |(), _, _| {
+                let _ = reply.send(());
+            }));
+        }));
+    }
+
+    // Ends a request that was not sent anywhere, with a refusal.
+    fn close(&mut self, now: Tick, flight: Flight, r: Refusal) {
+        let Some(o) = self.requests.open.remove(flight) else { return };
+        self.requests.ids.remove(&o.id);
+        if let Some(t) = self.requests.spent.remove(&o.id) {
+            self.tickets.unspend(&t);
+        }
+        if let Some(g) = o.grant {
+            self.allowance.settle(now, g, 0);
+        }
+        if let Some(reply) = o.reply {
+            self.refuse(o.id, reply, r);
+        }
+    }
+
+    fn refuse(&mut self, id: RequestId, reply: Reply<Result<Dispatch, Refusal>>, r: Refusal) {
+        if self.requests.refused.len() == REMEMBERED {
+            self.requests.refused.pop_front();
+        }
+        self.requests.refused.push_back((id, r.clone()));
+        let _ = reply.send(Err(r));
+    }
+}
+
+fn denied(d: Denied) -> Refusal {
+    let (code, run) = match d {
+        // The process that issued it may have run the request.
+        Denied::Foreign => (Code::TicketUnknown, Run::Unknown),
+        Denied::Unknown => (Code::TicketUnknown, Run::Unknown),
+        Denied::Spent(Fate::Ran) => (Code::TicketSpent, Run::Ran),
+        Denied::Spent(Fate::Unknown) => (Code::TicketSpent, Run::Unknown),
+    };
+    Refusal { code, message: d.to_string(), run, retry_after: None }
+}
--- /dev/null
+++ b/crates/daemon/src/control/versions.rs
@@ -0,0 +1,283 @@
+//! Configuration: fetches, versions that take effect, and what they change.
+
+use std::{collections::HashMap, sync::Arc};
+
+use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
+use yuccawing_core::{
+    config::{self, Reason, Source, Want},
+    ids::Generation,
+    membership,
+    rules::Rules,
+    time::Tick,
+};
+
+use super::{
+    Control,
+    messages::{AdapterView, HostEntry, Hosts, KeyHash, RouteView, Snapshot},
+};
+use crate::{
+    events::{Event, emit},
+    mesh::{CALL_LIMIT, Probe},
+    watch::PlatformCall,
+};
+
+impl Control {
+    /// Takes what a platform reader has read.
+    pub(super) fn platform_call(
+        &mut self,
+        now: Tick,
+        call: PlatformCall,
+        ctx: &mut Context<Self>,
+    ) {
+        let from = Source::Service;
+        match call {
+            PlatformCall::Head(Some(head)) => {
+                self.on_config(now, config::Event::Offered { from, head }, ctx);
+            }
+            PlatformCall::Head(None) => self.on_config(now, config::Event::Unchanged, ctx),
+            PlatformCall::HeadFailed => {
+                self.on_config(now, config::Event::Failed { from, want: Want::Head }, ctx);
+            }
+            PlatformCall::Part(digest, Some(text)) => {
+                let bytes = text.as_bytes().to_vec();
+                self.on_config(now, config::Event::Part { from, digest, bytes }, ctx);
+            }
+            PlatformCall::Part(digest, None) => {
+                let want = Want::Part(digest);
+                self.on_config(now, config::Event::Failed { from, want }, ctx);
+            }
+            PlatformCall::List(list) => self.on_member(now, membership::Event::List(list), ctx),
+            PlatformCall::Failed(what, error) => {
+                let event = match what {
+                    "list" => Event::HostListFailed,
+                    _ => Event::ConfigFetchFailed,
+                };
+                emit(&self.setup.log, event, &slog::b!("error" => error));
+            }
+        }
+    }
+
+    /// Learns from a probe which version a peer has.
+    pub(super) fn heard_version(&mut self, now: Tick, p: Probe, ctx: &mut Context<Self>) {
+        let event = if self.config.is_ready() {
+            let Some(stamp) = p.stamp else { return };
+            if stamp.version < self.config.version() {
+                return;
+            }
+            let (version, digest) = (stamp.version, Some(stamp.digest));
+            config::Event::Announced { from: Source::Peer(p.name), version, digest }
+        } else {
+            config::Event::Answered {
+                ordinal: p.ordinal,
+                peer: p.name,
+                ready: p.ready,
+                stamp: p.stamp,
+            }
+        };
+        self.on_config(now, event, ctx);
+    }
+
+    /// Passes an event to the configuration and carries out its effects.
+    pub(super) fn on_config(&mut self, now: Tick, event: config::Event, ctx: &mut Context<Self>) {
+        let mut out = Vec::new();
+        self.config.handle(now, event, &mut out);
+        for e in out {
+            match e {
+                config::Effect::Fetch { from, want } => self.fetch(now, from, want, ctx),
+                config::Effect::Apply { version, rules } => self.apply(now, version, &rules, ctx),
+                config::Effect::Rejected(r) => {
+                    let event = match r.reason {
+                        Reason::Conflict { .. } => Event::ConfigConflict,
+                        Reason::Unavailable(_) => Event::ConfigFetchFailed,
+                        Reason::Mismatch(_) | Reason::Invalid(_) => Event::ConfigRejected,
+                    };
+                    let f = slog::b!("version" => r.version, "error" => r.to_string());
+                    emit(&self.setup.log, event, &f);
+                }
+                config::Effect::Announce(_) => self.announce(now, ctx),
+                config::Effect::Ready => self.publish(now),
+            }
+        }
+        let stale = self.config.is_ready() && self.config.is_stale(now);
+        if stale && !self.stale {
+            emit(&self.setup.log, Event::ConfigStale, &slog::b!());
+        }
+        if stale != self.stale {
+            self.stale = stale;
+            self.publish(now);
+        }
+    }
+
+    fn fetch(&mut self, now: Tick, from: Source, want: Want, ctx: &mut Context<Self>) {
+        match &from {
+            Source::Service => {
+                let Some(p) = self.platform.clone() else { return };
+                match want {
+                    Want::Head => drop(actix_rt::spawn(p.read_head())),
+                    Want::Part(d) => drop(actix_rt::spawn(p.read_part(d))),
+                }
+            }
+            Source::Peer(name) => {
+                let name = name.clone();
+                let addr = self.membership.peers(now).find(|(h, _)| h.name == name);
+                let Some(addr) = addr.map(|(h, _)| h.peer.clone()) else {
+                    return self.on_config(now, config::Event::Failed { from, want }, ctx);
+                };
+                let Some(link) = self.link(&name, &addr) else { return };
+                let asked = want.clone();
+                let call = async move {
+                    match asked {
+                        Want::Head => {
+                            let head = link
+                                .call(CALL_LIMIT, |c, x| async move { c.head(x).await })
+                                .await
+                                .ok()
+                                .flatten()?;
+                            Some(Fetched::Head(head))
+                        }
+                        Want::Part(d) => {
+                            let text = link
+                                .call(CALL_LIMIT, |c, x| async move { c.part(x, d).await })
+                                .await
+                                .ok()
+                                .flatten()?;
+                            Some(Fetched::Part(text))
+                        }
+                    }
+                };
+                ctx.spawn(call.into_actor(self).map(move |got, act, ctx| {
+                    let event = match (got, &want) {
+                        (Some(Fetched::Head(head)), _) => config::Event::Offered { from, head },
+                        (Some(Fetched::Part(text)), Want::Part(d)) => {
+                            let (digest, bytes) = (d.clone(), text.as_bytes().to_vec());
+                            config::Event::Part { from, digest, bytes }
+                        }
+                        _ => config::Event::Failed { from, want },
+                    };
+                    let now = act.clock.now();
+                    act.on_config(now, event, ctx);
+                }));
+            }
+        }
+    }
+
+    /// Starts or stops watching the service as this host becomes or ceases to be a reader.
+    pub(super) fn watch_config(&mut self, now: Tick, _ctx: &mut Context<Self>) {
+        let read = self.membership.is_reader(now);
+        match (&self.reader, read) {
+            (None, true) => {
+                let Some(p) = self.platform.clone() else { return };
+                let token = self.setup.stop.child_token();
+                actix_rt::spawn(p.watch_head(token.clone()));
+                self.reader = Some(token);
+            }
+            (Some(token), false) => {
+                token.cancel();
+                self.reader = None;
+            }
+            _ => {}
+        }
+    }
+
+    fn apply(&mut self, now: Tick, version: u64, rules: &Arc<Rules>, ctx: &mut Context<Self>) {
+        self.membership.configure(rules.hosts);
+        self.configure_allowances(now, rules);
+        match &mut self.lease {
+            Some(l) => l.configure(now, version, rules.hosts),
+            None => {
+                let found = self.setup.settings.found.then_some(Generation(1));
+                let identity = self.setup.incarnation;
+                self.lease = Some(self.new_lease(now, rules.hosts, identity, found));
+            }
+        }
+        self.refresh_engines(now, ctx);
+        self.publish_rules(now, version, rules);
+        self.setup.metrics.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        let f = slog::b!("version" => version, "adapters" => rules.adapters.len());
+        emit(&self.setup.log, Event::ConfigApplied, &f);
+    }
+
+    fn publish_rules(&mut self, now: Tick, version: u64, rules: &Rules) {
+        let keys = rules
+            .accounts
+            .iter()
+            .flat_map(|(name, a)| a.keys.iter().filter_map(|k| Some((hash(k)?, name.clone()))))
+            .collect();
+        let adapters: HashMap<_, _> = rules
+            .adapters
+            .iter()
+            .map(|(n, a)| {
+                (n.clone(), AdapterView { versions: a.versions.clone(), class: a.class })
+            })
+            .collect();
+        let mut routes: Vec<_> = rules
+            .routes
+            .iter()
+            .map(|(p, r)| RouteView {
+                prefix: p.clone(),
+                open: r.open,
+                idempotent: r.idempotent,
+                cost: r.cost,
+            })
+            .collect();
+        routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        let view = Snapshot {
+            version,
+            keys: Arc::new(keys),
+            routes: Arc::new(routes),
+            adapters: Arc::new(adapters),
+            ..self.state(now)
+        };
+        self.setup.view.store(Arc::new(view));
+    }
+
+    /// Publishes this host's state and the address answer, if they changed.
+    pub(super) fn publish(&mut self, now: Tick) {
+        let old = self.setup.view.load();
+        let new = self.state(now);
+        if (old.ready, old.leaving, &old.hosts) == (new.ready, new.leaving, &new.hosts) {
+            return;
+        }
+        let (keys, routes) = (old.keys.clone(), old.routes.clone());
+        let (adapters, version) = (old.adapters.clone(), old.version);
+        self.setup.view.store(Arc::new(Snapshot { version, keys, routes, adapters, ..new }));
+    }
+
+    // Everything of a snapshot that does not come from the rules.
+    fn state(&self, now: Tick) -> Snapshot {
+        let holds = self.authority(now).is_some();
+        let ready = holds && self.config.is_ready() && !self.config.is_stale(now);
+        let a = self.membership.addresses(now, ready);
+        let entry = |a: membership::Address| HostEntry {
+            name: a.name,
+            http: a.http,
+            weight: a.weight,
+            incarnation: a.incarnation.into(),
+        };
+        let hosts =
+            Hosts { ttl_ms: a.ttl_ms, hosts: a.hosts.into_iter().map(entry).collect() };
+        Snapshot {
+            incarnation: self.setup.incarnation,
+            ready,
+            leaving: self.leaving,
+            hosts,
+            ..Snapshot::default()
+        }
+    }
+}
+
+enum Fetched {
+    Head(yuccawing_core::rules::Head),
+    Part(arcstr::ArcStr),
+}
+
+fn hash(hex: &str) -> Option<KeyHash> {
+    let mut out = [0; 32];
+    if hex.len() != 64 {
+        return None;
+    }
+    for (i, b) in out.iter_mut().enumerate() {
+        *b = u8::from_str_radix(hex.get(2 * i..2 * i + 2)?, 16).ok()?;
+    }
+    Some(out)
+}
--- /dev/null
+++ b/crates/daemon/src/watch.rs
@@ -0,0 +1,200 @@
+//! Readers of the platform: configuration service and host list.
+//!
+//! They run on the control thread and only read. Each answer goes to the control thread as a
+//! [`PlatformCall`].
+
+use std::time::Duration;
+
+use actix::{Message, Recipient};
+use arcstr::ArcStr;
+use awc::{Client, error::SendRequestError, http::StatusCode};
+use bytes::Bytes;
+use tokio_util::sync::CancellationToken;
+use yuccawing_core::{
+    membership::{List, MAX_LIST},
+    rules::Head,
+};
+
+/// How long the configuration service may hold a watch before it answers "no change".
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Room over [`WATCH_WAIT`] before a watch counts as silent and its connection is dropped.
+const WATCH_GRACE: Duration = Duration::from_secs(1);
+/// Pause after a failed call, so that a service that is down is not flooded.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Interval between reads of the host list.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// Deadline of a single read.
+const READ_LIMIT: Duration = Duration::from_secs(2);
+/// Largest value in bytes.
+const VALUE_LIMIT: usize = 1 << 20;
+
+/// Why the platform did not give a value.
+#[derive(Debug, thiserror::Error)]
+pub enum PlatformError {
+    /// No answer, or no connection.
+    #[error("{0}")]
+    Send(#[from] SendRequestError),
+    /// The body could not be read.
+    #[error("{0}")]
+    Body(#[from] awc::error::PayloadError),
+    /// The service answered with an error.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// The value is not what its key says.
+    #[error("unreadable value: {0}")]
+    Format(String),
+}
+
+/// What was read, for the control thread.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub enum PlatformCall {
+    /// The service answered a watch, with the head it has now.
+    Head(Option<Head>),
+    /// A read of the head failed.
+    HeadFailed,
+    /// A part, `None` if it could not be read.
+    Part(ArcStr, Option<ArcStr>),
+    /// A host list.
+    List(List),
+    /// A read failed. The text is for the log.
+    Failed(&'static str, String),
+}
+
+/// Client of the platform's two services.
+#[derive(Clone)]
+pub struct Platform {
+    config: ArcStr,
+    list: ArcStr,
+    control: Recipient<PlatformCall>,
+}
+
+impl Platform {
+    /// A client of the services at `config` and `list`, `IP:PORT` each.
+    pub fn new(config: ArcStr, list: ArcStr, control: Recipient<PlatformCall>) -> Self {
+        Self { config, list, control }
+    }
+
+    /// Watches the head until `stop` is cancelled.
+    pub async fn watch_head(self, stop: CancellationToken) {
+        let mut revision = 0u64;
+        loop {
+            let out = tokio::select! {
+                () = stop.cancelled() => return,
+                out = self.next_head(revision) => out,
+            };
+            match out {
+                Ok(Some((rev, head))) => {
+                    revision = rev;
+                    self.control.do_send(PlatformCall::Head(Some(head)));
+                }
+                Ok(None) => self.control.do_send(PlatformCall::Head(None)),
+                Err(e) => {
+                    // A restarted or restored service may count from a lower revision.
+                    revision = 0;
+                    self.control.do_send(PlatformCall::Failed("config", e.to_string()));
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Reads the host list once per interval until `stop` is cancelled.
+    pub async fn watch_list(self, stop: CancellationToken) {
+        loop {
+            let out = tokio::select! {
+                () = stop.cancelled() => return,
+                out = self.read_list() => out,
+            };
+            match out {
+                Ok(list) => self.control.do_send(PlatformCall::List(list)),
+                Err(e) => self.control.do_send(PlatformCall::Failed("list", e.to_string())),
+            }
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(LIST_INTERVAL) => {}
+            }
+        }
+    }
+
+    /// Reads the head once and reports it.
+    pub async fn read_head(self) {
+        match self.head().await {
+            Ok(head) => self.control.do_send(PlatformCall::Head(Some(head))),
+            Err(e) => {
+                self.control.do_send(PlatformCall::Failed("config", e.to_string()));
+                self.control.do_send(PlatformCall::HeadFailed);
+            }
+        }
+    }
+
+    /// Reads one part and reports it.
+    pub async fn read_part(self, digest: ArcStr) {
+        let text = match self.part(&digest).await {
+            Ok(text) => Some(text),
+            Err(e) => {
+                self.control.do_send(PlatformCall::Failed("config", e.to_string()));
+                None
+            }
+        };
+        self.control.do_send(PlatformCall::Part(digest, text));
+    }
+
+    async fn next_head(&self, after: u64) -> Result<Option<(u64, Head)>, PlatformError> {
+        let wait = WATCH_WAIT.as_millis();
+        let url = format!("http://{}/v1/watch/head?after={after}&wait_ms={wait}", self.config);
+        let mut answer = client().get(url).timeout(WATCH_WAIT + WATCH_GRACE).send().await?;
+        if answer.status() == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        if answer.status() != StatusCode::OK {
+            return Err(PlatformError::Status(answer.status()));
+        }
+        let revision = answer
+            .headers()
+            .get("x-revision")
+            .and_then(|v| v.to_str().ok()?.parse().ok())
+            .ok_or_else(|| PlatformError::Format("no x-revision".into()))?;
+        let body = answer.body().limit(VALUE_LIMIT).await?;
+        let head =
+            serde_json::from_slice(&body).map_err(|e| PlatformError::Format(e.to_string()))?;
+        Ok(Some((revision, head)))
+    }
+
+    async fn head(&self) -> Result<Head, PlatformError> {
+        let body = self.value("head").await?;
+        serde_json::from_slice(&body).map_err(|e| PlatformError::Format(e.to_string()))
+    }
+
+    async fn part(&self, digest: &str) -> Result<ArcStr, PlatformError> {
+        let body = self.value(&format!("part/{digest}")).await?;
+        let text =
+            std::str::from_utf8(&body).map_err(|e| PlatformError::Format(e.to_string()))?;
+        Ok(text.into())
+    }
+
+    async fn value(&self, key: &str) -> Result<Bytes, PlatformError> {
+        let url = format!("http://{}/v1/values/{key}", self.config);
+        let mut answer = client().get(url).timeout(READ_LIMIT).send().await?;
+        if answer.status() != StatusCode::OK {
+            return Err(PlatformError::Status(answer.status()));
+        }
+        Ok(answer.body().limit(VALUE_LIMIT).await?)
+    }
+
+    async fn read_list(&self) -> Result<List, PlatformError> {
+        let url = format!("http://{}/v1/hosts", self.list);
+        let mut answer = client().get(url).timeout(READ_LIMIT).send().await?;
+        if answer.status() != StatusCode::OK {
+            return Err(PlatformError::Status(answer.status()));
+        }
+        let body = answer.body().limit(MAX_LIST).await?;
+        serde_json::from_slice(&body).map_err(|e| PlatformError::Format(e.to_string()))
+    }
+}
+
+// A client per call: a pooled connection that has gone silent would fail the next read as well.
+// Reads are rare, at most a few a second.
+fn client() -> Client {
+    Client::builder().disable_timeout().finish()
+}
