--- /dev/null
+++ b/crates/core/src/allowance/search.rs
@@ -0,0 +1,119 @@
+//! Search for tokens at the peers of one account.
+
+use std::time::Duration;
+
+use crate::{
+    ids::Ordinal,
+    lease::MAX_HOSTS,
+    time::{Tick, micros},
+};
+
+/// After a search without success, how long requests are refused without asking again. This
+/// bounds the messages of an account that sends far above its rate.
+const DRY: Duration = Duration::from_millis(50);
+
+/// What a peer said about its tokens.
+#[derive(Clone, Copy, Debug)]
+struct Hint {
+    left: u64,
+    at: Tick,
+}
+
+/// Whom to ask next for one account.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Search {
+    // Tokens that the largest waiting request needs; 0 when none waits.
+    pub(super) need: u64,
+    waits: [bool; MAX_HOSTS],
+    empty: [bool; MAX_HOSTS],
+    hints: [Option<Hint>; MAX_HOSTS],
+    dry_until: Tick,
+}
+
+impl Search {
+    /// Notes that a request waits for `need`; false right after a search without success.
+    pub(super) fn start(&mut self, need: u64, now: Tick) -> bool {
+        if now < self.dry_until {
+            return false;
+        }
+        self.need = self.need.max(need);
+        true
+    }
+
+    /// How long requests are refused without asking peers.
+    pub(super) fn dry(&self, now: Tick) -> Duration {
+        self.dry_until.since(now)
+    }
+
+    /// Ends the search: enough tokens have arrived.
+    pub(super) fn done(&mut self) {
+        self.need = 0;
+        self.empty = Default::default();
+    }
+
+    /// Ends the search without success when nobody is left to be asked.
+    pub(super) fn exhausted(&mut self, live: &[Ordinal], now: Tick) -> bool {
+        let open = |o: &Ordinal| !self.empty[usize::from(o.0)];
+        if live.iter().any(open) || self.waits.contains(&true) {
+            return false;
+        }
+        self.done();
+        self.dry_until = now + DRY;
+        true
+    }
+
+    /// A peer did not answer, or does not know the account.
+    pub(super) fn failed(&mut self, from: Ordinal) {
+        self.waits[usize::from(from.0)] = false;
+        self.empty[usize::from(from.0)] = true;
+    }
+
+    /// A peer answered; `enough` tells whether it gave what was asked for.
+    pub(super) fn answered(&mut self, from: Ordinal, left: u64, enough: bool, now: Tick) {
+        let i = usize::from(from.0);
+        self.waits[i] = false;
+        self.empty[i] = !enough;
+        self.hints[i] = Some(Hint { left, at: now });
+    }
+
+    /// Peers that can be asked for `missing` tokens, with the part that each is asked for.
+    /// `rate` and `burst` are those of a peer's base share.
+    pub(super) fn parts(
+        &self,
+        missing: u64,
+        rate: u64,
+        burst: u64,
+        free: &[Ordinal],
+        now: Tick,
+    ) -> Vec<(Ordinal, u64)> {
+        let open = |o: &Ordinal| !self.empty[usize::from(o.0)] && !self.waits[usize::from(o.0)];
+        let mut peers: Vec<(Ordinal, u64)> = free
+            .iter()
+            .copied()
+            .filter(open)
+            .map(|o| (o, self.expected(o, rate, burst, now)))
+            .collect();
+        peers.sort_by_key(|(o, e)| (std::cmp::Reverse(*e), *o));
+        let mut rest = missing;
+        for (_, part) in &mut peers {
+            *part = rest.min(*part);
+            rest -= *part;
+        }
+        // When the expected tokens do not suffice, each may have more than expected.
+        let extra = rest.div_ceil(peers.len().max(1) as u64);
+        peers.iter_mut().for_each(|(_, part)| *part += extra);
+        peers.retain(|(_, part)| *part > 0);
+        peers
+    }
+
+    pub(super) fn asked(&mut self, o: Ordinal) {
+        self.waits[usize::from(o.0)] = true;
+    }
+
+    fn expected(&self, o: Ordinal, rate: u64, burst: u64, now: Tick) -> u64 {
+        self.hints[usize::from(o.0)].map_or(burst, |h| {
+            let gained = u128::from(micros(now.since(h.at))) * u128::from(rate) / 1_000_000;
+            burst.min(h.left.saturating_add(u64::try_from(gained).unwrap_or(u64::MAX)))
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/allowance/tests.rs
@@ -0,0 +1,98 @@
+use std::time::Duration;
+
+use super::{Allowance, Borrow, Grant, Verdict};
+use crate::{
+    ArcStr,
+    bucket::Limits,
+    ids::{Generation, Ordinal},
+    lease::Authority,
+    time::Tick,
+};
+
+const ACCOUNT: ArcStr = arcstr::literal!("a");
+
+/// Hosts with equal clocks and leases that never end, whose messages arrive at once.
+struct Group {
+    now: Tick,
+    hosts: Vec<Allowance>,
+}
+
+impl Group {
+    fn new(hosts: u8, limits: Limits) -> Self {
+        let now = Tick(1_000_000);
+        let mut all: Vec<_> = (0..hosts).map(|o| Allowance::new(Ordinal(o))).collect();
+        for a in &mut all {
+            a.configure(now, [(ACCOUNT, limits)]);
+        }
+        let mut g = Self { now, hosts: all };
+        g.exchange();
+        g
+    }
+
+    fn authority(&self) -> Option<Authority> {
+        let until = self.now + Duration::from_secs(3);
+        Some(Authority { until, generation: Generation(1), parts: self.hosts.len() as u8 })
+    }
+
+    fn reserve(&mut self, o: usize, tokens: u64) -> Option<Grant> {
+        let authority = self.authority();
+        for _ in 0..20 {
+            match self.hosts[o].reserve(self.now, authority, &ACCOUNT, tokens) {
+                Verdict::Granted(g) => return Some(g),
+                Verdict::Pending => self.exchange(),
+                Verdict::Refused { .. } | Verdict::NoAuthority => return None,
+            }
+        }
+        panic!("the search does not end");
+    }
+
+    fn exchange(&mut self) {
+        let authority = self.authority();
+        let peers: Vec<_> = (0..self.hosts.len() as u8).map(Ordinal).collect();
+        for i in 0..self.hosts.len() {
+            let mut out = Vec::new();
+            self.hosts[i].poll(self.now, authority, &peers, &mut out);
+            for Borrow { to, request } in out {
+                let to_index = usize::from(to.0);
+                let from = Ordinal(i as u8);
+                let answer = self.hosts[to_index].lend(self.now, authority, from, &request);
+                self.hosts[i].lent(self.now, to, answer);
+            }
+        }
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against requests above a host's own share that are refused although there is room.
+    a_request_above_the_own_share_is_served_by_loans: {
+        let mut g = Group::new(5, Limits { rate: 100, burst: 1000 });
+        g.now = g.now + Duration::from_secs(20);
+        assert!(g.reserve(0, 990).is_some());
+        assert!(g.reserve(1, 100).is_none());
+    }
+    // Guards against a small rate whose shares are rounded to nothing.
+    a_small_rate_can_be_used_on_one_host: {
+        let mut g = Group::new(5, Limits { rate: 4, burst: 4 });
+        let mut granted = 0;
+        for _ in 0..1000 {
+            g.now = g.now + Duration::from_millis(100);
+            granted += u64::from(g.reserve(2, 1).is_some());
+        }
+        assert!((350..=404).contains(&granted), "{granted}");
+    }
+    // Guards against a settlement that adds tokens to the bucket of a later incarnation.
+    settling_after_a_reset_is_ignored: {
+        let mut g = Group::new(1, Limits { rate: 100, burst: 1000 });
+        g.now = g.now + Duration::from_secs(20);
+        let grant = g.reserve(0, 900).unwrap();
+        let a = Authority { generation: Generation(2), ..g.authority().unwrap() };
+        let h = &mut g.hosts[0];
+        assert!(matches!(h.reserve(g.now, Some(a), &ACCOUNT, 1), Verdict::Refused { .. }));
+        h.settle(g.now, grant, 0);
+        assert!(matches!(h.reserve(g.now, Some(a), &ACCOUNT, 1), Verdict::Refused { .. }));
+    }
+}
--- /dev/null
+++ b/crates/core/src/lease/quorum.rs
@@ -0,0 +1,83 @@
+//! Majorities of vote weight.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::Ordinal;
+
+/// Largest number of ordinals in a group.
+pub const MAX_HOSTS: usize = 7;
+
+/// A set of ordinals.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Voters(u8);
+
+impl Voters {
+    /// This set and `o`.
+    pub fn with(self, o: Ordinal) -> Self {
+        Self(self.0 | bit(o.0))
+    }
+
+    /// This set less `o`.
+    pub fn without(self, o: Ordinal) -> Self {
+        Self(self.0 & !bit(o.0))
+    }
+
+    /// Ordinals that are in both sets.
+    pub fn both(self, other: Self) -> Self {
+        Self(self.0 & other.0)
+    }
+
+    /// Number of ordinals.
+    pub fn len(self) -> u8 {
+        self.0.count_ones() as u8
+    }
+
+    /// Whether no ordinal is in the set.
+    pub fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+
+    // With an even group, ordinal 0 weighs 2, so that one side of an even split can continue.
+    fn weight(self, hosts: u8) -> u8 {
+        let inside = Self(self.0 & (bit(hosts) - 1));
+        inside.len() + u8::from(hosts.is_multiple_of(2) && inside.0 & 1 == 1)
+    }
+}
+
+/// Group sizes that a host counts with. There is more than one while the size changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sizes(u8);
+
+impl Sizes {
+    /// One size, 1 to [`MAX_HOSTS`].
+    pub fn one(hosts: u8) -> Self {
+        Self(bit(hosts.clamp(1, MAX_HOSTS as u8)))
+    }
+
+    /// Sizes of both sets.
+    pub fn union(self, other: Self) -> Self {
+        Self(self.0 | other.0)
+    }
+
+    /// Smallest size.
+    pub fn smallest(self) -> u8 {
+        self.0.trailing_zeros() as u8
+    }
+
+    /// Largest size.
+    pub fn largest(self) -> u8 {
+        7 - self.0.leading_zeros() as u8
+    }
+
+    /// Whether `voters` have a strict majority of the weight under every size.
+    pub fn all_have_majority(self, voters: Voters) -> bool {
+        (1..=MAX_HOSTS as u8).filter(|n| self.0 & bit(*n) != 0).all(|n| {
+            let whole = Voters(bit(n) - 1).weight(n);
+            voters.weight(n) * 2 > whole
+        })
+    }
+}
+
+fn bit(n: u8) -> u8 {
+    1 << n.min(7)
+}
