--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -1,1 +1,899 @@
 //! Adapters on the engines that this host controls.
+//!
+//! Hosts ask for pins; an instance is unloaded only when no pin and no reported request is on it.
+//! Pins outlive their instance, their host and this host's lease, so that losing any of these never
+//! makes an instance look idle while a request may still run on it.
+
+mod engine;
+mod score;
+#[cfg(test)]
+mod tests;
+
+use std::{collections::BTreeMap, fmt, time::Duration};
+
+use arcstr::ArcStr;
+use serde::{Deserialize, Serialize};
+
+use self::{
+    engine::{Engine, Room, State},
+    score::Scores,
+};
+use crate::{
+    ids::{Generation, Incarnation},
+    time::{Tick, plus_drift},
+};
+
+/// Duration of a pin.
+pub const PIN: Duration = Duration::from_secs(150);
+
+/// How long a report may still miss the effect of a command that has been answered.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// How long an unanswered command may still arrive at its engine. An instance name with an
+/// unanswered unload is not used for that long.
+const LATE: Duration = PIN;
+
+/// A command without an answer counts as unknown after this time.
+const COMMAND_LIMIT: Duration = Duration::from_secs(30);
+
+/// Loads of one adapter version that fail on one engine before its requests are sent elsewhere.
+const MAX_FAILURES: u32 = 2;
+
+/// Back-off after the first failed load; it doubles with every further one.
+const BACKOFF_MIN: Duration = Duration::from_millis(250);
+
+/// Longest back-off. It is also how long an engine is avoided after [`MAX_FAILURES`].
+const BACKOFF_MAX: Duration = Duration::from_secs(15);
+
+/// Pause before another attempt to raise an engine's fence, or after it had no free slot.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// A permit that no load has used after this time is dropped, so that permits do not add up to a
+/// burst above the weight store's rate.
+const PERMIT_LIFE: Duration = Duration::from_secs(1);
+
+/// A permit request without an answer is repeated after this time.
+const ASK_LIMIT: Duration = Duration::from_secs(2);
+
+/// Pin requests that wait at once. Further ones are refused and their hosts try elsewhere.
+const MAX_WAITERS: usize = 4096;
+
+/// Name in the command that raises an engine's fence. Instance names contain a colon, so no
+/// instance has it.
+const FENCE: ArcStr = arcstr::literal!("fence");
+
+/// A version of an adapter.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Target {
+    /// Adapter.
+    pub adapter: ArcStr,
+    /// Version.
+    pub version: ArcStr,
+}
+
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.adapter, self.version)
+    }
+}
+
+impl Target {
+    /// Name of its instance on an engine that checks fencing numbers or one that does not.
+    pub fn instance(&self, fencing: bool, generation: Generation) -> ArcStr {
+        if fencing {
+            return ArcStr::from(self.to_string());
+        }
+        ArcStr::from(format!("{self}:g{}", generation.0))
+    }
+
+    /// Reads an instance name.
+    pub fn parse(instance: &str, fencing: bool) -> Option<Self> {
+        let base = if fencing {
+            instance
+        } else {
+            let (base, g) = instance.rsplit_once(":g")?;
+            g.parse::<u64>().ok()?;
+            base
+        };
+        let (adapter, version) = base.rsplit_once(':')?;
+        Some(Self { adapter: ArcStr::from(adapter), version: ArcStr::from(version) })
+    }
+}
+
+/// An engine that this host controls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spec {
+    /// Name of the engine.
+    pub name: ArcStr,
+    /// Base model.
+    pub model: ArcStr,
+    /// Adapter slots.
+    pub slots: u32,
+    /// Whether it refuses commands with an old fencing number.
+    pub fencing: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// Request of a host for a pin.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PinRequest {
+    /// Process that asks.
+    pub host: Incarnation,
+    /// Rises with every request of that process; the answer carries it.
+    pub id: u64,
+    /// Engine.
+    pub engine: ArcStr,
+    /// Base model of the adapter.
+    pub model: ArcStr,
+    /// Adapter version.
+    pub target: Target,
+    /// How long the host waits for the answer.
+    pub wait: Duration,
+    /// Requests that wait for the pin; 0 for a prefetch.
+    pub requests: u32,
+}
+
+/// Release of all pins of a host on an instance up to the one with `id`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unpin {
+    /// Process that held the pins.
+    pub host: Incarnation,
+    /// Highest id that this process has used for the instance.
+    pub id: u64,
+    /// Engine.
+    pub engine: ArcStr,
+    /// Instance.
+    pub instance: ArcStr,
+    /// Requests that ran under the pins, for the choice of evictions.
+    pub uses: u32,
+}
+
+/// What an engine reports.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Engine.
+    pub engine: ArcStr,
+    /// Boot id.
+    pub boot: u64,
+    /// Resident instances with their running requests.
+    pub resident: Vec<(ArcStr, u32)>,
+}
+
+/// Result of a load command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadResult {
+    /// Loaded.
+    Loaded,
+    /// The engine could not load it.
+    Failed,
+    /// The engine has no free slot.
+    NoSlot,
+    /// The fencing number is old: this host has been replaced.
+    Fenced,
+    /// No answer; the load may still happen.
+    Unknown,
+}
+
+/// Result of an unload command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnloadResult {
+    /// Not resident any more.
+    Unloaded,
+    /// The fencing number is old: this host has been replaced.
+    Fenced,
+    /// No answer; the unload may still happen.
+    Unknown,
+}
+
+/// Input of [`Placement::handle`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The engines that this host's ordinal controls.
+    Configure(Vec<Spec>),
+    /// This host's share of the loads in flight.
+    Flight(u32),
+    /// The lease of the ordinal was obtained or renewed.
+    Held {
+        /// Generation.
+        generation: Generation,
+        /// End of the lease.
+        until: Tick,
+    },
+    /// The lease was lost.
+    Lost,
+    /// A host asks for a pin.
+    Pin(PinRequest),
+    /// A host releases its pins.
+    Unpin(Unpin),
+    /// A process of a host has ended. Its pins stay until they expire, because its requests may
+    /// still run on engines.
+    Ended(Incarnation),
+    /// An engine reported.
+    Report(Report),
+    /// An engine answered a request with "unknown instance".
+    Missing {
+        /// Engine.
+        engine: ArcStr,
+        /// Instance.
+        instance: ArcStr,
+    },
+    /// A load command ended.
+    Loaded {
+        /// Number of the command.
+        command: u64,
+        /// Result.
+        result: LoadResult,
+        /// Randomness for the back-off.
+        random: u64,
+    },
+    /// An unload command ended.
+    Unloaded {
+        /// Number of the command.
+        command: u64,
+        /// Result.
+        result: UnloadResult,
+    },
+    /// The weight store's allowance granted a load.
+    Permit,
+    /// The weight store's allowance has nothing left before `retry`.
+    NoPermit {
+        /// When to ask again.
+        retry: Tick,
+    },
+    /// Time has passed; to be sent every 100 ms.
+    Poll,
+}
+
+/// Output of [`Placement::handle`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Answer a pin request.
+    Answer {
+        /// Process that asked.
+        host: Incarnation,
+        /// Id of its request.
+        id: u64,
+        /// Answer.
+        answer: PinAnswer,
+    },
+    /// Load an instance.
+    Load {
+        /// Number of the command, for [`Event::Loaded`].
+        command: u64,
+        /// Engine.
+        engine: ArcStr,
+        /// Instance name.
+        instance: ArcStr,
+        /// Adapter version.
+        target: Target,
+        /// Fencing number.
+        fence: u64,
+    },
+    /// Unload an instance.
+    Unload {
+        /// Number of the command, for [`Event::Unloaded`].
+        command: u64,
+        /// Engine.
+        engine: ArcStr,
+        /// Instance name.
+        instance: ArcStr,
+        /// Fencing number.
+        fence: u64,
+    },
+    /// Take one load from the weight store's allowance.
+    AskPermit,
+}
+
+/// Answer to a pin request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PinAnswer {
+    /// Pinned. The host counts the duration from the time it sent the request, less drift.
+    Pinned {
+        /// Instance name.
+        instance: ArcStr,
+        /// Duration.
+        duration: Duration,
+    },
+    /// Not pinned.
+    Refused {
+        /// Why.
+        reason: Reason,
+        /// Whether another engine may be able to serve.
+        elsewhere: bool,
+    },
+}
+
+/// Why a pin request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// This host does not control the engine now.
+    NoAuthority,
+    /// The engine serves another base model.
+    WrongModel,
+    /// The engine is leaving.
+    Leaving,
+    /// Every slot of the engine is in use.
+    Full,
+    /// Loads of the adapter version fail on this engine.
+    Failing,
+    /// The instance name has an unanswered unload.
+    Unsettled,
+    /// Too many requests wait.
+    Busy,
+    /// The wait has passed.
+    Expired,
+}
+
+impl Reason {
+    fn elsewhere(self) -> bool {
+        !matches!(self, Self::Expired)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Authority {
+    generation: Generation,
+    until: Tick,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Load,
+    Unload,
+    Fence,
+}
+
+#[derive(Clone, Debug)]
+struct Command {
+    engine: ArcStr,
+    instance: ArcStr,
+    kind: Kind,
+    sent: Tick,
+    generation: Generation,
+    // Boot of the engine as reported when the command was sent.
+    boot: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Waiter {
+    host: Incarnation,
+    id: u64,
+    until: Tick,
+    prefetch: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Want {
+    waiters: Vec<Waiter>,
+    since: Tick,
+    // Unload command that makes room for it.
+    evicting: Option<u64>,
+    permit: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    count: u32,
+    retry: Tick,
+}
+
+type Key = (ArcStr, Target);
+
+/// State of the controlling host.
+#[derive(Debug)]
+pub struct Placement {
+    authority: Option<Authority>,
+    generation: Option<Generation>,
+    flight: u32,
+    engines: BTreeMap<ArcStr, Engine>,
+    wants: BTreeMap<Key, Want>,
+    failures: BTreeMap<Key, Failure>,
+    commands: BTreeMap<u64, Command>,
+    // Instances with an unanswered unload, and until when it may still arrive.
+    late: BTreeMap<(ArcStr, ArcStr), Tick>,
+    next: u64,
+    // Permits that no want has taken, by the time they were granted.
+    permits: Vec<Tick>,
+    asked: Option<Tick>,
+    ask_after: Tick,
+    scores: Scores,
+}
+
+/// State of an instance, for operators.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Explained {
+    /// Engine.
+    pub engine: ArcStr,
+    /// Instance name.
+    pub instance: ArcStr,
+    /// State.
+    pub state: &'static str,
+    /// Pins that have not expired.
+    pub pins: usize,
+    /// Running requests in the last report.
+    pub running: u32,
+    /// Requests waiting for it.
+    pub waiting: usize,
+}
+
+impl Placement {
+    /// No engines and no authority.
+    pub fn new() -> Self {
+        Self {
+            authority: None,
+            generation: None,
+            flight: 1,
+            engines: BTreeMap::new(),
+            wants: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            commands: BTreeMap::new(),
+            late: BTreeMap::new(),
+            next: 1,
+            permits: Vec::new(),
+            asked: None,
+            ask_after: Tick(0),
+            scores: Scores::default(),
+        }
+    }
+
+    /// Takes an event in and appends what has to be done to `out`.
+    pub fn handle(&mut self, now: Tick, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Configure(specs) => self.configure(now, specs),
+            Event::Flight(n) => self.flight = n,
+            Event::Held { generation, until } => self.held(now, generation, until),
+            Event::Lost => self.authority = None,
+            Event::Pin(r) => self.pin(now, r, out),
+            Event::Unpin(u) => self.unpin(now, &u),
+            Event::Ended(host) => {
+                for w in self.wants.values_mut() {
+                    w.waiters.retain(|w| w.host != host);
+                }
+            }
+            Event::Report(r) => self.report(now, &r),
+            Event::Missing { engine, instance } => {
+                if let Some(e) = self.engines.get_mut(&engine) {
+                    e.missing(now, &instance);
+                }
+            }
+            Event::Loaded { command, result, random } => {
+                self.loaded(now, command, result, random);
+            }
+            Event::Unloaded { command, result } => self.unloaded(now, command, result),
+            Event::Permit => {
+                self.asked = None;
+                self.permits.push(now);
+            }
+            Event::NoPermit { retry } => {
+                self.asked = None;
+                self.ask_after = retry;
+            }
+            Event::Poll => self.poll(now),
+        }
+        self.drive(now, out);
+    }
+
+    /// Instances of an adapter on the engines of this host.
+    pub fn explain(&self, now: Tick, adapter: &str) -> Vec<Explained> {
+        let mut all = Vec::new();
+        for (engine, e) in &self.engines {
+            for (name, i) in &e.instances {
+                let Some(target) = i.target.as_ref().filter(|t| t.adapter == adapter) else {
+                    continue;
+                };
+                all.push(Explained {
+                    engine: engine.clone(),
+                    instance: name.clone(),
+                    state: i.state.name(),
+                    pins: e.pins_of(now, name),
+                    running: i.running,
+                    waiting: self
+                        .wants
+                        .get(&(engine.clone(), target.clone()))
+                        .map_or(0, |w| w.waiters.len()),
+                });
+            }
+        }
+        all
+    }
+
+    /// Load commands whose end is not known.
+    pub fn loading(&self) -> usize {
+        let sent = self.commands.values().filter(|c| c.kind == Kind::Load).count();
+        sent + self.engines.values().map(Engine::doubtful).sum::<usize>()
+    }
+
+    fn configure(&mut self, now: Tick, specs: Vec<Spec>) {
+        let mut old = std::mem::take(&mut self.engines);
+        for s in specs {
+            let e = match old.remove(&s.name) {
+                Some(mut e) if e.spec.fencing == s.fencing && e.spec.model == s.model => {
+                    e.spec = s.clone();
+                    e
+                }
+                _ => Engine::new(s.clone(), now),
+            };
+            self.engines.insert(s.name, e);
+        }
+    }
+
+    fn held(&mut self, now: Tick, generation: Generation, until: Tick) {
+        // With another generation, pins of a holder in between may exist.
+        if self.generation != Some(generation) {
+            self.generation = Some(generation);
+            for e in self.engines.values_mut() {
+                *e = Engine::new(e.spec.clone(), now);
+            }
+            self.failures.clear();
+            for w in self.wants.values_mut() {
+                w.evicting = None;
+            }
+        }
+        self.authority = Some(Authority { generation, until });
+    }
+
+    fn pin(&mut self, now: Tick, r: PinRequest, out: &mut Vec<Effect>) {
+        let waiting: usize = self.wants.values().map(|w| w.waiters.len()).sum();
+        let refusal = match self.engines.get(&r.engine) {
+            None => Some(Reason::NoAuthority),
+            Some(e) if e.spec.model != r.model => Some(Reason::WrongModel),
+            Some(_) if waiting >= MAX_WAITERS => Some(Reason::Busy),
+            Some(_) => None,
+        };
+        if let Some(reason) = refusal {
+            out.push(refused(r.host, r.id, reason));
+            return;
+        }
+        self.scores.add(now, &r.target, f64::from(r.requests));
+        let want = self.wants.entry((r.engine, r.target)).or_insert_with(|| Want {
+            waiters: Vec::new(),
+            since: now,
+            evicting: None,
+            permit: false,
+        });
+        want.waiters.retain(|w| (w.host, w.id) != (r.host, r.id));
+        want.waiters.push(Waiter {
+            host: r.host,
+            id: r.id,
+            until: now + r.wait,
+            prefetch: r.requests == 0,
+        });
+    }
+
+    fn unpin(&mut self, now: Tick, u: &Unpin) {
+        let Some(e) = self.engines.get_mut(&u.engine) else { return };
+        e.unpin(&u.instance, u.host, u.id);
+        if let Some(target) = Target::parse(&u.instance, e.spec.fencing) {
+            self.scores.add(now, &target, f64::from(u.uses));
+            // The host has given up: a request of it that still waits must not make a new pin.
+            if let Some(w) = self.wants.get_mut(&(u.engine.clone(), target)) {
+                w.waiters.retain(|w| w.host != u.host || w.id > u.id);
+            }
+        }
+    }
+
+    fn report(&mut self, now: Tick, r: &Report) {
+        let Some(e) = self.engines.get_mut(&r.engine) else { return };
+        e.report(now, r);
+    }
+
+    fn loaded(&mut self, now: Tick, command: u64, result: LoadResult, random: u64) {
+        let Some(c) = self.commands.remove(&command) else { return };
+        let current = self.generation == Some(c.generation);
+        let Some(e) = self.engines.get_mut(&c.engine).filter(|_| current) else { return };
+        let raised = e.boot() == c.boot;
+        let target = e.instances.get(&c.instance).and_then(|i| i.target.clone());
+        let key = target.map(|t| (c.engine.clone(), t));
+        match result {
+            LoadResult::Loaded => {
+                e.fence_raised |= raised;
+                e.set(now, &c.instance, State::Resident);
+                if let Some(k) = key {
+                    self.failures.remove(&k);
+                }
+            }
+            LoadResult::Failed => {
+                e.fence_raised |= raised;
+                e.instances.remove(&c.instance);
+                if let Some(k) = key {
+                    self.failed(now, k, random);
+                }
+            }
+            LoadResult::NoSlot => {
+                e.instances.remove(&c.instance);
+                e.full_until = now + RETRY;
+            }
+            LoadResult::Fenced => {
+                e.instances.remove(&c.instance);
+                e.outranked = true;
+            }
+            LoadResult::Unknown => {
+                e.set(now, &c.instance, State::Doubtful);
+                if let Some(k) = key {
+                    self.failed(now, k, random);
+                }
+            }
+        }
+    }
+
+    fn failed(&mut self, now: Tick, key: Key, random: u64) {
+        let f = self.failures.entry(key).or_insert(Failure { count: 0, retry: now });
+        f.count += 1;
+        let longest = BACKOFF_MIN.saturating_mul(1 << f.count.min(16)).min(BACKOFF_MAX);
+        let longest = if f.count >= MAX_FAILURES { BACKOFF_MAX } else { longest };
+        // Half fixed and half random: hosts whose loads failed together come back apart.
+        let part = (random >> 32) as f64 / f64::from(u32::MAX);
+        f.retry = now + longest.mul_f64(0.5 + 0.5 * part);
+    }
+
+    fn unloaded(&mut self, now: Tick, command: u64, result: UnloadResult) {
+        let Some(c) = self.commands.remove(&command) else { return };
+        for w in self.wants.values_mut().filter(|w| w.evicting == Some(command)) {
+            w.evicting = None;
+        }
+        if (c.kind, result) == (Kind::Unload, UnloadResult::Unknown) {
+            self.late.insert((c.engine.clone(), c.instance.clone()), now + LATE);
+        }
+        let current = self.generation == Some(c.generation);
+        let Some(e) = self.engines.get_mut(&c.engine).filter(|_| current) else { return };
+        let raised = e.boot() == c.boot;
+        match (c.kind, result) {
+            (_, UnloadResult::Fenced) => {
+                e.set(now, &c.instance, State::Resident);
+                e.outranked = true;
+            }
+            (Kind::Fence, UnloadResult::Unloaded) => e.fence_raised |= raised,
+            (Kind::Fence, UnloadResult::Unknown) => e.fence_after = now + RETRY,
+            (_, UnloadResult::Unloaded) => {
+                e.fence_raised |= raised;
+                e.instances.remove(&c.instance);
+                e.removed.insert(c.instance, now);
+            }
+            (_, UnloadResult::Unknown) => {
+                e.set(now, &c.instance, State::Doubtful);
+            }
+        }
+    }
+
+    fn poll(&mut self, now: Tick) {
+        let late: Vec<(u64, Kind)> = self
+            .commands
+            .iter()
+            .filter(|(_, c)| now.since(c.sent) >= COMMAND_LIMIT)
+            .map(|(n, c)| (*n, c.kind))
+            .collect();
+        for (n, kind) in late {
+            match kind {
+                Kind::Load => self.loaded(now, n, LoadResult::Unknown, u64::MAX),
+                Kind::Unload | Kind::Fence => self.unloaded(now, n, UnloadResult::Unknown),
+            }
+        }
+        for e in self.engines.values_mut() {
+            e.expire(now);
+        }
+        self.late.retain(|_, t| now < *t);
+        // A failure is forgotten once its back-off is over by as long again.
+        self.failures.retain(|_, f| now <= f.retry + BACKOFF_MAX);
+        self.scores.trim(now);
+    }
+
+    // Answers what can be answered and starts the loads that can start.
+    fn drive(&mut self, now: Tick, out: &mut Vec<Effect>) {
+        self.permits.retain(|t| now.since(*t) < PERMIT_LIFE);
+        self.raise_fences(now, out);
+        let mut keys: Vec<(bool, Tick, Key)> = self
+            .wants
+            .iter()
+            .map(|(k, w)| (w.waiters.iter().all(|w| w.prefetch), w.since, k.clone()))
+            .collect();
+        // Waiting requests before prefetches, then the oldest first.
+        keys.sort();
+        let mut blocked = false;
+        for (prefetch, _, key) in keys {
+            let Some(mut want) = self.wants.remove(&key) else { continue };
+            want.waiters.retain(|w| {
+                let wait = w.until > now;
+                if !wait {
+                    out.push(refused(w.host, w.id, Reason::Expired));
+                }
+                wait
+            });
+            if want.waiters.is_empty() {
+                if want.permit {
+                    self.permits.push(now);
+                }
+                continue;
+            }
+            match self.step(now, &key, &mut want, prefetch && blocked, prefetch, out) {
+                Step::Answered(instance) => {
+                    for w in want.waiters {
+                        let answer =
+                            PinAnswer::Pinned { instance: instance.clone(), duration: PIN };
+                        out.push(Effect::Answer { host: w.host, id: w.id, answer });
+                    }
+                    if want.permit {
+                        self.permits.push(now);
+                    }
+                }
+                Step::Refused(reason) => {
+                    out.extend(want.waiters.iter().map(|w| refused(w.host, w.id, reason)));
+                    if want.permit {
+                        self.permits.push(now);
+                    }
+                }
+                Step::Wait => {
+                    self.wants.insert(key, want);
+                }
+                Step::Blocked => {
+                    blocked = true;
+                    self.wants.insert(key, want);
+                }
+            }
+        }
+    }
+
+    fn raise_fences(&mut self, now: Tick, out: &mut Vec<Effect>) {
+        let Some(a) = self.authority.filter(|a| now < a.until) else { return };
+        for name in self.engines.keys().cloned().collect::<Vec<_>>() {
+            let Some(e) = self.engines.get(&name).filter(|e| e.reported) else { continue };
+            if e.fence_raised || e.outranked || now < e.fence_after {
+                continue;
+            }
+            if self.commands.values().any(|c| c.kind == Kind::Fence && c.engine == name) {
+                continue;
+            }
+            let command = self.send(now, a, &name, &FENCE, Kind::Fence);
+            let fence = a.generation.0;
+            out.push(Effect::Unload { command, engine: name, instance: FENCE, fence });
+        }
+    }
+
+    fn step(
+        &mut self,
+        now: Tick,
+        key: &Key,
+        want: &mut Want,
+        hold: bool,
+        prefetch: bool,
+        out: &mut Vec<Effect>,
+    ) -> Step {
+        let Some(a) = self.authority.filter(|a| now < a.until) else {
+            return Step::Refused(Reason::NoAuthority);
+        };
+        let Some(e) = self.engines.get_mut(&key.0) else {
+            return Step::Refused(Reason::NoAuthority);
+        };
+        if e.outranked {
+            return Step::Refused(Reason::NoAuthority);
+        }
+        if e.spec.leaving {
+            return Step::Refused(Reason::Leaving);
+        }
+        let instance = key.1.instance(e.spec.fencing, a.generation);
+        if self.late.contains_key(&(key.0.clone(), instance.clone())) {
+            return Step::Refused(Reason::Unsettled);
+        }
+        let unloading = self
+            .commands
+            .values()
+            .any(|c| c.kind == Kind::Unload && c.engine == key.0 && c.instance == instance);
+        if unloading || !e.fence_raised || !e.reported {
+            return Step::Wait;
+        }
+        match e.instances.get(&instance).map(|i| i.state) {
+            Some(State::Resident) => {
+                let until = now + plus_drift(PIN);
+                for w in &want.waiters {
+                    e.pin(&instance, w.host, w.id, until);
+                }
+                return Step::Answered(instance);
+            }
+            Some(State::Loading | State::Doubtful | State::Unloading) => return Step::Wait,
+            None => {}
+        }
+        if let Some(f) = self.failures.get(key).filter(|f| now < f.retry) {
+            if f.count >= MAX_FAILURES {
+                return Step::Refused(Reason::Failing);
+            }
+            return Step::Wait;
+        }
+        if want.evicting.is_some() || now < e.full_until {
+            return Step::Wait;
+        }
+        let wanted = &self.wants;
+        let name = &key.0;
+        let room = e.room(now, a.generation, &mut self.scores, |t| {
+            wanted.contains_key(&(name.clone(), t.clone()))
+        });
+        let worth =
+            |victim: f64, scores: &mut Scores| !prefetch || victim < scores.get(now, &key.1);
+        let victim = match room {
+            Room::Free => None,
+            Room::Evict { instance, score } if worth(score, &mut self.scores) => Some(instance),
+            Room::Evict { .. } | Room::None => return Step::Refused(Reason::Full),
+        };
+        let flying = self.loading() + self.wants.values().filter(|w| w.evicting.is_some()).count();
+        let spare = usize::from(prefetch);
+        if hold || flying + spare >= self.flight.max(1) as usize {
+            return Step::Blocked;
+        }
+        if !want.permit {
+            if self.permits.pop().is_none() {
+                self.ask(now, out);
+                return Step::Blocked;
+            }
+            want.permit = true;
+        }
+        let kind = if victim.is_some() { Kind::Unload } else { Kind::Load };
+        let name = victim.as_ref().unwrap_or(&instance);
+        let command = self.send(now, a, &key.0, name, kind);
+        let Some(e) = self.engines.get_mut(&key.0) else { return Step::Wait };
+        let engine = key.0.clone();
+        let fence = a.generation.0;
+        match victim {
+            Some(victim) => {
+                e.set(now, &victim, State::Unloading);
+                want.evicting = Some(command);
+                out.push(Effect::Unload { command, engine, instance: victim, fence });
+            }
+            None => {
+                want.permit = false;
+                e.begin(now, &instance, key.1.clone());
+                let target = key.1.clone();
+                out.push(Effect::Load { command, engine, instance, target, fence });
+            }
+        }
+        Step::Wait
+    }
+
+    fn send(
+        &mut self,
+        now: Tick,
+        a: Authority,
+        engine: &ArcStr,
+        instance: &ArcStr,
+        kind: Kind,
+    ) -> u64 {
+        let command = self.next;
+        self.next += 1;
+        let c = Command {
+            engine: engine.clone(),
+            instance: instance.clone(),
+            kind,
+            sent: now,
+            generation: a.generation,
+            boot: self.engines.get(engine).and_then(Engine::boot),
+        };
+        self.commands.insert(command, c);
+        command
+    }
+
+    fn ask(&mut self, now: Tick, out: &mut Vec<Effect>) {
+        let pending = self.asked.is_some_and(|t| now.since(t) < ASK_LIMIT);
+        if pending || now < self.ask_after {
+            return;
+        }
+        self.asked = Some(now);
+        out.push(Effect::AskPermit);
+    }
+}
+
+impl Default for Placement {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+enum Step {
+    Answered(ArcStr),
+    Refused(Reason),
+    Wait,
+    // Waits for a permit or a load in flight; prefetches behind it wait too.
+    Blocked,
+}
+
+fn refused(host: Incarnation, id: u64, reason: Reason) -> Effect {
+    let answer = PinAnswer::Refused { reason, elsewhere: reason.elsewhere() };
+    Effect::Answer { host, id, answer }
+}
--- /dev/null
+++ b/crates/core/src/placement/engine.rs
@@ -0,0 +1,247 @@
+//! Instances and pins on one engine.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use arcstr::ArcStr;
+
+use super::{PIN, Report, SETTLE, Spec, Target, score::Scores};
+use crate::{
+    ids::{Generation, Incarnation},
+    time::{Tick, plus_drift},
+};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum State {
+    Loading,
+    Resident,
+    Unloading,
+    // A command had no answer; a later report settles it.
+    Doubtful,
+}
+
+impl State {
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Loading => "loading",
+            Self::Resident => "resident",
+            Self::Unloading => "unloading",
+            Self::Doubtful => "doubtful",
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Instance {
+    // `None` for a name that this system does not use.
+    pub(super) target: Option<Target>,
+    pub(super) state: State,
+    pub(super) running: u32,
+    // Loaded by this process under its present generation.
+    own: bool,
+    changed: Tick,
+    // A load, rather than an unload, is in doubt.
+    load: bool,
+    used: Tick,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pin {
+    id: u64,
+    until: Tick,
+}
+
+/// How long an earlier controlling host may still grant pins after this one took the engine over
+/// by a change of configuration.
+const HANDOVER: Duration = Duration::from_secs(5);
+
+/// Where a load can go.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Room {
+    Free,
+    Evict { instance: ArcStr, score: f64 },
+    None,
+}
+
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub(super) spec: Spec,
+    since: Tick,
+    boot: Option<u64>,
+    pub(super) reported: bool,
+    pub(super) fence_raised: bool,
+    pub(super) fence_after: Tick,
+    // It refused this host's fencing number.
+    pub(super) outranked: bool,
+    pub(super) full_until: Tick,
+    pub(super) instances: BTreeMap<ArcStr, Instance>,
+    // Names unloaded lately: a lagging report may still have them.
+    pub(super) removed: BTreeMap<ArcStr, Tick>,
+    pins: BTreeMap<(ArcStr, Incarnation), Pin>,
+}
+
+impl Engine {
+    pub(super) fn new(spec: Spec, now: Tick) -> Self {
+        Self {
+            since: now,
+            boot: None,
+            reported: false,
+            fence_raised: !spec.fencing,
+            fence_after: now,
+            outranked: false,
+            full_until: now,
+            instances: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            pins: BTreeMap::new(),
+            spec,
+        }
+    }
+
+    pub(super) fn boot(&self) -> Option<u64> {
+        self.boot
+    }
+
+    pub(super) fn pin(&mut self, instance: &ArcStr, host: Incarnation, id: u64, until: Tick) {
+        let p = self.pins.entry((instance.clone(), host)).or_insert(Pin { id, until });
+        p.id = p.id.max(id);
+        p.until = p.until.max(until);
+    }
+
+    pub(super) fn unpin(&mut self, instance: &ArcStr, host: Incarnation, id: u64) {
+        let key = (instance.clone(), host);
+        if self.pins.get(&key).is_some_and(|p| p.id <= id) {
+            self.pins.remove(&key);
+        }
+    }
+
+    pub(super) fn pins_of(&self, now: Tick, instance: &ArcStr) -> usize {
+        self.pins
+            .range((instance.clone(), Incarnation(0))..=(instance.clone(), Incarnation(u64::MAX)))
+            .filter(|(_, p)| now < p.until)
+            .count()
+    }
+
+    pub(super) fn doubtful(&self) -> usize {
+        self.instances.values().filter(|i| i.state == State::Doubtful && i.load).count()
+    }
+
+    pub(super) fn set(&mut self, now: Tick, instance: &ArcStr, state: State) {
+        if let Some(i) = self.instances.get_mut(instance) {
+            i.load = i.state == State::Loading;
+            i.state = state;
+            i.changed = now;
+            i.used = now;
+        }
+    }
+
+    pub(super) fn begin(&mut self, now: Tick, instance: &ArcStr, target: Target) {
+        self.removed.remove(instance);
+        self.instances.insert(
+            instance.clone(),
+            Instance {
+                target: Some(target),
+                state: State::Loading,
+                running: 0,
+                own: true,
+                changed: now,
+                load: true,
+                used: now,
+            },
+        );
+    }
+
+    /// Takes a lagging report in. What changed within [`SETTLE`] is not corrected by it.
+    pub(super) fn report(&mut self, now: Tick, r: &Report) {
+        if self.boot.is_some_and(|b| b != r.boot) {
+            // A cold restart. Pins stay: a host may still run under one when its instance is
+            // loaded again. The fence may have been forgotten with the rest.
+            self.instances.retain(|_, i| i.state == State::Loading);
+            self.removed.clear();
+            self.fence_raised = !self.spec.fencing;
+        }
+        self.boot = Some(r.boot);
+        self.reported = true;
+        let old = |changed: Tick| now.since(changed) >= SETTLE;
+        for (name, running) in &r.resident {
+            if self.removed.get(name).is_some_and(|t| !old(*t)) {
+                continue;
+            }
+            let fencing = self.spec.fencing;
+            let i = self.instances.entry(name.clone()).or_insert_with(|| Instance {
+                target: Target::parse(name, fencing),
+                state: State::Resident,
+                running: 0,
+                own: false,
+                changed: now,
+                load: false,
+                used: now,
+            });
+            i.running = *running;
+            if *running > 0 {
+                i.used = now;
+            }
+            if i.state == State::Doubtful && (i.load || old(i.changed)) {
+                i.state = State::Resident;
+            }
+        }
+        self.instances.retain(|name, i| {
+            let seen = r.resident.iter().any(|(n, _)| n == name);
+            if !seen {
+                i.running = 0;
+            }
+            let settled = matches!(i.state, State::Resident | State::Doubtful) && old(i.changed);
+            seen || !settled
+        });
+    }
+
+    /// A request found no such instance: it is not resident, unless it was loaded just now.
+    pub(super) fn missing(&mut self, now: Tick, instance: &ArcStr) {
+        if self
+            .instances
+            .get(instance)
+            .is_some_and(|i| i.state == State::Resident && now.since(i.changed) >= SETTLE / 10)
+        {
+            self.instances.remove(instance);
+            self.removed.insert(instance.clone(), now);
+        }
+    }
+
+    pub(super) fn expire(&mut self, now: Tick) {
+        self.pins.retain(|_, p| now < p.until);
+        self.removed.retain(|_, t| now.since(*t) < SETTLE);
+    }
+
+    /// A free slot or the instance whose eviction costs least.
+    pub(super) fn room(
+        &self,
+        now: Tick,
+        generation: Generation,
+        scores: &mut Scores,
+        wanted: impl Fn(&Target) -> bool,
+    ) -> Room {
+        if self.instances.len() < self.spec.slots as usize {
+            return Room::Free;
+        }
+        let mut best: Option<(f64, Tick, &ArcStr)> = None;
+        for (name, i) in &self.instances {
+            if !self.evictable(now, name, i) {
+                continue;
+            }
+            let score = match &i.target {
+                // Nobody can use an instance of an earlier generation.
+                Some(t) if t.instance(self.spec.fencing, generation) != *name => -1.0,
+                Some(t) if wanted(t) => continue,
+                Some(t) => scores.get(now, t),
+                None => -1.0,
+            };
+            if best.is_none_or(|(s, used, _)| (score, i.used) < (s, used)) {
+                best = Some((score, i.used, name));
+            }
+        }
+        best.map_or(Room::None, |(score, _, name)| Room::Evict { instance: name.clone(), score })
+    }
+
+    fn evictable(&self, now: Tick, name: &ArcStr, i: &Instance) -> bool {
+        let known = i.own || now >= self.since + plus_drift(PIN + HANDOVER);
+        i.state == State::Resident && known && i.running == 0 && self.pins_of(now, name) == 0
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/tests.rs
@@ -0,0 +1,172 @@
+use std::time::Duration;
+
+use arcstr::ArcStr;
+
+use super::{
+    Effect, Event, LoadResult, PinAnswer, PinRequest, Placement, Reason, Report, Spec, Target,
+    UnloadResult, Unpin,
+};
+use crate::{
+    ids::{Generation, Incarnation},
+    time::Tick,
+};
+
+fn at(ms: u64) -> Tick {
+    Tick(ms * 1000)
+}
+
+fn target(name: &str) -> Target {
+    Target { adapter: ArcStr::from(name), version: ArcStr::from("1") }
+}
+
+fn pin(id: u64, adapter: &str) -> Event {
+    Event::Pin(PinRequest {
+        host: Incarnation(7),
+        id,
+        engine: ArcStr::from("e"),
+        model: ArcStr::from("m"),
+        target: target(adapter),
+        wait: Duration::from_secs(60),
+        requests: 1,
+    })
+}
+
+fn unpin(id: u64, instance: &str) -> Event {
+    let (host, engine, instance) = (Incarnation(7), ArcStr::from("e"), ArcStr::from(instance));
+    Event::Unpin(Unpin { host, id, engine, instance, uses: 1 })
+}
+
+fn report(boot: u64, resident: &[(&str, u32)]) -> Event {
+    let resident = resident.iter().map(|(n, r)| (ArcStr::from(*n), *r)).collect();
+    Event::Report(Report { engine: ArcStr::from("e"), boot, resident })
+}
+
+struct One {
+    p: Placement,
+    now: Tick,
+}
+
+impl One {
+    fn new(fencing: bool) -> Self {
+        let mut one = Self { p: Placement::new(), now: at(0) };
+        one.send(Event::Flight(4));
+        let (name, model) = (ArcStr::from("e"), ArcStr::from("m"));
+        one.send(Event::Configure(vec![Spec { name, model, slots: 1, fencing, leaving: false }]));
+        one.hold(3);
+        one
+    }
+
+    fn hold(&mut self, generation: u64) {
+        let until = at(100_000_000);
+        self.send(Event::Held { generation: Generation(generation), until });
+    }
+
+    fn send(&mut self, e: Event) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.p.handle(self.now, e, &mut out);
+        out
+    }
+
+    // Reports an engine and answers the command that raises its fence.
+    fn start(&mut self, resident: &[(&str, u32)]) {
+        for e in self.send(report(1, resident)) {
+            let Effect::Unload { command, .. } = e else { panic!("{e:?}") };
+            self.send(Event::Unloaded { command, result: UnloadResult::Unloaded });
+        }
+    }
+
+    // Asks for a pin, grants the permit and returns what follows.
+    fn load(&mut self, id: u64, adapter: &str) -> Vec<Effect> {
+        let mut out = self.send(pin(id, adapter));
+        if out == [Effect::AskPermit] {
+            out = self.send(Event::Permit);
+        }
+        out
+    }
+}
+
+fn answer(out: &[Effect]) -> Option<&PinAnswer> {
+    out.iter().find_map(|e| match e {
+        Effect::Answer { answer, .. } => Some(answer),
+        _ => None,
+    })
+}
+
+fn loading(out: &[Effect]) -> Option<(u64, ArcStr)> {
+    out.iter().find_map(|e| match e {
+        Effect::Load { command, instance, .. } => Some((*command, instance.clone())),
+        _ => None,
+    })
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against a pin answered before the instance is there.
+    a_pin_is_answered_when_the_load_has_ended: {
+        let mut one = One::new(false);
+        one.start(&[]);
+        let out = one.load(1, "a");
+        let (command, instance) = loading(&out).unwrap();
+        assert_eq!(instance, "a:1:g3");
+        assert_eq!(answer(&out), None);
+        let out = one.send(Event::Loaded { command, result: LoadResult::Loaded, random: 0 });
+        assert!(matches!(answer(&out), Some(PinAnswer::Pinned { .. })));
+    }
+    // Guards against evicting a pinned adapter, and against a late release of an earlier pin.
+    a_pinned_instance_is_not_evicted: {
+        let mut one = One::new(false);
+        one.start(&[]);
+        let (command, _) = loading(&one.load(1, "a")).unwrap();
+        one.send(Event::Loaded { command, result: LoadResult::Loaded, random: 0 });
+        one.send(pin(2, "a"));
+        one.send(unpin(1, "a:1:g3"));
+        let full = PinAnswer::Refused { reason: Reason::Full, elsewhere: true };
+        assert_eq!(answer(&one.load(3, "b")), Some(&full));
+        one.send(unpin(2, "a:1:g3"));
+        let out = one.load(4, "b");
+        assert!(matches!(&out[0], Effect::Unload { instance, .. } if instance == "a:1:g3"));
+    }
+    // Guards against evicting what the predecessor's pins protect.
+    a_new_holder_evicts_nothing_before_old_pins_have_ended: {
+        let mut one = One::new(true);
+        one.start(&[("a:1", 0)]);
+        assert!(matches!(answer(&one.load(1, "b")), Some(PinAnswer::Refused { .. })));
+        one.now = at(160_000);
+        let out = one.load(2, "b");
+        assert!(matches!(&out[0], Effect::Unload { instance, .. } if instance == "a:1"));
+    }
+    // Guards against a late unload of an old holder that hits an instance which is pinned before
+    // the engine knows the new fencing number.
+    nothing_is_pinned_before_the_fence_is_raised: {
+        let mut one = One::new(true);
+        let out = one.send(report(1, &[("a:1", 0)]));
+        let Effect::Unload { command, fence: 3, .. } = out[0] else { panic!("{out:?}") };
+        assert_eq!(answer(&one.send(pin(1, "a"))), None);
+        let out = one.send(Event::Unloaded { command, result: UnloadResult::Unloaded });
+        assert!(matches!(answer(&out), Some(PinAnswer::Pinned { .. })));
+    }
+    // Guards against a host that keeps asking an engine on which loads fail.
+    failed_loads_end_in_a_refusal_that_names_other_engines: {
+        let mut one = One::new(false);
+        one.start(&[]);
+        let mut out = one.load(1, "a");
+        for _ in 0..2 {
+            let (command, _) = loading(&out).unwrap();
+            out = one.send(Event::Loaded { command, result: LoadResult::Failed, random: 9 });
+            assert_eq!(loading(&out), None);
+            if answer(&out).is_some() {
+                break;
+            }
+            one.now = one.now + Duration::from_secs(1);
+            out = one.send(Event::Poll);
+            if out == [Effect::AskPermit] {
+                out = one.send(Event::Permit);
+            }
+        }
+        let failing = PinAnswer::Refused { reason: Reason::Failing, elsewhere: true };
+        assert_eq!(answer(&out), Some(&failing));
+    }
+}
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -1,1 +1,408 @@
 //! Weighted fair queueing of waiting requests.
+//!
+//! Inside a class, accounts share the capacity by weight, measured in tokens (start-time fair
+//! queueing). `status` is served first and has reserved slots. A drafting request counts as
+//! interactive once it has waited for [`AGE`].
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use arcstr::ArcStr;
+
+use crate::{
+    rules::Class,
+    time::{Tick, micros},
+};
+
+/// A drafting request counts as interactive after this wait.
+pub const AGE: Duration = Duration::from_secs(10);
+
+/// Weighted tokens by which an account whose requests could not run may be behind the others. It
+/// bounds the burst that the account is served when they can run again.
+const CREDIT: u64 = 20_000;
+
+/// Virtual time per token at weight 1, so that division by a weight loses little.
+const SCALE: u64 = 1 << 16;
+
+/// Shortest Retry-After.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+
+/// Bounds and capacity of a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Slots out of these that only `status` may use.
+    pub reserved: u32,
+    /// Waiting requests of one account in one class. It keeps one account from filling the queue.
+    pub per_account: usize,
+    /// Waiting requests over all accounts and classes.
+    pub total: usize,
+    /// Tokens per second of one running request, used until requests have been measured.
+    pub speed: u64,
+}
+
+/// A waiting request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item<T> {
+    /// Account that the request is counted for.
+    pub account: ArcStr,
+    /// Weight of the account, at least 1.
+    pub weight: u32,
+    /// Class of service.
+    pub class: Class,
+    /// Tokens reserved: the prompt and the largest answer.
+    pub tokens: u64,
+    /// Time by which the request must have started.
+    pub deadline: Tick,
+    /// The caller's own data.
+    pub data: T,
+}
+
+/// Why a request was not queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// A bound of the queue is reached.
+    Full,
+    /// The expected wait goes past the deadline.
+    Late,
+}
+
+/// Refusal of a request that has not run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal<T> {
+    /// Why.
+    pub reason: Reason,
+    /// When a new attempt is likely to be accepted.
+    pub retry: Duration,
+    /// The refused request.
+    pub item: Item<T>,
+}
+
+/// A request that runs. It is given back to [`Queue::done`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Running {
+    account: ArcStr,
+    weight: u32,
+    reserved: bool,
+    level: usize,
+    tokens: u64,
+    started: Tick,
+}
+
+/// A request that may run now, with its record for [`Queue::done`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Popped<T> {
+    /// The request.
+    pub item: Item<T>,
+    /// How long it waited.
+    pub waited: Duration,
+    /// To be given back at the end of the request.
+    pub running: Running,
+}
+
+#[derive(Debug)]
+struct Waiting<T> {
+    item: Item<T>,
+    arrived: Tick,
+    // Arrival in the class that it is served in: later than `arrived` after aging.
+    entered: Tick,
+}
+
+#[derive(Debug)]
+struct Flow<T> {
+    weight: u32,
+    // Virtual start time of the next request.
+    start: u64,
+    tokens: u64,
+    items: VecDeque<Waiting<T>>,
+}
+
+#[derive(Debug)]
+struct Level<T> {
+    // Virtual start time of the request served last.
+    virtual_now: u64,
+    tokens: u64,
+    flows: BTreeMap<ArcStr, Flow<T>>,
+}
+
+/// Waiting and running requests of one host.
+#[derive(Debug)]
+pub struct Queue<T> {
+    limits: Limits,
+    levels: [Level<T>; 3],
+    len: usize,
+    running: u32,
+    running_status: u32,
+    // Moving average of tokens per second of one running request.
+    speed: f64,
+}
+
+impl<T> Queue<T> {
+    /// An empty queue.
+    pub fn new(limits: Limits) -> Self {
+        let level = || Level { virtual_now: 0, tokens: 0, flows: BTreeMap::new() };
+        Self {
+            limits,
+            levels: [level(), level(), level()],
+            len: 0,
+            running: 0,
+            running_status: 0,
+            speed: limits.speed.max(1) as f64,
+        }
+    }
+
+    /// Changes the bounds and the capacity. The measured speed is kept.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Waiting requests.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Waiting requests of a class; aged drafting requests count as interactive.
+    pub fn waiting(&self, class: Class) -> usize {
+        self.levels[level_of(class)].flows.values().map(|f| f.items.len()).sum()
+    }
+
+    /// Queues a request, or refuses it when a bound is reached or its wait is likely to be too long.
+    pub fn push(&mut self, now: Tick, item: Item<T>) -> Result<(), Box<Refusal<T>>> {
+        let level = level_of(item.class);
+        let wait = self.expected(&item.account, item.weight, level, item.tokens);
+        let refuse = |reason, retry: Duration, item| {
+            Err(Box::new(Refusal { reason, retry: retry.max(RETRY_MIN), item }))
+        };
+        let count = self.levels[level].flows.get(&item.account).map_or(0, |f| f.items.len());
+        if self.len >= self.limits.total || count >= self.limits.per_account {
+            return refuse(Reason::Full, wait / 2, item);
+        }
+        let left = item.deadline.since(now);
+        if left.is_zero() || wait > left {
+            return refuse(Reason::Late, wait.saturating_sub(left), item);
+        }
+        self.len += 1;
+        self.insert(level, Waiting { item, arrived: now, entered: now });
+        Ok(())
+    }
+
+    /// Next request in fair order of those for which `can` is true, if a slot is free.
+    ///
+    /// A request for which `can` is false keeps its place and holds up no other one.
+    pub fn pop(&mut self, now: Tick, mut can: impl FnMut(&Item<T>) -> bool) -> Option<Popped<T>> {
+        self.age(now);
+        (0..self.levels.len()).find_map(|l| {
+            if self.free(l) == 0 {
+                return None;
+            }
+            self.pop_level(now, l, &mut can)
+        })
+    }
+
+    /// Ends a request that used `used` tokens. The unused rest is given back to its account's share.
+    pub fn done(&mut self, now: Tick, r: Running, used: u64) {
+        self.running = self.running.saturating_sub(1);
+        if r.reserved {
+            self.running_status = self.running_status.saturating_sub(1);
+        }
+        let took = micros(now.since(r.started));
+        if used > 0 && took > 0 {
+            let speed = used as f64 * 1e6 / took as f64;
+            self.speed = (self.speed * 0.95 + speed * 0.05).max(1.0);
+        }
+        let unused = virtual_cost(r.tokens.saturating_sub(used), r.weight);
+        let level = &mut self.levels[r.level];
+        if let Some(f) = level.flows.get_mut(&r.account) {
+            f.start = f.start.saturating_sub(unused);
+        }
+        self.prune(r.level);
+    }
+
+    /// Takes out the requests whose deadline has passed. They have not run.
+    pub fn expire(&mut self, now: Tick, out: &mut Vec<Item<T>>) {
+        for l in 0..self.levels.len() {
+            let level = &mut self.levels[l];
+            for f in level.flows.values_mut() {
+                let mut i = 0;
+                while i < f.items.len() {
+                    if f.items[i].item.deadline > now {
+                        i += 1;
+                        continue;
+                    }
+                    if let Some(w) = f.items.remove(i) {
+                        f.tokens -= w.item.tokens;
+                        level.tokens -= w.item.tokens;
+                        self.len -= 1;
+                        out.push(w.item);
+                    }
+                }
+            }
+            self.prune(l);
+        }
+    }
+
+    /// Takes out the requests for which `keep` is false, for example those whose caller has gone.
+    pub fn retain(&mut self, mut keep: impl FnMut(&Item<T>) -> bool) {
+        for l in 0..self.levels.len() {
+            let level = &mut self.levels[l];
+            for f in level.flows.values_mut() {
+                f.items.retain(|w| keep(&w.item));
+                f.tokens = f.items.iter().map(|w| w.item.tokens).sum();
+            }
+            level.tokens = level.flows.values().map(|f| f.tokens).sum();
+            self.prune(l);
+        }
+        self.len = self.levels.iter().flat_map(|l| l.flows.values()).map(|f| f.items.len()).sum();
+    }
+
+    /// Expected wait of a request that arrives now.
+    pub fn expected_wait(&self, account: &ArcStr, weight: u32, class: Class, n: u64) -> Duration {
+        self.expected(account, weight, level_of(class), n)
+    }
+
+    // Higher classes go first; inside the class every account is served until it has had the same
+    // weighted amount as this one needs for its backlog and this request.
+    fn expected(&self, account: &ArcStr, weight: u32, level: usize, tokens: u64) -> Duration {
+        let flows = &self.levels[level].flows;
+        let before: u64 = self.levels[..level].iter().map(|l| l.tokens).sum();
+        if before == 0 && flows.is_empty() && self.free(level) > 0 {
+            return Duration::ZERO;
+        }
+        let own = flows.get(account).map_or(0, |f| f.tokens);
+        let need = (own + tokens) as f64 / f64::from(weight.max(1));
+        let others: f64 = flows
+            .iter()
+            .filter(|(a, _)| *a != account)
+            .map(|(_, f)| (f.tokens as f64).min(need * f64::from(f.weight)))
+            .sum();
+        let ahead = before as f64 + own as f64 + others;
+        Duration::from_secs_f64((ahead / self.rate(level)).min(1e6))
+    }
+
+    // Tokens per second that the class can get.
+    fn rate(&self, level: usize) -> f64 {
+        let held = if level == 0 { 0 } else { self.limits.reserved };
+        f64::from(self.limits.slots.saturating_sub(held).max(1)) * self.speed
+    }
+
+    fn free(&self, level: usize) -> u32 {
+        let all = self.limits.slots.saturating_sub(self.running);
+        if level == 0 {
+            return all;
+        }
+        // Status requests that run use the reserved slots first.
+        let held = self.limits.reserved.saturating_sub(self.running_status);
+        all.saturating_sub(held)
+    }
+
+    fn insert(&mut self, l: usize, w: Waiting<T>) {
+        let level = &mut self.levels[l];
+        let virtual_now = level.virtual_now;
+        let f = level.flows.entry(w.item.account.clone()).or_insert_with(|| Flow {
+            weight: 1,
+            start: virtual_now,
+            tokens: 0,
+            items: VecDeque::new(),
+        });
+        if f.items.is_empty() {
+            f.start = f.start.max(virtual_now);
+        }
+        f.weight = w.item.weight.max(1);
+        f.tokens += w.item.tokens;
+        level.tokens += w.item.tokens;
+        let i = f.items.partition_point(|o| o.entered <= w.entered);
+        f.items.insert(i, w);
+    }
+
+    fn pop_level(
+        &mut self,
+        now: Tick,
+        l: usize,
+        can: &mut impl FnMut(&Item<T>) -> bool,
+    ) -> Option<Popped<T>> {
+        let level = &mut self.levels[l];
+        let floor = level.virtual_now.saturating_sub(CREDIT * SCALE);
+        let mut order: Vec<(u64, ArcStr)> = level
+            .flows
+            .iter()
+            .filter(|(_, f)| !f.items.is_empty())
+            .map(|(a, f)| (f.start.max(floor), a.clone()))
+            .collect();
+        order.sort_unstable();
+        for (start, account) in order {
+            let Some(f) = level.flows.get_mut(&account) else { continue };
+            let at = f.items.iter().position(|w| w.item.deadline > now && can(&w.item));
+            let Some(w) = at.and_then(|i| f.items.remove(i)) else { continue };
+            f.start = start + virtual_cost(w.item.tokens, f.weight);
+            f.tokens -= w.item.tokens;
+            level.tokens -= w.item.tokens;
+            level.virtual_now = level.virtual_now.max(start);
+            self.len -= 1;
+            self.running += 1;
+            let reserved = l == 0;
+            self.running_status += u32::from(reserved);
+            let running = Running {
+                account,
+                weight: f.weight,
+                reserved,
+                level: l,
+                tokens: w.item.tokens,
+                started: now,
+            };
+            return Some(Popped { waited: now.since(w.arrived), item: w.item, running });
+        }
+        None
+    }
+
+    // Moves drafting requests that have waited for `AGE` to the interactive class.
+    fn age(&mut self, now: Tick) {
+        let from = level_of(Class::Drafting);
+        let to = level_of(Class::Interactive);
+        let mut aged = Vec::new();
+        let level = &mut self.levels[from];
+        for f in level.flows.values_mut() {
+            while f.items.front().is_some_and(|w| now.since(w.arrived) >= AGE) {
+                let Some(mut w) = f.items.pop_front() else { break };
+                f.tokens -= w.item.tokens;
+                level.tokens -= w.item.tokens;
+                w.entered = w.arrived + AGE;
+                aged.push(w);
+            }
+        }
+        for w in aged {
+            self.insert(to, w);
+        }
+    }
+
+    // Forgets accounts that wait for nothing and are not ahead of the others, so that the map is
+    // bounded by the accounts that are active.
+    fn prune(&mut self, l: usize) {
+        let level = &mut self.levels[l];
+        let busy = self.running > 0;
+        let at = level.virtual_now;
+        level.flows.retain(|_, f| !f.items.is_empty() || (busy && f.start > at));
+    }
+}
+
+fn level_of(class: Class) -> usize {
+    match class {
+        Class::Status => 0,
+        Class::Interactive => 1,
+        Class::Drafting => 2,
+    }
+}
+
+fn virtual_cost(tokens: u64, weight: u32) -> u64 {
+    tokens.saturating_mul(SCALE) / u64::from(weight.max(1))
+}
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,1 +1,376 @@
 //! Choice of an engine for a request.
+//!
+//! Works on this host's own view: lagging reports of the engines, corrected with the host's own
+//! requests, and the pins that the host holds.
+
+mod health;
+#[cfg(test)]
+mod tests;
+mod view;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use arcstr::ArcStr;
+
+use self::view::View;
+pub use self::{health::Outcome, view::Copy};
+use crate::{
+    ids::Incarnation,
+    placement::{Target, Unpin},
+    rules::Class,
+    time::{Tick, less_drift},
+};
+
+/// A pin without requests is released after this time. Adapters that are used every few seconds
+/// keep their pins; longer would hold slots of idle adapters against eviction.
+const IDLE: Duration = Duration::from_secs(1);
+
+/// Share of an engine's batch that the requests of one adapter fill before it gets another replica.
+const REPLICA_FILL: f64 = 0.6;
+
+/// Engines whose load is above the mean by this factor are passed over for cold loads.
+const BOUNDED_LOAD: f64 = 1.25;
+
+/// Pins of one host: more than the adapter slots of any fleet that one host serves at once.
+const MAX_PINS: usize = 4096;
+
+/// An engine that requests are routed to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spec {
+    /// Name of the engine.
+    pub name: ArcStr,
+    /// Base model.
+    pub model: ArcStr,
+    /// Requests that run at once.
+    pub batch: u32,
+    /// Slots of the batch that only `status` may use.
+    pub reserved: u32,
+    /// Whether it checks fencing numbers, for instance names.
+    pub fencing: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether the holder of its controlling ordinal is known.
+    pub held: bool,
+}
+
+/// A lagging report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Engine.
+    pub engine: ArcStr,
+    /// Boot id.
+    pub boot: u64,
+    /// Running requests.
+    pub running: u32,
+    /// Waiting requests.
+    pub waiting: u32,
+    /// Resident instances with their running requests.
+    pub resident: Vec<(ArcStr, u32)>,
+}
+
+/// What a request needs.
+#[derive(Clone, Debug)]
+pub struct Need<'a> {
+    /// Base model.
+    pub model: &'a ArcStr,
+    /// Adapter version.
+    pub target: &'a Target,
+    /// Class of service.
+    pub class: Class,
+    /// Time by which the request ends.
+    pub deadline: Tick,
+    /// Engines that refused or failed this request.
+    pub avoid: &'a [ArcStr],
+    /// Engine that is likely to have the prompt's prefix.
+    pub prefix: Option<&'a ArcStr>,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Run it there under the pin that this host holds.
+    Run {
+        /// Engine.
+        engine: ArcStr,
+        /// Instance.
+        instance: ArcStr,
+    },
+    /// Ask the engine's controlling host for a pin.
+    Pin {
+        /// Engine.
+        engine: ArcStr,
+        /// Whether the adapter version is likely to be loaded first.
+        load: bool,
+    },
+    /// Every replica is full; wait.
+    Wait,
+    /// No engine can serve it now.
+    Nowhere,
+}
+
+/// A pin request that was answered with a pin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Granted {
+    /// Engine.
+    pub engine: ArcStr,
+    /// Adapter version.
+    pub target: Target,
+    /// Instance name of the answer.
+    pub instance: ArcStr,
+    /// Id of the request.
+    pub id: u64,
+    /// When the request was sent.
+    pub sent: Tick,
+    /// Duration of the answer.
+    pub duration: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Pin {
+    instance: ArcStr,
+    // Highest id used for this instance.
+    id: u64,
+    until: Tick,
+    running: u32,
+    uses: u32,
+    idle: Tick,
+}
+
+/// This host's view of the engines.
+#[derive(Debug)]
+pub struct Route {
+    host: Incarnation,
+    engines: BTreeMap<ArcStr, View>,
+    // By engine and target: a new instance name replaces the old pin.
+    pins: BTreeMap<(ArcStr, Target), Pin>,
+}
+
+impl Route {
+    /// No engines.
+    pub fn new(host: Incarnation) -> Self {
+        Self { host, engines: BTreeMap::new(), pins: BTreeMap::new() }
+    }
+
+    /// Sets the engines. What is known of those that stay is kept.
+    pub fn configure(&mut self, specs: Vec<Spec>) {
+        let mut old = std::mem::take(&mut self.engines);
+        for s in specs {
+            let mut v = old.remove(&s.name).unwrap_or_else(|| View::new(s.clone()));
+            let name = s.name.clone();
+            v.spec = s;
+            self.engines.insert(name, v);
+        }
+    }
+
+    /// Takes a report in.
+    pub fn report(&mut self, now: Tick, r: &Report) {
+        if let Some(v) = self.engines.get_mut(&r.engine) {
+            v.report(now, r);
+        }
+    }
+
+    /// Records a granted pin, counted from the time its request was sent. Returns its release if
+    /// this host cannot use it.
+    pub fn pinned(&mut self, now: Tick, g: Granted) -> Option<Unpin> {
+        let Granted { engine, target, instance, id, sent, duration } = g;
+        let until = sent + less_drift(duration);
+        let leaving = self.engines.get(&engine).is_none_or(|v| v.spec.leaving);
+        if leaving || self.pins.len() >= MAX_PINS || until <= now {
+            return Some(Unpin { host: self.host, id, engine, instance, uses: 0 });
+        }
+        let key = (engine, target);
+        match self.pins.get_mut(&key) {
+            Some(p) if p.instance == instance => {
+                p.id = p.id.max(id);
+                p.until = p.until.max(until);
+                None
+            }
+            _ => {
+                let p = Pin { instance, id, until, running: 0, uses: 0, idle: now };
+                self.pins.insert(key, p);
+                None
+            }
+        }
+    }
+
+    /// Takes the pin back after "unknown instance" or "fenced". Requests that run under it go on.
+    pub fn dropped(&mut self, now: Tick, engine: &ArcStr, target: &Target) {
+        // The entry stays while requests run, so that a new pin of the same instance counts them.
+        if let Some(p) = self.pins.get_mut(&(engine.clone(), target.clone())) {
+            p.until = now;
+        }
+        if let Some(v) = self.engines.get_mut(engine) {
+            v.forget(target);
+        }
+    }
+
+    /// Chooses an engine. `random` differs between hosts and calls.
+    pub fn pick(&self, now: Tick, need: &Need<'_>, random: u64) -> Choice {
+        let random = mix(random);
+        let usable: Vec<(&ArcStr, &View)> = self
+            .engines
+            .iter()
+            .filter(|(n, v)| v.serves(need.model) && !need.avoid.contains(n))
+            .collect();
+        let replicas: Vec<(&ArcStr, &View)> = usable
+            .iter()
+            .copied()
+            .filter(|(n, v)| {
+                self.pin(now, n, need).is_some() || (v.spec.held && v.has(need.target))
+            })
+            .collect();
+        let replicas = health::kept(now, replicas, random);
+        let open: Vec<(&ArcStr, &View)> =
+            replicas.iter().copied().filter(|(_, v)| v.room(now, need.class)).collect();
+        if let Some(engine) = self.best(now, need, &open, random) {
+            return match self.pin(now, engine, need) {
+                Some(p) => Choice::Run { engine: engine.clone(), instance: p.instance.clone() },
+                None => Choice::Pin { engine: engine.clone(), load: false },
+            };
+        }
+        if replicas.is_empty() {
+            return match self.home(now, need, &usable) {
+                Some(engine) => Choice::Pin { engine: engine.clone(), load: true },
+                None => Choice::Nowhere,
+            };
+        }
+        Choice::Wait
+    }
+
+    /// Engine on which another replica is worth a load, when the demand fills the present ones.
+    pub fn spread(&self, now: Tick, need: &Need<'_>) -> Option<ArcStr> {
+        let all = || self.engines.iter().filter(|(_, v)| v.serves(need.model));
+        let having: Vec<&View> =
+            all().filter(|(_, v)| v.has(need.target)).map(|(_, v)| v).collect();
+        let batch: u32 = having.iter().map(|v| v.spec.batch).sum();
+        let demand: f64 = having.iter().map(|v| v.demand(need.target)).sum();
+        if having.is_empty() || demand <= REPLICA_FILL * f64::from(batch) {
+            return None;
+        }
+        let rest: Vec<(&ArcStr, &View)> =
+            all().filter(|(n, v)| !v.has(need.target) && !need.avoid.contains(n)).collect();
+        self.home(now, need, &rest).cloned()
+    }
+
+    /// A request starts on an engine. It runs under the pin if there is one.
+    pub fn started(&mut self, now: Tick, engine: &ArcStr, target: &Target) {
+        if let Some(v) = self.engines.get_mut(engine) {
+            v.started(now, target);
+        }
+        if let Some(p) = self.pins.get_mut(&(engine.clone(), target.clone())) {
+            p.running += 1;
+            p.uses += 1;
+        }
+    }
+
+    /// A request ended on an engine.
+    pub fn ended(
+        &mut self,
+        now: Tick,
+        engine: &ArcStr,
+        target: &Target,
+        instance: &ArcStr,
+        outcome: Outcome,
+    ) {
+        if let Some(v) = self.engines.get_mut(engine) {
+            v.ended(now, target);
+            v.health.record(now, outcome);
+        }
+        if let Some(p) = self.pins.get_mut(&(engine.clone(), target.clone()))
+            && p.instance == *instance
+        {
+            p.running = p.running.saturating_sub(1);
+            p.idle = now;
+        }
+    }
+
+    /// Releases pins that are idle, and all idle ones when `all` is set (shutdown).
+    pub fn release(&mut self, now: Tick, all: bool, out: &mut Vec<Unpin>) {
+        let host = self.host;
+        self.pins.retain(|(engine, _), p| {
+            let idle = p.running == 0 && (all || now.since(p.idle) >= IDLE);
+            if idle {
+                out.push(Unpin {
+                    host,
+                    id: p.id,
+                    engine: engine.clone(),
+                    instance: p.instance.clone(),
+                    uses: p.uses,
+                });
+            }
+            !idle
+        });
+    }
+
+    /// Replicas of an adapter version in this host's view.
+    pub fn copies(&self, now: Tick, target: &Target) -> Vec<Copy> {
+        self.engines.iter().filter_map(|(n, v)| v.copy(now, n, target)).collect()
+    }
+
+    fn pin(&self, now: Tick, engine: &ArcStr, need: &Need<'_>) -> Option<&Pin> {
+        let p = self.pins.get(&(engine.clone(), need.target.clone()))?;
+        (now < p.until && need.deadline < p.until).then_some(p)
+    }
+
+    // Prefix affinity, then the less loaded of two random candidates. Both may be the same one, so
+    // that hosts with the same old view do not all choose the less loaded replica of two.
+    fn best<'a>(
+        &self,
+        now: Tick,
+        need: &Need<'_>,
+        open: &[(&'a ArcStr, &'a View)],
+        random: u64,
+    ) -> Option<&'a ArcStr> {
+        let pinned: Vec<_> =
+            open.iter().copied().filter(|(n, _)| self.pin(now, n, need).is_some()).collect();
+        let from = if pinned.is_empty() { open } else { &pinned };
+        if let Some((n, _)) = from.iter().find(|(n, _)| Some(*n) == need.prefix) {
+            return Some(n);
+        }
+        if from.is_empty() {
+            return None;
+        }
+        let one = from[(random & 0xffff_ffff) as usize % from.len()];
+        let two = from[(random >> 32) as usize % from.len()];
+        Some(if two.1.fill(now) < one.1.fill(now) { two.0 } else { one.0 })
+    }
+
+    // Rendezvous hashing with bounded load: hosts with about the same view agree, so a cold adapter
+    // is loaded once and not on each host's own favourite.
+    fn home<'a>(
+        &self,
+        now: Tick,
+        need: &Need<'_>,
+        usable: &[(&'a ArcStr, &'a View)],
+    ) -> Option<&'a ArcStr> {
+        let able: Vec<_> =
+            usable.iter().filter(|(_, v)| v.spec.held && !v.health.ejected(now)).collect();
+        let mean = able.iter().map(|(_, v)| v.fill(now)).sum::<f64>() / able.len().max(1) as f64;
+        let bound = (mean * BOUNDED_LOAD).max(0.5);
+        able.iter()
+            .map(|(n, v)| {
+                (v.fill(now) > bound || !v.room(now, need.class), rank(need.target, n), *n)
+            })
+            .min_by_key(|(over, rank, _)| (*over, std::cmp::Reverse(*rank)))
+            .map(|(_, _, n)| n)
+    }
+}
+
+// The same on all hosts and in all versions of the program.
+fn rank(target: &Target, engine: &ArcStr) -> u64 {
+    let mut h = 0xcbf2_9ce4_8422_2325u64;
+    for part in [target.adapter.as_bytes(), target.version.as_bytes(), engine.as_bytes()] {
+        for b in part.iter().chain(&[0xff]) {
+            h = (h ^ u64::from(*b)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+    // FNV-1a leaves names that differ in the last byte close together.
+    mix(h)
+}
+
+// Spreads every bit over the whole word (the finalizer of SplitMix64).
+fn mix(mut h: u64) -> u64 {
+    h = (h ^ (h >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    h ^ (h >> 31)
+}
--- /dev/null
+++ b/crates/core/src/route/tests.rs
@@ -0,0 +1,142 @@
+use std::time::Duration;
+
+use arcstr::ArcStr;
+
+use super::{Choice, Granted, Need, Outcome, Report, Route, Spec};
+use crate::{ids::Incarnation, placement::Target, rules::Class, time::Tick};
+
+fn at(ms: u64) -> Tick {
+    Tick(ms * 1000)
+}
+
+fn spec(name: &str) -> Spec {
+    Spec {
+        name: ArcStr::from(name),
+        model: ArcStr::from("m"),
+        batch: 4,
+        reserved: 0,
+        fencing: true,
+        leaving: false,
+        held: true,
+    }
+}
+
+fn target(name: &str) -> Target {
+    Target { adapter: ArcStr::from(name), version: ArcStr::from("1") }
+}
+
+fn report(engine: &str, running: u32, resident: &[(&str, u32)]) -> Report {
+    let resident = resident.iter().map(|(n, r)| (ArcStr::from(*n), *r)).collect();
+    Report { engine: ArcStr::from(engine), boot: 1, running, waiting: 0, resident }
+}
+
+fn pick(r: &Route, now: Tick, t: &Target, random: u64) -> Choice {
+    let model = ArcStr::from("m");
+    let need = Need {
+        model: &model,
+        target: t,
+        class: Class::Interactive,
+        deadline: now + Duration::from_secs(60),
+        avoid: &[],
+        prefix: None,
+    };
+    r.pick(now, &need, random)
+}
+
+fn fleet(n: usize) -> Route {
+    let mut r = Route::new(Incarnation(1));
+    r.configure((0..n).map(|i| spec(&format!("e{i}"))).collect());
+    r
+}
+
+fn grant(r: &mut Route, ms: u64, id: u64) {
+    let (engine, target, instance) = (ArcStr::from("e0"), target("a"), ArcStr::from("a:1"));
+    let (sent, duration) = (at(ms), Duration::from_secs(150));
+    let g = Granted { engine, target, instance, id, sent, duration };
+    assert_eq!(r.pinned(at(ms), g), None);
+}
+
+fn engine(c: Choice) -> ArcStr {
+    match c {
+        Choice::Run { engine, .. } | Choice::Pin { engine, .. } => engine,
+        c => panic!("{c:?}"),
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against each host loading a cold adapter on its own favourite engine.
+    hosts_agree_on_the_engine_for_a_cold_adapter: {
+        let a = fleet(20);
+        for i in 0..50 {
+            let t = target(&format!("a{i}"));
+            assert_eq!(pick(&a, at(0), &t, 1), pick(&fleet(20), at(5), &t, u64::MAX));
+        }
+    }
+    // Guards against hosts with the same old view that all choose the same replica.
+    hosts_with_the_same_view_spread_over_replicas: {
+        let mut r = fleet(2);
+        r.report(at(0), &report("e0", 1, &[("a:1", 0)]));
+        r.report(at(0), &report("e1", 2, &[("a:1", 0)]));
+        let mut random = 1u64;
+        let mut busier = 0;
+        for _ in 0..1000 {
+            random = random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            busier += u32::from(engine(pick(&r, at(1), &target("a"), random)) == "e1");
+        }
+        assert!((150..350).contains(&busier), "{busier}");
+    }
+    // Guards against new requests on an engine that is leaving, also under a pin that is held.
+    a_leaving_engine_is_left_at_once: {
+        let mut r = fleet(1);
+        r.report(at(0), &report("e0", 0, &[("a:1", 0)]));
+        grant(&mut r, 0, 1);
+        assert!(matches!(pick(&r, at(1), &target("a"), 1), Choice::Run { .. }));
+        r.configure(vec![Spec { leaving: true, ..spec("e0") }]);
+        assert_eq!(pick(&r, at(2), &target("a"), 1), Choice::Nowhere);
+    }
+    // Guards against a request that outlives the pin it runs under.
+    a_pin_that_ends_before_the_deadline_is_not_used: {
+        let mut r = fleet(1);
+        r.report(at(0), &report("e0", 0, &[("a:1", 0)]));
+        grant(&mut r, 0, 1);
+        assert!(matches!(pick(&r, at(80_000), &target("a"), 1), Choice::Run { .. }));
+        assert!(matches!(pick(&r, at(90_000), &target("a"), 1), Choice::Pin { load: false, .. }));
+    }
+    // Guards against a pin released while a request that began before "unknown instance" runs.
+    a_pin_is_not_idle_while_older_requests_run: {
+        let mut r = fleet(1);
+        let (e, t, i) = (ArcStr::from("e0"), target("a"), ArcStr::from("a:1"));
+        grant(&mut r, 0, 1);
+        r.started(at(1), &e, &t);
+        r.dropped(at(2), &e, &t);
+        grant(&mut r, 3, 2);
+        r.started(at(4), &e, &t);
+        r.ended(at(5), &e, &t, &i, Outcome::Good);
+        let mut out = Vec::new();
+        r.release(at(10_000), false, &mut out);
+        assert!(out.is_empty());
+        r.ended(at(10_000), &e, &t, &i, Outcome::Good);
+        r.release(at(12_000), false, &mut out);
+        assert_eq!((out[0].id, out[0].uses), (2, 2));
+    }
+    // Guards against ejecting every replica of an adapter.
+    at_most_half_of_the_replicas_are_ejected: {
+        let mut r = fleet(3);
+        for i in 0..3 {
+            r.report(at(0), &report(&format!("e{i}"), 0, &[("a:1", 0)]));
+        }
+        for (i, ms) in [(0, 10), (1, 20), (2, 30)] {
+            for _ in 0..5 {
+                let e = ArcStr::from(format!("e{i}"));
+                r.ended(at(ms), &e, &target("a"), &ArcStr::from("a:1"), Outcome::Bad);
+            }
+        }
+        let seen: std::collections::BTreeSet<ArcStr> =
+            (0..64u64).map(|i| engine(pick(&r, at(40), &target("a"), i * 0x1234_5678_9abc))).collect();
+        assert_eq!(seen.into_iter().collect::<Vec<_>>(), ["e0", "e1"]);
+    }
+}
