--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,1 +1,504 @@
 //! Peers and upstreams as this host knows them.
+//!
+//! The host list gives addresses and leaving marks, probes tell which peers answer. Neither gives
+//! any authority, so a stale list or a wrong status costs availability only.
+
+mod list;
+mod mark;
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use arcstr::ArcStr;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+pub use self::list::{Host, List, ListError, MAX_HOSTS, MAX_LIST, MAX_UPSTREAMS, State, Upstream};
+use self::mark::Mark;
+use crate::{
+    ids::{Incarnation, Ordinal},
+    rules::Rules,
+    time::Tick,
+};
+
+/// Time between two probes of a peer.
+pub const PROBE: Duration = Duration::from_millis(500);
+
+/// A peer is alive for this long after it was sent a probe that it answered.
+pub const ALIVE: Duration = Duration::from_millis(1500);
+
+/// A peer is lost when it has not answered for this long.
+pub const LOST: Duration = Duration::from_secs(3);
+
+/// How long callers may use an answer of the address look-up.
+pub const TTL: Duration = Duration::from_secs(2);
+
+/// Hosts outside the group that are probed, so that versions spread between groups.
+pub const OTHERS: usize = 3;
+
+/// Hosts per domain that read the configuration service.
+pub const READERS: usize = 2;
+
+/// How long a host and its leaving mark are remembered after the list dropped it. It exceeds the
+/// 150 s of a graceful shutdown, so a list that names the process again does not bring it back.
+const KEPT: Duration = Duration::from_secs(600);
+
+/// This host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Setup {
+    /// Name.
+    pub name: ArcStr,
+    /// Place in the group.
+    pub ordinal: Ordinal,
+    /// Group; empty while there is only one.
+    pub group: ArcStr,
+    /// Failure domain.
+    pub domain: ArcStr,
+    /// IP address and port for callers.
+    pub http: ArcStr,
+    /// This process.
+    pub incarnation: Incarnation,
+    /// Weight in the address look-up.
+    pub weight: u32,
+}
+
+/// What a process says about itself, in probes and their answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct About {
+    /// The process.
+    pub incarnation: Incarnation,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// Whether it holds its lease.
+    pub lease: bool,
+    /// Its weight in the address look-up.
+    pub weight: u32,
+}
+
+/// Status of a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Status {
+    /// It answers.
+    Alive,
+    /// It has not answered for [`ALIVE`].
+    Suspect,
+    /// It has not answered for [`LOST`].
+    Lost,
+    /// It is shutting down or to be removed.
+    Leaving,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A snapshot of the host list.
+    List(List),
+    /// A peer answered a probe.
+    Answered {
+        /// The peer's name.
+        peer: ArcStr,
+        /// When the probe was sent.
+        sent: Tick,
+        /// What the peer says about itself.
+        about: About,
+    },
+    /// A peer probed this host. Its message may be old, so only its leaving mark counts.
+    Probed {
+        /// The peer's name.
+        peer: ArcStr,
+        /// What the peer says about itself.
+        about: About,
+    },
+    /// A report of an engine names its process.
+    Booted {
+        /// The upstream's name.
+        upstream: ArcStr,
+        /// Its boot id.
+        boot: ArcStr,
+    },
+    /// This host begins its shutdown.
+    Leave,
+    /// Time passed; at least every 100 ms.
+    Tick,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Probe a peer and report its answer.
+    Probe {
+        /// The peer's name.
+        peer: ArcStr,
+        /// IP address and port.
+        addr: ArcStr,
+    },
+    /// The status of a peer changed.
+    Peer {
+        /// The peer's name.
+        peer: ArcStr,
+        /// Its status now.
+        status: Status,
+    },
+    /// An upstream is leaving from now on, or is in use again.
+    Upstream {
+        /// The upstream's name.
+        upstream: ArcStr,
+        /// Whether it is leaving.
+        leaving: bool,
+    },
+    /// A list was not taken; raise a numbered log event.
+    Rejected(ListError),
+}
+
+/// Answer of the address look-up `GET /v1/hosts`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Addresses {
+    /// How long the answer may be used, in milliseconds.
+    pub ttl_ms: u64,
+    /// Hosts to use.
+    pub hosts: Vec<Address>,
+}
+
+/// A host of the address look-up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Address {
+    /// Name.
+    pub name: ArcStr,
+    /// IP address and port.
+    pub http: ArcStr,
+    /// Failure domain.
+    pub domain: ArcStr,
+    /// The process, as 16 hexadecimal digits: JSON numbers lose the low bits.
+    pub incarnation: String,
+    /// Share of calls, relative to the other hosts.
+    pub weight: u32,
+}
+
+/// Peers and upstreams.
+#[derive(Debug)]
+pub struct Membership {
+    setup: Setup,
+    // Group size, 0 while it is not known.
+    hosts: u8,
+    generation: Option<u64>,
+    peers: BTreeMap<ArcStr, Peer>,
+    // Probed hosts outside the group.
+    others: BTreeSet<ArcStr>,
+    upstreams: BTreeMap<ArcStr, Mark<ArcStr>>,
+    own: Mark<Incarnation>,
+    left: bool,
+    probed: Option<Tick>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    host: Host,
+    // Whether the newest list names it.
+    listed: bool,
+    mark: Mark<Incarnation>,
+    // When this host first knew the peer.
+    since: Tick,
+    // When the newest probe that it answered was sent.
+    seen: Option<Tick>,
+    about: Option<About>,
+    told: Option<Status>,
+}
+
+impl Membership {
+    /// Knows no peers yet.
+    pub fn new(setup: Setup) -> Self {
+        let own = Mark::new(Some(setup.incarnation));
+        Self {
+            setup,
+            hosts: 0,
+            generation: None,
+            peers: BTreeMap::new(),
+            others: BTreeSet::new(),
+            upstreams: BTreeMap::new(),
+            own,
+            left: false,
+            probed: None,
+        }
+    }
+
+    /// Takes the group size and the upstreams of the rules in force. Marks of upstreams that
+    /// neither the rules nor the list name are forgotten.
+    pub fn configure(&mut self, rules: &Rules) {
+        self.hosts = rules.hosts;
+        self.upstreams.retain(|n, m| m.gone.is_none() || rules.upstreams.contains_key(n));
+    }
+
+    /// Takes an event and appends what to do.
+    pub fn handle(&mut self, now: Tick, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::List(list) => self.listed(now, list, out),
+            Event::Answered { peer, sent, about } => self.answered(&peer, sent, about),
+            Event::Probed { peer, about } => {
+                if let Some(p) = self.peers.get_mut(&peer)
+                    && p.about.is_some_and(|a| a.incarnation == about.incarnation)
+                    && about.leaving
+                {
+                    p.mark.leave();
+                }
+            }
+            Event::Booted { upstream, boot } => self.booted(upstream, boot, out),
+            Event::Leave => self.left = true,
+            Event::Tick => self.tick(now, out),
+        }
+        self.report(now, out);
+    }
+
+    /// What this host says about itself.
+    pub fn about(&self, lease: bool) -> About {
+        About {
+            incarnation: self.setup.incarnation,
+            leaving: self.is_leaving(),
+            lease,
+            weight: self.setup.weight,
+        }
+    }
+
+    /// Whether this host is leaving, by its own or by the list's mark.
+    pub fn is_leaving(&self) -> bool {
+        self.left || self.own.is_leaving()
+    }
+
+    /// Generation of the newest list.
+    pub fn generation(&self) -> Option<u64> {
+        self.generation
+    }
+
+    /// Status of a peer, `None` if the list does not name it.
+    pub fn status(&self, now: Tick, peer: &str) -> Option<Status> {
+        self.peers.get(peer).filter(|p| p.listed).map(|p| p.status(now))
+    }
+
+    /// All listed peers and their status.
+    pub fn peers(&self, now: Tick) -> impl Iterator<Item = (&Host, Status)> {
+        self.peers.values().filter(|p| p.listed).map(move |p| (&p.host, p.status(now)))
+    }
+
+    /// The group's hosts with this ordinal, best first: during a replacement there may be two.
+    pub fn ordinal(&self, now: Tick, ordinal: Ordinal) -> Vec<(&Host, Status)> {
+        let mut found: Vec<_> = self
+            .peers
+            .values()
+            .filter(|p| p.listed && p.host.group == self.setup.group && p.host.ordinal == ordinal)
+            .map(|p| (&p.host, p.status(now)))
+            .collect();
+        found.sort_by_key(|(_, s)| *s);
+        found
+    }
+
+    /// Ordinals of the group whose host is alive.
+    pub fn alive(&self, now: Tick) -> BTreeSet<Ordinal> {
+        let group = self.peers(now).filter(|(h, _)| self.is_group(h));
+        group.filter(|(_, s)| *s == Status::Alive).map(|(h, _)| h.ordinal).collect()
+    }
+
+    /// Whether an upstream is leaving and gets no new work.
+    pub fn is_upstream_leaving(&self, upstream: &str) -> bool {
+        self.upstreams.get(upstream).is_some_and(Mark::is_leaving)
+    }
+
+    /// Upstreams that are leaving.
+    pub fn leaving_upstreams(&self) -> impl Iterator<Item = &ArcStr> {
+        self.upstreams.iter().filter(|(_, m)| m.is_leaving()).map(|(n, _)| n)
+    }
+
+    /// Whether this host reads the configuration service: it is one of [`READERS`] of its domain.
+    pub fn is_reader(&self, now: Tick) -> bool {
+        if self.is_leaving() {
+            return false;
+        }
+        let own = self.reader_weight(&self.setup.name);
+        let ahead = self.peers(now).filter(|(h, s)| {
+            // Nothing but the list tells about hosts that are not probed.
+            let out = *s == Status::Leaving || (*s == Status::Lost && self.probes(h));
+            h.domain == self.setup.domain && !out && self.reader_weight(&h.name) > own
+        });
+        ahead.take(READERS).count() < READERS
+    }
+
+    /// Answer of the address look-up. `lease` tells whether this host holds its lease.
+    pub fn addresses(&self, now: Tick, lease: bool) -> Addresses {
+        let mut hosts: Vec<_> =
+            self.peers.values().filter(|p| p.listed).filter_map(|p| p.address(now)).collect();
+        if lease && !self.is_leaving() {
+            hosts.push(Address {
+                name: self.setup.name.clone(),
+                http: self.setup.http.clone(),
+                domain: self.setup.domain.clone(),
+                incarnation: self.setup.incarnation.to_string(),
+                weight: self.setup.weight,
+            });
+        }
+        hosts.sort_by(|a, b| a.name.cmp(&b.name));
+        Addresses { ttl_ms: TTL.as_millis() as u64, hosts }
+    }
+
+    fn listed(&mut self, now: Tick, list: List, out: &mut Vec<Effect>) {
+        if self.generation.is_some_and(|g| list.generation <= g) {
+            return;
+        }
+        if let Err(e) = list.check() {
+            return out.push(Effect::Rejected(e));
+        }
+        let first = self.generation.replace(list.generation).is_none();
+        self.drop_all(now);
+        for h in list.hosts {
+            if h.name == self.setup.name {
+                self.own.listed(h.state, first);
+                continue;
+            }
+            let new = || Peer::new(h.clone(), now);
+            let p = self.peers.entry(h.name.clone()).or_insert_with(new);
+            p.mark.listed(h.state, first);
+            (p.host, p.listed) = (h, true);
+        }
+        for u in list.upstreams {
+            let m = self.upstreams.entry(u.name.clone()).or_insert_with(|| Mark::new(None));
+            let before = m.is_leaving();
+            m.listed(u.state, first);
+            let leaving = m.is_leaving();
+            if leaving != before {
+                out.push(Effect::Upstream { upstream: u.name, leaving });
+            }
+        }
+        self.choose_others();
+    }
+
+    /// Unlists everything before a new list.
+    fn drop_all(&mut self, now: Tick) {
+        for p in self.peers.values_mut() {
+            p.listed = false;
+            p.mark.gone.get_or_insert(now);
+        }
+        for m in self.upstreams.values_mut() {
+            m.gone.get_or_insert(now);
+        }
+    }
+
+    fn answered(&mut self, peer: &str, sent: Tick, about: About) {
+        let Some(p) = self.peers.get_mut(peer) else { return };
+        // A late answer may come from the process before.
+        if p.seen.is_some_and(|t| sent < t) {
+            return;
+        }
+        (p.seen, p.about) = (Some(sent), Some(about));
+        p.mark.runs(about.incarnation);
+        if about.leaving {
+            p.mark.leave();
+        }
+    }
+
+    fn booted(&mut self, upstream: ArcStr, boot: ArcStr, out: &mut Vec<Effect>) {
+        let m = self.upstreams.entry(upstream.clone()).or_insert_with(|| Mark::new(None));
+        let before = m.is_leaving();
+        m.runs(boot);
+        if before && !m.is_leaving() {
+            out.push(Effect::Upstream { upstream, leaving: false });
+        }
+    }
+
+    fn tick(&mut self, now: Tick, out: &mut Vec<Effect>) {
+        if self.probed.is_some_and(|t| now.since(t) < PROBE) {
+            return;
+        }
+        self.probed = Some(now);
+        self.peers.retain(|_, p| p.mark.gone.is_none_or(|t| now.since(t) < KEPT));
+        for p in self.peers.values().filter(|p| p.listed && self.probes(&p.host)) {
+            out.push(Effect::Probe { peer: p.host.name.clone(), addr: p.host.peer.clone() });
+        }
+    }
+
+    fn report(&mut self, now: Tick, out: &mut Vec<Effect>) {
+        let changed = |p: &&Peer| {
+            let status = p.status(now);
+            let known = self.probes(&p.host) || status == Status::Leaving;
+            p.listed && known && p.told != Some(status)
+        };
+        let names: Vec<_> =
+            self.peers.values().filter(changed).map(|p| p.host.name.clone()).collect();
+        for peer in names {
+            let p = self.peers.get_mut(&peer).expect("the name was just read from the map");
+            let status = p.status(now);
+            p.told = Some(status);
+            out.push(Effect::Peer { peer, status });
+        }
+    }
+
+    fn is_group(&self, h: &Host) -> bool {
+        h.group == self.setup.group && (self.hosts == 0 || h.ordinal.0 < self.hosts)
+    }
+
+    fn probes(&self, h: &Host) -> bool {
+        self.is_group(h) || self.others.contains(&h.name)
+    }
+
+    fn choose_others(&mut self) {
+        let outside = |p: &&Peer| p.listed && p.host.group != self.setup.group;
+        let live = self.peers.values().filter(outside).filter(|p| !p.mark.is_leaving());
+        let key = |n: &ArcStr| rendezvous(&self.setup.name, n);
+        let mut names: Vec<_> = live.map(|p| (key(&p.host.name), p.host.name.clone())).collect();
+        names.sort_by(|a, b| b.cmp(a));
+        self.others = names.into_iter().take(OTHERS).map(|(_, n)| n).collect();
+    }
+
+    // The name breaks ties, so that all hosts order the same way.
+    fn reader_weight<'a>(&self, name: &'a str) -> (u64, &'a str) {
+        (rendezvous("config", name), name)
+    }
+}
+
+impl Peer {
+    fn new(host: Host, now: Tick) -> Self {
+        Self {
+            host,
+            listed: true,
+            mark: Mark::new(None),
+            since: now,
+            seen: None,
+            about: None,
+            told: None,
+        }
+    }
+
+    fn status(&self, now: Tick) -> Status {
+        if self.mark.is_leaving() {
+            return Status::Leaving;
+        }
+        let age = now.since(self.seen.unwrap_or(self.since));
+        match self.seen {
+            Some(_) if age < ALIVE => Status::Alive,
+            _ if age < LOST => Status::Suspect,
+            _ => Status::Lost,
+        }
+    }
+
+    fn address(&self, now: Tick) -> Option<Address> {
+        let about = self.about.filter(|a| a.lease && self.status(now) == Status::Alive)?;
+        Some(Address {
+            name: self.host.name.clone(),
+            http: self.host.http.clone(),
+            domain: self.host.domain.clone(),
+            incarnation: about.incarnation.to_string(),
+            weight: about.weight,
+        })
+    }
+}
+
+/// Weight of `node` for `key` in rendezvous hashing: the node with the highest weight is chosen.
+pub fn rendezvous(key: &str, node: &str) -> u64 {
+    let mut hash = Sha256::new();
+    hash.update((key.len() as u64).to_be_bytes());
+    hash.update(key);
+    hash.update(node);
+    let hash = hash.finalize();
+    u64::from_be_bytes(hash[..8].try_into().expect("a SHA-256 has 32 bytes"))
+}
--- /dev/null
+++ b/crates/core/src/membership/mark.rs
@@ -0,0 +1,72 @@
+//! Leaving marks.
+
+use super::State;
+use crate::time::Tick;
+
+/// Leaving mark of a host or an upstream whose processes are told apart by `T`.
+#[derive(Debug)]
+pub(super) struct Mark<T> {
+    state: State,
+    // Current process, if known.
+    process: Option<T>,
+    leaving: Option<Leaving<T>>,
+    // When the list dropped it.
+    pub(super) gone: Option<Tick>,
+}
+
+#[derive(Debug)]
+enum Leaving<T> {
+    /// It was marked before this host knew the process, so a newer list that says live ends it.
+    Unknown,
+    /// The process that is leaving. It never returns.
+    Process(T),
+}
+
+impl<T: PartialEq + Clone> Mark<T> {
+    pub(super) fn new(process: Option<T>) -> Self {
+        Self { state: State::Live, process, leaving: None, gone: None }
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving.is_some()
+    }
+
+    /// Takes what the list says; `first` for the first list that this host reads.
+    pub(super) fn listed(&mut self, state: State, first: bool) {
+        let changed = self.state != state;
+        (self.state, self.gone) = (state, None);
+        match state {
+            State::Live => self.release(),
+            // The mark of the first list may be about the process before.
+            State::Leaving if first => self.leaving = Some(Leaving::Unknown),
+            State::Leaving if changed => self.leave(),
+            State::Leaving => {}
+        }
+    }
+
+    /// Marks the current process as leaving.
+    pub(super) fn leave(&mut self) {
+        self.leaving = Some(match &self.process {
+            Some(p) => Leaving::Process(p.clone()),
+            None => Leaving::Unknown,
+        });
+    }
+
+    /// Takes note of the current process.
+    pub(super) fn runs(&mut self, process: T) {
+        self.process = Some(process);
+        if self.state == State::Live {
+            self.release();
+        }
+    }
+
+    /// Ends the mark unless the process that was marked is the one that runs.
+    fn release(&mut self) {
+        if let Some(Leaving::Process(p)) = &self.leaving
+            && self.process.as_ref() == Some(p)
+        {
+            return;
+        }
+        self.leaving = None;
+    }
+}
