--- /dev/null
+++ b/crates/bench/src/client.rs
@@ -0,0 +1,397 @@
+//! A caller of the fleet, and calls to the stand-ins.
+
+mod events;
+
+use std::{net::SocketAddr, time::Duration};
+
+use awc::{Client, Connector, http::header};
+use futures::StreamExt as _;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_json::{Value, json};
+use tokio::time::timeout;
+
+use self::events::{Event, Events};
+use crate::{Error, Result, now_us};
+
+/// How long beyond a request's deadline an answer is waited for.
+const GRACE: Duration = Duration::from_secs(10);
+
+/// Deadline of a call to a stand-in's control interface.
+const CONTROL: Duration = Duration::from_secs(20);
+
+/// Largest journal in bytes.
+const BODY_LIMIT: usize = 1 << 30;
+
+/// What a refusal or an error says about the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Run {
+    /// Nothing was sent to an upstream.
+    NotRun,
+    /// An upstream ran it.
+    Ran,
+    /// It may have run.
+    Unknown,
+}
+
+/// A request for a completion.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Text that is unique in the experiment; it is the first word of the prompt, so that journals
+    /// show what became of the request.
+    pub mark: String,
+    /// Bearer key, if any.
+    pub key: Option<String>,
+    /// Adapter.
+    pub adapter: String,
+    /// Version; the newest if there is none.
+    pub version: Option<String>,
+    /// Rest of the prompt.
+    pub prompt: String,
+    /// Tokens.
+    pub max_tokens: u64,
+    /// Class, if it is to be lowered.
+    pub class: Option<&'static str>,
+    /// Deadline.
+    pub deadline: Duration,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+}
+
+/// A call of a route to a plain service.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Text that is unique in the experiment; it is the body.
+    pub mark: String,
+    /// Bearer key, if any.
+    pub key: Option<String>,
+    /// Path.
+    pub path: String,
+    /// Ticket of a call that must not be repeated.
+    pub ticket: Option<String>,
+}
+
+/// What became of a request.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Outcome {
+    /// When it was sent, in microseconds since the epoch.
+    pub sent_us: u64,
+    /// When the first token came.
+    pub first_us: Option<u64>,
+    /// When it ended.
+    pub end_us: u64,
+    /// HTTP status; none if there was no answer.
+    pub status: Option<u16>,
+    /// `x-request-id` of the answer.
+    pub request_id: Option<String>,
+    /// Text received.
+    pub text: String,
+    /// Chunks of text received.
+    pub chunks: u64,
+    /// Whether the answer's end was received.
+    pub complete: bool,
+    /// What an error says about the request.
+    pub run: Option<Run>,
+    /// Code of an error.
+    pub code: Option<String>,
+    /// When to try again, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+    /// Why there is no complete answer, for people.
+    pub trouble: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Deserialize)]
+struct ErrorDetail {
+    code: Option<String>,
+    run: Option<Run>,
+    retry_after_ms: Option<u64>,
+}
+
+impl Default for Ask {
+    fn default() -> Self {
+        Self {
+            mark: "mark".into(),
+            key: None,
+            adapter: "a0".into(),
+            version: None,
+            prompt: "please check the deck plan".into(),
+            max_tokens: 16,
+            class: None,
+            deadline: Duration::from_secs(30),
+            stream: true,
+        }
+    }
+}
+
+impl Ask {
+    /// The whole prompt.
+    pub fn full_prompt(&self) -> String {
+        format!("{} {}", self.mark, self.prompt)
+    }
+
+    /// Tokens of the complete answer: the engine stops at the word `stop=N` of the prompt.
+    pub fn tokens(&self) -> u64 {
+        let stop = self.prompt.split_whitespace().find_map(|w| w.strip_prefix("stop="));
+        stop.and_then(|n| n.parse().ok()).unwrap_or(self.max_tokens).min(self.max_tokens)
+    }
+
+    /// The complete answer of `version`.
+    pub fn expected(&self, version: &str) -> String {
+        (0..self.tokens()).map(|i| format!("{}:{version}#{i} ", self.adapter)).collect()
+    }
+}
+
+impl Outcome {
+    /// Whether the answer is complete and successful.
+    pub fn is_ok(&self) -> bool {
+        self.complete && self.status == Some(200)
+    }
+
+    fn fail(&mut self, why: impl ToString) {
+        self.trouble = Some(why.to_string());
+    }
+
+    fn error(&mut self, body: &[u8]) {
+        match serde_json::from_slice::<ErrorBody>(body) {
+            Ok(b) => {
+                self.run = b.error.run;
+                self.code = b.error.code;
+                self.retry_after_ms = b.error.retry_after_ms;
+            }
+            Err(_) => self.fail(String::from_utf8_lossy(body)),
+        }
+    }
+}
+
+/// Callers and control calls share one connection pool.
+#[derive(Clone)]
+pub struct Http {
+    client: Client,
+}
+
+impl Default for Http {
+    fn default() -> Self {
+        // Open-loop load must not wait for a connection of the pool.
+        let connector = Connector::new().limit(0).timeout(Duration::from_secs(5));
+        let client = Client::builder().connector(connector).disable_timeout().finish();
+        Self { client }
+    }
+}
+
+impl Http {
+    /// Asks `host` for a completion and reads the whole answer.
+    pub async fn ask(&self, host: SocketAddr, a: &Ask) -> Outcome {
+        let mut out = Outcome { sent_us: now_us(), ..Outcome::default() };
+        if timeout(a.deadline + GRACE, self.run_ask(host, a, &mut out)).await.is_err() {
+            out.fail("no end of the answer in time");
+        }
+        out.end_us = now_us();
+        out
+    }
+
+    async fn run_ask(&self, host: SocketAddr, a: &Ask, out: &mut Outcome) {
+        let model = match &a.version {
+            Some(v) => format!("{}@{v}", a.adapter),
+            None => a.adapter.clone(),
+        };
+        let mut req = self
+            .client
+            .post(format!("http://{host}/v1/completions"))
+            .insert_header(("x-deadline-ms", a.deadline.as_millis().to_string()));
+        if let Some(k) = &a.key {
+            req = req.insert_header((header::AUTHORIZATION, format!("Bearer {k}")));
+        }
+        if let Some(c) = a.class {
+            req = req.insert_header(("x-class", c));
+        }
+        let body = json!({
+            "model": model, "prompt": a.full_prompt(), "max_tokens": a.max_tokens,
+            "stream": a.stream,
+        });
+        let mut answer = match req.send_json(&body).await {
+            Ok(r) => r,
+            Err(e) => return out.fail(e),
+        };
+        out.status = Some(answer.status().as_u16());
+        out.request_id = header_of(&answer, "x-request-id");
+        if !answer.status().is_success() {
+            match answer.body().limit(BODY_LIMIT).await {
+                Ok(b) => out.error(&b),
+                Err(e) => out.fail(e),
+            }
+            return;
+        }
+        if !a.stream {
+            match answer.body().limit(BODY_LIMIT).await {
+                Ok(b) => whole(&b, out),
+                Err(e) => out.fail(e),
+            }
+            return;
+        }
+        let mut events = Events::default();
+        while let Some(bytes) = answer.next().await {
+            let bytes = match bytes {
+                Ok(b) => b,
+                Err(e) => return out.fail(e),
+            };
+            for e in events.feed(&bytes) {
+                match e {
+                    Event::Text(t) => {
+                        out.first_us.get_or_insert_with(now_us);
+                        out.text.push_str(&t);
+                        out.chunks += 1;
+                    }
+                    Event::End => out.complete = true,
+                    Event::Error(body) => out.error(body.as_bytes()),
+                    Event::Other => {}
+                }
+            }
+        }
+        if !out.complete && out.run.is_none() && out.trouble.is_none() {
+            out.fail("the stream ended without its end event");
+        }
+    }
+
+    /// Calls a route to a plain service.
+    pub async fn call(&self, host: SocketAddr, c: &Call) -> Outcome {
+        let mut out = Outcome { sent_us: now_us(), ..Outcome::default() };
+        if timeout(CONTROL, self.run_call(host, c, &mut out)).await.is_err() {
+            out.fail("no answer in time");
+        }
+        out.end_us = now_us();
+        out
+    }
+
+    async fn run_call(&self, host: SocketAddr, c: &Call, out: &mut Outcome) {
+        let mut req = self.client.post(format!("http://{host}{}", c.path));
+        if let Some(k) = &c.key {
+            req = req.insert_header((header::AUTHORIZATION, format!("Bearer {k}")));
+        }
+        if let Some(t) = &c.ticket {
+            req = req.insert_header(("x-ticket", t.as_str()));
+        }
+        let mut answer = match req.send_body(c.mark.clone()).await {
+            Ok(r) => r,
+            Err(e) => return out.fail(e),
+        };
+        out.status = Some(answer.status().as_u16());
+        out.request_id = header_of(&answer, "x-request-id");
+        match answer.body().limit(BODY_LIMIT).await {
+            Ok(b) if answer.status().is_success() => {
+                out.text = String::from_utf8_lossy(&b).into_owned();
+                out.complete = true;
+            }
+            Ok(b) => out.error(&b),
+            Err(e) => out.fail(e),
+        }
+    }
+
+    /// A ticket for one call that must not be repeated.
+    ///
+    /// # Errors
+    ///
+    /// The host gives none.
+    pub async fn ticket(&self, host: SocketAddr, key: &str) -> Result<String> {
+        let url = format!("http://{host}/v1/tickets");
+        let req = self.client.post(&url);
+        let req = req.insert_header((header::AUTHORIZATION, format!("Bearer {key}")));
+        let body = bounded(&url, async {
+            let mut r = req.send().await.map_err(|e| e.to_string())?;
+            let b = r.body().await.map_err(|e| e.to_string())?;
+            if r.status().is_success() { Ok(b) } else { Err(format!("{} {b:?}", r.status())) }
+        })
+        .await?;
+        let v: Value = serde_json::from_slice(&body)?;
+        v["ticket"].as_str().map(str::to_owned).ok_or_else(|| Error::Http(url, v.to_string()))
+    }
+
+    /// Status of a `GET`; none if there is no answer.
+    pub async fn status(&self, addr: SocketAddr, path: &str) -> Option<u16> {
+        let url = format!("http://{addr}{path}");
+        let sent =
+            bounded(&url, async { self.client.get(&url).send().await.map_err(|e| e.to_string()) });
+        sent.await.ok().map(|r| r.status().as_u16())
+    }
+
+    /// Body of a `GET` as JSON.
+    ///
+    /// # Errors
+    ///
+    /// No answer, another status than success, or no such JSON.
+    pub async fn get<T: DeserializeOwned>(&self, addr: SocketAddr, path: &str) -> Result<T> {
+        let url = format!("http://{addr}{path}");
+        let body = bounded(&url, async {
+            let mut r = self.client.get(&url).send().await.map_err(|e| e.to_string())?;
+            let b = r.body().limit(BODY_LIMIT).await.map_err(|e| e.to_string())?;
+            if r.status().is_success() { Ok(b) } else { Err(r.status().to_string()) }
+        })
+        .await?;
+        Ok(serde_json::from_slice(&body)?)
+    }
+
+    /// Sends JSON by `POST`.
+    ///
+    /// # Errors
+    ///
+    /// No answer or another status than success.
+    pub async fn post(&self, addr: SocketAddr, path: &str, body: &Value) -> Result<()> {
+        let url = format!("http://{addr}{path}");
+        self.send(&url, self.client.post(&url), "application/json", body.to_string()).await
+    }
+
+    /// Sends `body` by `PUT`.
+    ///
+    /// # Errors
+    ///
+    /// No answer or another status than success.
+    pub async fn put(&self, addr: SocketAddr, path: &str, body: String) -> Result<()> {
+        let url = format!("http://{addr}{path}");
+        self.send(&url, self.client.put(&url), "application/json", body).await
+    }
+
+    async fn send(
+        &self,
+        url: &str,
+        req: awc::ClientRequest,
+        kind: &str,
+        body: String,
+    ) -> Result<()> {
+        bounded(url, async {
+            let r = req.content_type(kind).send_body(body).await.map_err(|e| e.to_string())?;
+            if r.status().is_success() { Ok(()) } else { Err(r.status().to_string()) }
+        })
+        .await
+    }
+}
+
+async fn bounded<T>(
+    url: &str,
+    f: impl Future<Output = std::result::Result<T, String>>,
+) -> Result<T> {
+    match timeout(CONTROL, f).await {
+        Ok(r) => r.map_err(|e| Error::Http(url.into(), e)),
+        Err(_) => Err(Error::Late { what: url.into(), within: CONTROL }),
+    }
+}
+
+fn header_of<S>(r: &awc::ClientResponse<S>, name: &str) -> Option<String> {
+    r.headers().get(name)?.to_str().ok().map(str::to_owned)
+}
+
+/// An answer that is not streamed.
+fn whole(body: &[u8], out: &mut Outcome) {
+    let v: Value = serde_json::from_slice(body).unwrap_or_default();
+    match events::text_of(&v) {
+        Some(t) => {
+            out.text = t;
+            out.chunks = 1;
+            out.complete = true;
+        }
+        None => out.fail(String::from_utf8_lossy(body)),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/cmd.rs
@@ -0,0 +1,3 @@
+//! Commands of `yuccabench`.
+
+pub mod demo;
--- /dev/null
+++ b/crates/bench/src/cmd/demo.rs
@@ -0,0 +1,63 @@
+//! `yuccabench demo`: a small fleet and one request.
+
+use std::time::Duration;
+
+use argh::FromArgs;
+
+use crate::{
+    Error, Result,
+    client::{Ask, Outcome},
+    fleet::Fleet,
+    plan::{Plan, key},
+};
+
+/// Starts stand-ins and three hosts on this machine, sends one streaming request, prints the answer
+/// and ends everything.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct Args {
+    /// number of hosts, 3 to 7
+    #[argh(option, default = "3")]
+    hosts: u8,
+    /// tokens of the answer
+    #[argh(option, default = "16")]
+    tokens: u64,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// The fleet does not start, or the answer is not complete.
+pub async fn run(args: Args) -> Result<()> {
+    let fleet = Fleet::start(Plan::new(args.hosts)).await?;
+    for h in fleet.hosts() {
+        println!("host {} ordinal {} at http://{}", h.name, h.ordinal, h.http);
+    }
+    let ask = Ask {
+        mark: "demo".into(),
+        key: Some(key("press")),
+        version: Some("1".into()),
+        max_tokens: args.tokens,
+        ..Ask::default()
+    };
+    let host = fleet.addrs()[0];
+    let out = fleet.http.ask(host, &ask).await;
+    print(&out);
+    if out.text == ask.expected("1") && out.is_ok() {
+        return Ok(());
+    }
+    Err(Error::Http(host.to_string(), format!("not the expected answer: {out:?}")))
+}
+
+fn print(out: &Outcome) {
+    let ms = |us: u64| Duration::from_micros(us.saturating_sub(out.sent_us)).as_millis();
+    println!("{}", out.text.trim_end());
+    println!(
+        "request {}: {} chunks, first after {} ms, end after {} ms",
+        out.request_id.as_deref().unwrap_or("-"),
+        out.chunks,
+        out.first_us.map_or(0, ms),
+        ms(out.end_us),
+    );
+}
--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,666 @@
+//! A fleet of real processes on this machine: stand-ins, daemons and, on request, the proxy
+//! between them.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write as _,
+    fs,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::ExitStatus,
+    time::{Duration, Instant},
+};
+
+use rustix::process::Signal;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use yuccawing_core::rules::{Rendered, Rules};
+
+use crate::{
+    Error, Result,
+    client::Http,
+    plan::Plan,
+    process::{Process, binary},
+    proxy::{Direction, Link, Proxy},
+};
+
+/// Name of the driver's own connections in the proxy.
+pub const CALLERS: &str = "callers";
+
+/// Longest start of the stand-ins or of a daemon, also on a busy machine.
+pub const START: Duration = Duration::from_secs(60);
+
+/// How often a condition is looked at.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Starts of a daemon; a port that was free may be taken before the daemon binds it.
+const TRIES: usize = 3;
+
+/// A host of the fleet.
+#[derive(Debug)]
+pub struct Host {
+    /// Name.
+    pub name: String,
+    /// Ordinal.
+    pub ordinal: usize,
+    /// Address for callers, through the proxy if there is one.
+    pub http: SocketAddr,
+    /// The daemon's own address for callers.
+    pub direct: SocketAddr,
+    /// Address for peers, through the proxy if there is one.
+    pub peer: SocketAddr,
+    /// Whether the host list shows it.
+    pub listed: bool,
+    /// Whether the host list shows it as leaving.
+    pub leaving: bool,
+    process: Process,
+}
+
+/// An entry of a stand-in's journal.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Entry {
+    /// Number, from 0.
+    pub seq: u64,
+    /// Time in microseconds since the epoch.
+    pub at_us: u64,
+    /// What happened.
+    pub kind: String,
+    /// Request id given by the daemon.
+    pub request_id: Option<String>,
+    /// Instance.
+    pub instance: String,
+    /// Path that was loaded, or path of a plain call.
+    pub path: String,
+    /// Why it was refused; nothing ran then.
+    pub code: Option<String>,
+    /// Fencing number of a command.
+    pub fence: u64,
+    /// Whether the instance was in use when it was unloaded.
+    pub in_use: bool,
+    /// Whether the instance was resident when it was unloaded.
+    pub resident: bool,
+    /// Priority of a request.
+    pub priority: u8,
+    /// Prompt of a request.
+    pub prompt: String,
+    /// Body of a request.
+    pub body: String,
+    /// Names of headers.
+    pub headers: Vec<String>,
+    /// Values of all headers.
+    pub header_values: String,
+    /// Tokens generated.
+    pub tokens: u64,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// How a request ended.
+    pub outcome: String,
+    /// Which start of the engine it was.
+    pub boot: u64,
+}
+
+impl Entry {
+    /// The mark of the request: the first word of its prompt or body.
+    pub fn mark(&self) -> &str {
+        let text = if self.prompt.is_empty() { &self.body } else { &self.prompt };
+        text.split_whitespace().next().unwrap_or("")
+    }
+
+    /// Adapter and version of the instance.
+    pub fn adapter_version(&self) -> (&str, &str) {
+        let mut parts = self.instance.splitn(3, ':');
+        (parts.next().unwrap_or(""), parts.next().unwrap_or(""))
+    }
+}
+
+#[derive(Deserialize)]
+struct Journal {
+    entries: Vec<Entry>,
+    dropped: u64,
+}
+
+/// A running fleet. All its processes end when it is dropped.
+pub struct Fleet {
+    /// Client for callers and control calls.
+    pub http: Http,
+    /// What the fleet consists of.
+    pub plan: Plan,
+    /// Rules of the newest published version.
+    pub rules: Rules,
+    /// The newest published version.
+    pub version: u64,
+    hosts: BTreeMap<String, Host>,
+    // Own addresses of the stand-ins.
+    direct: BTreeMap<String, SocketAddr>,
+    // Addresses of the stand-ins as daemons see them.
+    seen: BTreeMap<String, SocketAddr>,
+    leaving: Vec<String>,
+    generation: u64,
+    proxy: Option<Proxy>,
+    daemon: PathBuf,
+    starts: usize,
+    _standin: Process,
+    dir: TempDir,
+}
+
+impl Fleet {
+    /// Starts everything and waits until all hosts are ready.
+    ///
+    /// # Errors
+    ///
+    /// A binary is missing, a process ends, or the fleet is not ready in time.
+    pub async fn start(plan: Plan) -> Result<Self> {
+        let mut fleet = Self::platform(plan).await?;
+        fleet.publish(|_| {}).await?;
+        for i in 0..fleet.plan.hosts.len() {
+            fleet.start_host(i, true).await?;
+        }
+        fleet.publish_hosts().await?;
+        fleet.ready(START).await?;
+        Ok(fleet)
+    }
+
+    /// Starts the stand-ins only.
+    ///
+    /// # Errors
+    ///
+    /// As [`Fleet::start`].
+    pub async fn platform(plan: Plan) -> Result<Self> {
+        let dir = TempDir::new()?;
+        let daemon = binary("yuccawingd")?;
+        let file = dir.path().join("standin.toml");
+        write(&file, &standin_toml(&plan))?;
+        let mut standin = Process::start("standin", &binary("standin")?, &[&file], dir.path())?;
+        let direct = addresses(&mut standin).await?;
+        let mut seen = direct.clone();
+        let mut proxy = None;
+        if plan.proxied {
+            let p = Proxy::start()?;
+            p.register(std::process::id(), CALLERS);
+            for (name, addr) in &mut seen {
+                *addr = p.listen(name, *addr)?;
+            }
+            proxy = Some(p);
+        }
+        let rules = plan.rules(|name| seen[name]);
+        Ok(Self {
+            http: Http::default(),
+            plan,
+            rules,
+            version: 0,
+            hosts: BTreeMap::new(),
+            direct,
+            seen,
+            leaving: Vec::new(),
+            generation: 0,
+            proxy,
+            daemon,
+            starts: 0,
+            _standin: standin,
+            dir,
+        })
+    }
+
+    /// Directory of settings and logs; it is removed at the end.
+    pub fn dir(&self) -> &Path {
+        self.dir.path()
+    }
+
+    /// All hosts that were not killed or stopped, by name.
+    pub fn hosts(&self) -> impl Iterator<Item = &Host> {
+        self.hosts.values()
+    }
+
+    /// Addresses for callers of all hosts.
+    pub fn addrs(&self) -> Vec<SocketAddr> {
+        self.hosts.values().map(|h| h.http).collect()
+    }
+
+    /// A host.
+    ///
+    /// # Errors
+    ///
+    /// There is none of this name.
+    pub fn host(&self, name: &str) -> Result<&Host> {
+        self.hosts.get(name).ok_or_else(|| Error::Unknown(name.into()))
+    }
+
+    fn host_mut(&mut self, name: &str) -> Result<&mut Host> {
+        self.hosts.get_mut(name).ok_or_else(|| Error::Unknown(name.into()))
+    }
+
+    /// Process id of a host.
+    ///
+    /// # Errors
+    ///
+    /// There is none of this name.
+    pub fn pid(&self, name: &str) -> Result<u32> {
+        Ok(self.host(name)?.process.pid())
+    }
+
+    /// Starts the daemon of an ordinal and returns its name. The host list does not show it yet.
+    ///
+    /// # Errors
+    ///
+    /// The daemon ends at once.
+    pub async fn start_host(&mut self, ordinal: usize, found: bool) -> Result<String> {
+        for _ in 0..TRIES {
+            let name = format!("h{ordinal}-{}", self.starts);
+            self.starts += 1;
+            let [http, peer] = free_ports()?;
+            let file = self.dir.path().join(format!("{name}.toml"));
+            write(&file, &self.settings(&name, ordinal, found, [http, peer]))?;
+            let flag = Path::new("--settings");
+            let process = Process::start(&name, &self.daemon, &[flag, &file], self.dir.path())?;
+            let mut host = Host {
+                name: name.clone(),
+                ordinal,
+                http,
+                direct: http,
+                peer,
+                listed: true,
+                leaving: false,
+                process,
+            };
+            if let Some(p) = &self.proxy {
+                p.register(host.process.pid(), &name);
+                host.http = p.listen(&format!("{name}.http"), http)?;
+                host.peer = p.listen(&name, peer)?;
+            }
+            if self.is_up(&mut host).await? {
+                self.hosts.insert(name.clone(), host);
+                self.set_delays(&name);
+                return Ok(name);
+            }
+        }
+        Err(Error::Late { what: format!("start of ordinal {ordinal}"), within: START })
+    }
+
+    /// Whether the daemon answers; false if it could not bind its ports.
+    async fn is_up(&self, host: &mut Host) -> Result<bool> {
+        let end = Instant::now() + START;
+        while Instant::now() < end {
+            if let Err(e) = host.process.check() {
+                let text = e.to_string().to_lowercase();
+                return if text.contains("in use") { Ok(false) } else { Err(e) };
+            }
+            if self.http.status(host.direct, "/healthz").await.is_some() {
+                return Ok(true);
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Err(Error::Late { what: format!("answer of {}", host.name), within: START })
+    }
+
+    fn settings(
+        &self,
+        name: &str,
+        ordinal: usize,
+        found: bool,
+        [http, peer]: [SocketAddr; 2],
+    ) -> String {
+        let domain = &self.plan.hosts[ordinal];
+        let (config, list, stop_s) = (self.seen["config"], self.seen["list"], self.plan.stop_s);
+        format!(
+            "name = \"{name}\"\nordinal = {ordinal}\ndomain = \"{domain}\"\nfound = {found}\n\
+             [listen]\nhttp = \"{http}\"\npeer = \"{peer}\"\n\
+             [platform]\nconfig = \"{config}\"\nlist = \"{list}\"\n\
+             [plaintext]\ncallers = true\npeers = true\n\
+             [log]\nformat = \"text\"\nlevel = \"info\"\n\
+             [stop]\nlimit_s = {stop_s}\n"
+        )
+    }
+
+    /// Waits until all hosts are ready.
+    ///
+    /// # Errors
+    ///
+    /// One is not ready after `within`, or ended.
+    pub async fn ready(&mut self, within: Duration) -> Result<()> {
+        let names: Vec<_> = self.hosts.keys().cloned().collect();
+        for n in names {
+            self.host_ready(&n, within).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a host is ready.
+    ///
+    /// # Errors
+    ///
+    /// It is not ready after `within`, or ended.
+    pub async fn host_ready(&mut self, name: &str, within: Duration) -> Result<()> {
+        let end = Instant::now() + within;
+        loop {
+            let http = self.http.clone();
+            let host = self.host_mut(name)?;
+            host.process.check()?;
+            if http.status(host.direct, "/readyz").await == Some(200) {
+                return Ok(());
+            }
+            if Instant::now() >= end {
+                let what = format!("readiness of {name}; its log:\n{}", host.process.tail());
+                return Err(Error::Late { what, within });
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Changes the rules and publishes them as the next version, parts first.
+    ///
+    /// # Errors
+    ///
+    /// The configuration stand-in does not answer.
+    pub async fn publish(&mut self, f: impl FnOnce(&mut Rules)) -> Result<u64> {
+        f(&mut self.rules);
+        self.version += 1;
+        let rendered = self.rules.render(self.version);
+        self.publish_rendered(&rendered).await?;
+        Ok(self.version)
+    }
+
+    /// Publishes values as they are.
+    ///
+    /// # Errors
+    ///
+    /// The configuration stand-in does not answer.
+    pub async fn publish_rendered(&self, r: &Rendered) -> Result<()> {
+        let config = self.direct["config"];
+        for (digest, text) in &r.parts {
+            self.http.put(config, &format!("/control/values/part/{digest}"), text.clone()).await?;
+        }
+        let head = serde_json::to_string(&r.head)?;
+        self.http.put(config, "/control/values/head", head).await
+    }
+
+    /// Publishes the host list as the next generation.
+    ///
+    /// # Errors
+    ///
+    /// The host list stand-in does not answer.
+    pub async fn publish_hosts(&mut self) -> Result<()> {
+        self.generation += 1;
+        let life = |leaving: bool| if leaving { "leaving" } else { "live" };
+        let hosts = self.hosts.values().filter(|h| h.listed).map(|h| {
+            json!({
+                "name": h.name, "ordinal": h.ordinal, "domain": self.plan.hosts[h.ordinal],
+                "http": h.http, "peer": h.peer, "state": life(h.leaving),
+            })
+        });
+        let names = self.rules.upstreams.keys();
+        let upstreams: Vec<_> = names
+            .map(|n| json!({"name": n, "state": life(self.leaving.iter().any(|l| n == l))}))
+            .collect();
+        let list = json!({
+            "generation": self.generation, "hosts": hosts.collect::<Vec<_>>(),
+            "upstreams": upstreams,
+        });
+        self.http.put(self.direct["list"], "/control/hosts", list.to_string()).await
+    }
+
+    /// Marks an upstream as leaving, or as live again, in the host list.
+    ///
+    /// # Errors
+    ///
+    /// The host list stand-in does not answer.
+    pub async fn set_leaving(&mut self, upstream: &str, leaving: bool) -> Result<()> {
+        self.leaving.retain(|l| l != upstream);
+        if leaving {
+            self.leaving.push(upstream.into());
+        }
+        self.publish_hosts().await
+    }
+
+    /// Kills a host's process. The host list still shows it.
+    ///
+    /// # Errors
+    ///
+    /// There is no such host.
+    pub fn kill_host(&mut self, name: &str) -> Result<()> {
+        self.host_mut(name)?.process.kill();
+        Ok(())
+    }
+
+    /// Stops a host's process where it is (SIGSTOP).
+    ///
+    /// # Errors
+    ///
+    /// There is no such host, or it has ended.
+    pub fn pause_host(&self, name: &str) -> Result<()> {
+        self.host(name)?.process.signal(Signal::STOP)
+    }
+
+    /// Lets a paused host continue (SIGCONT).
+    ///
+    /// # Errors
+    ///
+    /// There is no such host, or it has ended.
+    pub fn resume_host(&self, name: &str) -> Result<()> {
+        self.host(name)?.process.signal(Signal::CONT)
+    }
+
+    /// Begins a host's graceful shutdown (SIGTERM).
+    ///
+    /// # Errors
+    ///
+    /// There is no such host, or it has ended.
+    pub fn stop_host(&self, name: &str) -> Result<()> {
+        self.host(name)?.process.signal(Signal::TERM)
+    }
+
+    /// Waits for the end of a host's process.
+    ///
+    /// # Errors
+    ///
+    /// It still runs after `within`.
+    pub async fn host_end(&mut self, name: &str, within: Duration) -> Result<ExitStatus> {
+        self.host_mut(name)?.process.wait(within).await
+    }
+
+    /// Forgets a host: its process is killed and the next host list does not show it.
+    ///
+    /// # Errors
+    ///
+    /// There is no such host.
+    pub fn remove_host(&mut self, name: &str) -> Result<Host> {
+        self.hosts.remove(name).ok_or_else(|| Error::Unknown(name.into()))
+    }
+
+    /// Starts a replacement of a host, which is removed, and publishes the host list.
+    ///
+    /// # Errors
+    ///
+    /// The replacement does not start.
+    pub async fn replace_host(&mut self, name: &str) -> Result<String> {
+        let ordinal = self.remove_host(name)?.ordinal;
+        let new = self.start_host(ordinal, false).await?;
+        self.publish_hosts().await?;
+        Ok(new)
+    }
+
+    /// Starts a replacement of a host whose process goes on; the host list shows the new one only.
+    /// The old host is returned so that the caller decides about its process.
+    ///
+    /// # Errors
+    ///
+    /// The replacement does not start.
+    pub async fn supersede_host(&mut self, name: &str) -> Result<(Host, String)> {
+        let old = self.remove_host(name)?;
+        let new = self.start_host(old.ordinal, false).await?;
+        self.publish_hosts().await?;
+        Ok((old, new))
+    }
+
+    /// Sets faults of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// It does not answer, or does not know the fault.
+    pub async fn faults(&self, name: &str, faults: Value) -> Result<()> {
+        self.http.post(self.standin(name)?, "/control/faults", &faults).await
+    }
+
+    /// Restarts an engine cold.
+    ///
+    /// # Errors
+    ///
+    /// It does not answer.
+    pub async fn restart_engine(&self, name: &str) -> Result<()> {
+        self.http.post(self.standin(name)?, "/control/restart", &json!({})).await
+    }
+
+    /// The whole journal of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// It does not answer, or entries were dropped.
+    pub async fn journal(&self, name: &str) -> Result<Vec<Entry>> {
+        let j: Journal = self.http.get(self.standin(name)?, "/control/journal").await?;
+        if j.dropped > 0 {
+            return Err(Error::Http(name.into(), format!("{} entries dropped", j.dropped)));
+        }
+        Ok(j.entries)
+    }
+
+    /// Journals of all engines, by name.
+    ///
+    /// # Errors
+    ///
+    /// As [`Fleet::journal`].
+    pub async fn engine_journals(&self) -> Result<BTreeMap<String, Vec<Entry>>> {
+        let mut out = BTreeMap::new();
+        for e in &self.plan.engines {
+            out.insert(e.name.to_string(), self.journal(&e.name).await?);
+        }
+        Ok(out)
+    }
+
+    /// A stand-in's own address.
+    ///
+    /// # Errors
+    ///
+    /// There is none of this name.
+    pub fn standin(&self, name: &str) -> Result<SocketAddr> {
+        self.direct.get(name).copied().ok_or_else(|| Error::Unknown(name.into()))
+    }
+
+    /// The proxy.
+    ///
+    /// # Errors
+    ///
+    /// The fleet runs without one.
+    pub fn proxy(&self) -> Result<&Proxy> {
+        self.proxy.as_ref().ok_or_else(|| Error::Unknown("proxy".into()))
+    }
+
+    /// Changes all links between two sets of names, in both directions.
+    ///
+    /// # Errors
+    ///
+    /// The fleet runs without a proxy.
+    pub fn links(&self, a: &[&str], b: &[&str], f: impl Fn(&mut Link)) -> Result<()> {
+        let p = self.proxy()?;
+        for (x, y) in a.iter().flat_map(|x| b.iter().map(move |y| (x, y))) {
+            p.change(x, y, &f);
+            p.change(y, x, &f);
+        }
+        Ok(())
+    }
+
+    /// Silences the open connections between two sets of names: nothing more arrives at `b`.
+    ///
+    /// # Errors
+    ///
+    /// The fleet runs without a proxy.
+    pub fn silence(&self, a: &[&str], b: &[&str]) -> Result<()> {
+        let p = self.proxy()?;
+        for (x, y) in a.iter().flat_map(|x| b.iter().map(move |y| (x, y))) {
+            p.silence(x, y, Direction::Forward);
+            p.silence(y, x, Direction::Back);
+        }
+        Ok(())
+    }
+
+    /// Sets the delays between domains for a new host.
+    fn set_delays(&self, name: &str) {
+        let Some(p) = &self.proxy else { return };
+        let delay = |d: Duration| move |l: &mut Link| l.delay = d;
+        let domain = &self.plan.hosts[self.hosts[name].ordinal];
+        p.change(CALLERS, &format!("{name}.http"), delay(self.plan.caller_delay));
+        let far = self.plan.domain_delay;
+        for h in self.hosts.values().filter(|h| self.plan.hosts[h.ordinal] != *domain) {
+            p.change(name, &h.name, delay(far));
+            p.change(&h.name, name, delay(far));
+        }
+        let engines = self.plan.engines.iter().map(|e| (&e.name, &e.domain));
+        let plain = self.plan.plain.iter().map(|e| (&e.name, &e.domain));
+        for (n, _) in engines.chain(plain).filter(|(_, d)| *d != domain) {
+            p.change(name, n, delay(far));
+        }
+    }
+}
+
+/// Waits until `f` is true.
+///
+/// # Errors
+///
+/// It is not after `within`.
+pub async fn eventually<F: Future<Output = bool>>(
+    what: &str,
+    within: Duration,
+    mut f: impl FnMut() -> F,
+) -> Result<()> {
+    let end = Instant::now() + within;
+    loop {
+        if f().await {
+            return Ok(());
+        }
+        if Instant::now() >= end {
+            return Err(Error::Late { what: what.into(), within });
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+async fn addresses(standin: &mut Process) -> Result<BTreeMap<String, SocketAddr>> {
+    let end = Instant::now() + START;
+    loop {
+        standin.check()?;
+        if let Some((line, _)) = standin.output().split_once('\n') {
+            return Ok(serde_json::from_str(line)?);
+        }
+        if Instant::now() >= end {
+            return Err(Error::Late { what: "start of the stand-ins".into(), within: START });
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+fn standin_toml(plan: &Plan) -> String {
+    let mut t = String::from("[config]\n[list]\n");
+    let s = &plan.store;
+    let _ = write!(t, "[store]\nrate = {}\nflight = {}\n", s.rate, s.flight);
+    let _ = writeln!(t, "load_ms = {}", s.load_ms);
+    for e in &plan.engines {
+        let _ = write!(t, "[[engines]]\nname = \"{}\"\nslots = {}\n", e.name, e.slots);
+        let _ = write!(t, "batch = {}\nfencing = {}\n", e.batch, e.fencing);
+        let _ = write!(t, "first_ms = {}\ntoken_ms = {}\n", e.first_ms, e.token_ms);
+    }
+    for p in &plan.plain {
+        let _ = write!(t, "[[plain]]\nname = \"{}\"\n", p.name);
+    }
+    t
+}
+
+/// Two ports that were free just now.
+fn free_ports() -> Result<[SocketAddr; 2]> {
+    let a = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let b = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    Ok([a.local_addr()?, b.local_addr()?])
+}
+
+fn write(path: &Path, text: &str) -> Result<()> {
+    fs::write(path, text).map_err(|e| Error::File(path.into(), e))
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,2 +1,36 @@
-//! Binary.
-fn main() {}
+//! `yuccabench`: experiments with a fleet of real processes on this machine.
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use yuccabench::{Result, cmd};
+
+/// Experiments with yuccawing on this machine.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Demo(cmd::demo::Args),
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    match actix_rt::System::new().block_on(run(args.command)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("yuccabench: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<()> {
+    match command {
+        Command::Demo(a) => cmd::demo::run(a).await,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/plan.rs
@@ -0,0 +1,233 @@
+//! What a fleet consists of.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use arcstr::ArcStr;
+use sha2::{Digest as _, Sha256};
+use yuccawing_core::rules::{Account, Adapter, Class, Route, Rules, Store, Upstream};
+
+/// Name of the base model.
+pub const MODEL: &str = "base";
+
+/// A fleet, with chained setters; the default is small and fast.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Domain of each host; its index is the ordinal.
+    pub hosts: Vec<ArcStr>,
+    /// Engines.
+    pub engines: Vec<Engine>,
+    /// Plain services.
+    pub plain: Vec<Plain>,
+    /// Weight store.
+    pub store: Weights,
+    /// Adapters `a0`, `a1` and so on, by class.
+    pub adapters: Vec<Class>,
+    /// Versions of each adapter.
+    pub versions: Vec<ArcStr>,
+    /// Accounts; each has the key [`key`] of its name.
+    pub accounts: BTreeMap<ArcStr, Account>,
+    /// Routes to plain services.
+    pub routes: BTreeMap<ArcStr, Route>,
+    /// One-way delay between domains.
+    pub domain_delay: Duration,
+    /// One-way delay of callers.
+    pub caller_delay: Duration,
+    /// Whether the fault-injecting proxy is between all processes.
+    pub proxied: bool,
+    /// Longest graceful shutdown in seconds.
+    pub stop_s: u64,
+}
+
+/// An engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// Name.
+    pub name: ArcStr,
+    /// Failure domain.
+    pub domain: ArcStr,
+    /// Adapter slots.
+    pub slots: u32,
+    /// Requests that run at once.
+    pub batch: u32,
+    /// Whether it rejects old fencing numbers.
+    pub fencing: bool,
+    /// Milliseconds to the first token.
+    pub first_ms: u64,
+    /// Milliseconds between tokens.
+    pub token_ms: u64,
+}
+
+/// A plain service.
+#[derive(Clone, Debug)]
+pub struct Plain {
+    /// Name.
+    pub name: ArcStr,
+    /// Failure domain.
+    pub domain: ArcStr,
+    /// Calls that run at once.
+    pub limit: u32,
+}
+
+/// The weight store.
+#[derive(Clone, Copy, Debug)]
+pub struct Weights {
+    /// Loads per second.
+    pub rate: u64,
+    /// Loads in flight.
+    pub flight: u64,
+    /// Milliseconds per load.
+    pub load_ms: u64,
+}
+
+impl Plan {
+    /// `hosts` hosts and as many domains, two engines with fencing and one without, one plain
+    /// service, four adapters of two versions, and one account with ample limits.
+    pub fn new(hosts: u8) -> Self {
+        let plan = Self {
+            hosts: (0..hosts).map(domain).collect(),
+            engines: Vec::new(),
+            plain: vec![Plain { name: "p0".into(), domain: domain(0), limit: 32 }],
+            store: Weights { rate: 50, flight: 8, load_ms: 50 },
+            adapters: vec![Class::Interactive; 4],
+            versions: vec!["1".into(), "2".into()],
+            accounts: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            domain_delay: Duration::ZERO,
+            caller_delay: Duration::ZERO,
+            proxied: false,
+            stop_s: 20,
+        };
+        plan.engine(|e| e.fencing = true)
+            .engine(|e| e.fencing = true)
+            .engine(|_| {})
+            .account("press", 1_000_000, 1_000_000)
+            .route("/notes", |_| {})
+    }
+
+    /// Adds an engine; `f` changes its defaults.
+    #[must_use]
+    pub fn engine(mut self, f: impl FnOnce(&mut Engine)) -> Self {
+        let i = self.engines.len();
+        let mut e = Engine {
+            name: format!("e{i}").into(),
+            domain: self.hosts[i % self.hosts.len()].clone(),
+            slots: 4,
+            batch: 8,
+            fencing: false,
+            first_ms: 10,
+            token_ms: 2,
+        };
+        f(&mut e);
+        self.engines.push(e);
+        self
+    }
+
+    /// Removes all engines.
+    #[must_use]
+    pub fn no_engines(mut self) -> Self {
+        self.engines.clear();
+        self
+    }
+
+    /// Changes every engine.
+    #[must_use]
+    pub fn each_engine(mut self, f: impl Fn(&mut Engine)) -> Self {
+        self.engines.iter_mut().for_each(f);
+        self
+    }
+
+    /// Adds an account with a rate and a burst in tokens.
+    #[must_use]
+    pub fn account(mut self, name: &str, rate: u64, burst: u64) -> Self {
+        let keys = vec![key_hash(&key(name))];
+        self.accounts.insert(name.into(), Account { rate, burst, weight: 1, keys });
+        self
+    }
+
+    /// Adds a route to all plain services; `f` changes its defaults.
+    #[must_use]
+    pub fn route(mut self, path: &str, f: impl FnOnce(&mut Route)) -> Self {
+        let upstreams = self.plain.iter().map(|p| p.name.clone()).collect();
+        let mut r = Route { upstreams, open: false, idempotent: true, cost: 0 };
+        f(&mut r);
+        self.routes.insert(path.into(), r);
+        self
+    }
+
+    /// Sets the number of interactive adapters.
+    #[must_use]
+    pub fn adapters(mut self, n: usize) -> Self {
+        self.adapters = vec![Class::Interactive; n];
+        self
+    }
+
+    /// Sets the weight store's limits.
+    #[must_use]
+    pub fn store(mut self, store: Weights) -> Self {
+        self.store = store;
+        self
+    }
+
+    /// Puts the fault-injecting proxy between all processes.
+    #[must_use]
+    pub fn proxied(mut self) -> Self {
+        self.proxied = true;
+        self
+    }
+
+    /// The rules of this fleet; `addr` gives the address by which hosts reach an upstream.
+    pub fn rules(&self, addr: impl Fn(&str) -> SocketAddr) -> Rules {
+        let engines = self.engines.iter().map(|e| {
+            let u = Upstream::Engine {
+                addr: addr(&e.name).to_string().into(),
+                domain: e.domain.clone(),
+                model: MODEL.into(),
+                slots: e.slots,
+                batch: e.batch,
+                fencing: e.fencing,
+            };
+            (e.name.clone(), u)
+        });
+        let plain = self.plain.iter().map(|p| {
+            let u = Upstream::Plain {
+                addr: addr(&p.name).to_string().into(),
+                domain: p.domain.clone(),
+                limit: p.limit,
+            };
+            (p.name.clone(), u)
+        });
+        let adapters = self.adapters.iter().enumerate().map(|(i, class)| {
+            let versions = self.versions.clone();
+            (adapter(i).into(), Adapter { model: MODEL.into(), versions, class: *class })
+        });
+        Rules {
+            hosts: u8::try_from(self.hosts.len()).unwrap_or(u8::MAX),
+            store: Store { rate: self.store.rate, flight: self.store.flight },
+            models: vec![MODEL.into()],
+            adapters: adapters.collect(),
+            accounts: self.accounts.clone(),
+            upstreams: engines.chain(plain).collect(),
+            routes: self.routes.clone(),
+            ..Rules::default()
+        }
+    }
+}
+
+/// Name of adapter `i`.
+pub fn adapter(i: usize) -> String {
+    format!("a{i}")
+}
+
+/// Key of an account.
+pub fn key(account: &str) -> String {
+    format!("key-of-{account}-5d1e")
+}
+
+/// SHA-256 of a key in hexadecimal, as in the rules.
+pub fn key_hash(key: &str) -> ArcStr {
+    Sha256::digest(key).iter().map(|b| format!("{b:02x}")).collect::<String>().into()
+}
+
+fn domain(i: u8) -> ArcStr {
+    char::from(b'a' + i % 26).to_string().into()
+}
--- /dev/null
+++ b/crates/bench/src/process.rs
@@ -0,0 +1,145 @@
+//! Processes that an experiment starts, and ends by their id.
+
+use std::{
+    fs::{self, File},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    time::{Duration, Instant},
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::{Error, Result};
+
+/// How often the end of a process is looked for.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Lines of a log that an error shows.
+const TAIL: usize = 30;
+
+/// A running process; it is killed when this value is dropped.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts `program` with its standard error in `dir/NAME.log` and its output in `dir/NAME.out`.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started or the files cannot be written.
+    pub fn start(name: &str, program: &Path, args: &[&Path], dir: &Path) -> Result<Self> {
+        let log = dir.join(format!("{name}.log"));
+        let file = |p: &Path| File::create(p).map_err(|e| Error::File(p.into(), e));
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(file(&dir.join(format!("{name}.out")))?)
+            .stderr(file(&log)?)
+            .spawn()
+            .map_err(|e| Error::File(program.into(), e))?;
+        Ok(Self { name: name.into(), child, log })
+    }
+
+    /// Name of the process.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// What the process wrote to its standard output so far.
+    pub fn output(&self) -> String {
+        fs::read_to_string(self.log.with_extension("out")).unwrap_or_default()
+    }
+
+    /// The end of the log and of the output.
+    pub fn tail(&self) -> String {
+        let text = fs::read_to_string(&self.log).unwrap_or_default() + &self.output();
+        let lines: Vec<_> = text.lines().collect();
+        lines[lines.len().saturating_sub(TAIL)..].join("\n")
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    ///
+    /// The process has ended.
+    pub fn signal(&self, signal: Signal) -> Result<()> {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let pid = pid.ok_or_else(|| Error::Unknown(self.name.clone()))?;
+        Ok(kill_process(pid, signal)?)
+    }
+
+    /// Whether the process has ended.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// An error if the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Status and end of the log.
+    pub fn check(&mut self) -> Result<()> {
+        match self.ended() {
+            Some(s) => Err(Error::Ended {
+                name: self.name.clone(),
+                status: s.to_string(),
+                log: self.tail(),
+            }),
+            None => Ok(()),
+        }
+    }
+
+    /// Kills the process and collects its status.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Errors
+    ///
+    /// It still runs after `within`.
+    pub async fn wait(&mut self, within: Duration) -> Result<ExitStatus> {
+        let end = Instant::now() + within;
+        loop {
+            if let Some(s) = self.ended() {
+                return Ok(s);
+            }
+            if Instant::now() >= end {
+                return Err(Error::Late { what: format!("end of {}", self.name), within });
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("--- {} (pid {})\n{}", self.name, self.pid(), self.tail());
+        }
+        self.kill();
+    }
+}
+
+/// A built binary of this workspace: beside the running executable, or one directory up for tests.
+///
+/// # Errors
+///
+/// It is not built.
+pub fn binary(name: &str) -> Result<PathBuf> {
+    let exe = std::env::current_exe()?;
+    let dir = exe.parent().unwrap_or(Path::new("."));
+    let found = [Some(dir), dir.parent()].into_iter().flatten().map(|d| d.join(name));
+    found.into_iter().find(|p| p.is_file()).ok_or_else(|| Error::Binary(dir.join(name)))
+}
--- /dev/null
+++ b/crates/bench/src/proxy/pump.rs
@@ -0,0 +1,173 @@
+//! Connections of the proxy.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{mpsc, watch},
+    time::{Instant, sleep, sleep_until},
+};
+
+use super::{Direction, Pair, Shared, UNKNOWN, owner};
+
+/// Chunks in delay per direction; with 16 KB chunks this bounds a connection to 1 MB.
+const CHUNKS: usize = 64;
+
+/// Bytes read at once.
+const CHUNK: usize = 16 << 10;
+
+/// Wait before the second look for a process that was registered just after its first connection.
+const SECOND_LOOK: Duration = Duration::from_millis(20);
+
+/// Wait after a failure to accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections to `target`.
+pub async fn accept(shared: Arc<Shared>, l: TcpListener, name: Arc<str>, target: SocketAddr) {
+    loop {
+        match l.accept().await {
+            Ok((stream, peer)) => {
+                tokio::spawn(connect(shared.clone(), stream, peer, name.clone(), target));
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn connect(
+    shared: Arc<Shared>,
+    near: TcpStream,
+    peer: SocketAddr,
+    name: Arc<str>,
+    target: SocketAddr,
+) {
+    let look = || {
+        let owners = shared.lock().owners.clone();
+        owner::find(&owners, peer)
+    };
+    let mut from = look();
+    if from.is_none() {
+        sleep(SECOND_LOOK).await;
+        from = look();
+    }
+    let pair: Pair = (from.unwrap_or_else(|| UNKNOWN.into()), name);
+    let mut change = shared.change.subscribe();
+    loop {
+        change.mark_unchanged();
+        let link = shared.link(&pair);
+        if link.cut {
+            return;
+        }
+        if !link.drop {
+            // The handshake takes one round trip.
+            sleep(link.delay * 2).await;
+            break;
+        }
+        if change.changed().await.is_err() {
+            return;
+        }
+    }
+    let Ok(far) = TcpStream::connect(target).await else { return };
+    let _ = near.set_nodelay(true);
+    let _ = far.set_nodelay(true);
+    shared.lock().traffic.entry(pair.clone()).or_default().opened += 1;
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let forward = pump(&shared, &pair, Direction::Forward, near_read, far_write);
+    let back = pump(&shared, &pair, Direction::Back, far_read, near_write);
+    tokio::select! {
+        () = async { tokio::join!(forward, back); } => {}
+        () = cut(&shared, &pair) => {}
+    }
+}
+
+/// Ends when the link is cut.
+async fn cut(shared: &Shared, pair: &Pair) {
+    let mut change = shared.change.subscribe();
+    while !shared.link(pair).cut {
+        if change.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn pump(
+    shared: &Shared,
+    pair: &Pair,
+    d: Direction,
+    read: OwnedReadHalf,
+    write: OwnedWriteHalf,
+) {
+    let (tx, rx) = mpsc::channel(CHUNKS);
+    tokio::join!(reader(shared, pair, read, tx), writer(shared, pair, d, write, rx));
+}
+
+type Chunk = (Instant, Vec<u8>);
+
+async fn reader(shared: &Shared, pair: &Pair, mut read: OwnedReadHalf, tx: mpsc::Sender<Chunk>) {
+    let mut buf = vec![0; CHUNK];
+    loop {
+        match read.read(&mut buf).await {
+            Ok(n) if n > 0 => {
+                let at = Instant::now() + shared.link(pair).delay;
+                if tx.send((at, buf[..n].to_vec())).await.is_err() {
+                    return;
+                }
+            }
+            _ => return,
+        }
+    }
+}
+
+async fn writer(
+    shared: &Shared,
+    pair: &Pair,
+    d: Direction,
+    mut write: OwnedWriteHalf,
+    mut rx: mpsc::Receiver<Chunk>,
+) {
+    let mut change = shared.change.subscribe();
+    let silences = shared.silences(pair, d);
+    while let Some((at, bytes)) = rx.recv().await {
+        sleep_until(at).await;
+        held(shared, pair, &mut change).await;
+        if shared.silences(pair, d) != silences {
+            // Silent for good: what comes is read and lost, and the end is not passed on either.
+            while rx.recv().await.is_some() {}
+            std::future::pending::<()>().await;
+        }
+        {
+            let mut state = shared.lock();
+            let t = state.traffic.entry(pair.clone()).or_default();
+            match d {
+                Direction::Forward => t.sent += bytes.len() as u64,
+                Direction::Back => t.received += bytes.len() as u64,
+            }
+        }
+        if write.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+    held(shared, pair, &mut change).await;
+    if shared.silences(pair, d) != silences {
+        std::future::pending::<()>().await;
+    }
+    let _ = write.shutdown().await;
+}
+
+/// Waits while the link drops packets.
+async fn held(shared: &Shared, pair: &Pair, change: &mut watch::Receiver<u64>) {
+    loop {
+        change.mark_unchanged();
+        if !shared.link(pair).drop {
+            return;
+        }
+        if change.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/proxy/tests.rs
@@ -0,0 +1,101 @@
+use std::{
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpListener, TcpStream},
+    thread,
+    time::{Duration, Instant},
+};
+
+use super::{Direction, Link, Proxy};
+
+/// A bound for what must happen; only a fault reaches it.
+const LONG: Duration = Duration::from_secs(20);
+
+/// Time in which nothing may come.
+const SHORT: Duration = Duration::from_millis(200);
+
+/// A server that answers each byte with the same byte.
+fn echo() -> SocketAddr {
+    let l = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = l.local_addr().unwrap();
+    thread::spawn(move || {
+        for s in l.incoming().flatten() {
+            thread::spawn(move || {
+                let (mut r, mut w) = (s.try_clone().unwrap(), s);
+                let _ = std::io::copy(&mut r, &mut w);
+            });
+        }
+    });
+    addr
+}
+
+fn proxied() -> (Proxy, SocketAddr) {
+    let p = Proxy::start().unwrap();
+    p.register(std::process::id(), "me");
+    let addr = p.listen("echo", echo()).unwrap();
+    (p, addr)
+}
+
+fn say(s: &mut TcpStream, wait: Duration) -> std::io::Result<u8> {
+    s.set_read_timeout(Some(wait))?;
+    s.write_all(b"x")?;
+    let mut b = [0];
+    s.read_exact(&mut b)?;
+    Ok(b[0])
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against faults that apply to the wrong link, because the caller was not found.
+    a_link_is_the_pair_of_caller_and_target: {
+        let (p, addr) = proxied();
+        p.change("other", "echo", |l| l.cut = true);
+        assert_eq!(say(&mut TcpStream::connect(addr).unwrap(), LONG).unwrap(), b'x');
+        let t = p.traffic()[&("me".to_owned(), "echo".to_owned())];
+        assert_eq!((t.opened, t.sent, t.received), (1, 1, 1));
+    }
+    // Guards against a delay that is not applied in both directions.
+    a_delay_applies_to_each_direction: {
+        let (p, addr) = proxied();
+        let delay = Duration::from_millis(50);
+        p.set("me", "echo", Link { delay, ..Link::default() });
+        let mut s = TcpStream::connect(addr).unwrap();
+        say(&mut s, LONG).unwrap();
+        let start = Instant::now();
+        say(&mut s, LONG).unwrap();
+        assert!(start.elapsed() >= 2 * delay);
+    }
+    // Guards against a partition that loses bytes or lets them through.
+    dropped_bytes_arrive_when_the_link_is_back: {
+        let (p, addr) = proxied();
+        let mut s = TcpStream::connect(addr).unwrap();
+        say(&mut s, LONG).unwrap();
+        p.change("me", "echo", |l| l.drop = true);
+        assert!(say(&mut s, SHORT).is_err());
+        p.change("me", "echo", |l| l.drop = false);
+        s.set_read_timeout(Some(LONG)).unwrap();
+        s.read_exact(&mut [0]).unwrap();
+    }
+    // Guards against a cut that leaves open connections open.
+    a_cut_ends_open_connections_and_refuses_new_ones: {
+        let (p, addr) = proxied();
+        let mut s = TcpStream::connect(addr).unwrap();
+        say(&mut s, LONG).unwrap();
+        p.change("me", "echo", |l| l.cut = true);
+        s.set_read_timeout(Some(LONG)).unwrap();
+        assert_eq!(s.read(&mut [0]).unwrap_or(0), 0);
+        assert!(say(&mut TcpStream::connect(addr).unwrap(), LONG).is_err());
+    }
+    // Guards against a silence that ends, or that affects new connections.
+    silence_is_for_good_and_only_for_open_connections: {
+        let (p, addr) = proxied();
+        let mut old = TcpStream::connect(addr).unwrap();
+        say(&mut old, LONG).unwrap();
+        p.silence("me", "echo", Direction::Back);
+        assert!(say(&mut old, SHORT).is_err());
+        assert_eq!(say(&mut TcpStream::connect(addr).unwrap(), LONG).unwrap(), b'x');
+        assert!(say(&mut old, SHORT).is_err());
+    }
+}
