--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -157,7 +157,7 @@
             queue: Queue::new(Limits { slots: 1, reserved: 0, per_account: 1, total: 1, speed: 1 }),
             requests: Requests::default(),
             commands: Commands::default(),
-            tickets: Tickets::new(setup.incarnation, clock.now()),
+            tickets: Tickets::new(setup.incarnation),
             links: BTreeMap::new(),
             platform: None,
             reader: None,
--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -262,7 +262,7 @@
         }
         if specs != self.specs {
             self.specs = specs.clone();
-            self.route.configure(now, specs);
+            self.route.configure(specs);
             self.size_queue(&rules);
             self.drive(now, ctx);
         }
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -412,11 +412,11 @@
     /// Whether this host is shutting down.
     pub leaving: bool,
     /// Accounts by the SHA-256 of each of their keys.
-    pub keys: HashMap<KeyHash, ArcStr>,
+    pub keys: Arc<HashMap<KeyHash, ArcStr>>,
     /// Routes, longest prefix first.
-    pub routes: Vec<RouteView>,
+    pub routes: Arc<Vec<RouteView>>,
     /// Adapters by name.
-    pub adapters: HashMap<ArcStr, AdapterView>,
+    pub adapters: Arc<HashMap<ArcStr, AdapterView>>,
     /// Answer to the address look-up.
     pub hosts: Hosts,
 }
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -14,7 +14,7 @@
     allowance::{Grant, Verdict},
     placement::{self, PinAnswer, PinRequest, Target, Unpin},
     queue::{Item, Limits, Popped, Reason, Running},
-    route::{self, Choice, Need},
+    route::{self, Choice, Granted, Need},
     rules::{Class, Rules, Upstream},
     ticket::{Denied, Fate, Ticket},
     time::Tick,
@@ -220,7 +220,7 @@
         let ticket: Ticket = ticket
             .parse()
             .map_err(|e| Refusal::not_run(Code::BadRequest, format!("ticket: {e}")))?;
-        match self.tickets.spend(now, &ticket, a.account.as_ref()) {
+        match self.tickets.spend(now, a.account.as_ref(), ticket) {
             Ok(()) => {
                 self.requests.spent.insert(a.id, ticket);
                 Ok(())
@@ -567,7 +567,7 @@
     fn done(&mut self, now: Tick, d: Done, ctx: &mut Context<Self>) {
         if let Some(t) = self.requests.spent.remove(&d.id) {
             let ran = matches!(d.outcome, Outcome::Finished);
-            self.tickets.ended(&t, if ran { Fate::Ran } else { Fate::Unknown });
+            self.tickets.finish(t, if ran { Fate::Ran } else { Fate::Unknown });
         }
         let Some(flight) = self.requests.ids.get(&d.id).copied() else { return };
         let outcome = match d.outcome {
@@ -614,7 +614,7 @@
                 }
                 self.route.ended(now, &p.upstream, &target, &p.instance, outcome);
                 if gone {
-                    self.route.dropped(&p.upstream, &target);
+                    self.route.dropped(now, &p.upstream, &target);
                     let (engine, instance) = (p.upstream, p.instance);
                     self.place(now, placement::Event::Missing { engine, instance }, ctx);
                 }
@@ -679,9 +679,8 @@
         match answer {
             Some(PinAnswer::Pinned { instance, duration }) => {
                 self.requests.pins.remove(&key);
-                let back =
-                    self.route.pinned(now, &engine, &target, instance, id, sent, duration);
-                if let Some(u) = back {
+                let granted = Granted { engine, target, instance, id, sent, duration };
+                if let Some(u) = self.route.pinned(now, granted) {
                     self.send_unpin(now, u, ctx);
                 }
             }
@@ -790,7 +789,7 @@
         let Some(o) = self.requests.open.remove(flight) else { return };
         self.requests.ids.remove(&o.id);
         if let Some(t) = self.requests.spent.remove(&o.id) {
-            self.tickets.unspend(&t);
+            self.tickets.restore(t);
         }
         if let Some(g) = o.grant {
             self.allowance.settle(now, g, 0);
@@ -814,7 +813,7 @@
         // The process that issued it may have run the request.
         Denied::Foreign => (Code::TicketUnknown, Run::Unknown),
         Denied::Unknown => (Code::TicketUnknown, Run::Unknown),
-        Denied::Spent(Fate::Ran) => (Code::TicketSpent, Run::Ran),
+        Denied::Spent(Fate::Ran) => (Code::TicketSpent, Run::Yes),
         Denied::Spent(Fate::Unknown) => (Code::TicketSpent, Run::Unknown),
     };
     Refusal { code, message: d.to_string(), run, retry_after: None }
--- a/crates/daemon/src/control/versions.rs
+++ b/crates/daemon/src/control/versions.rs
@@ -180,7 +180,7 @@
     }
 
     fn apply(&mut self, now: Tick, version: u64, rules: &Arc<Rules>, ctx: &mut Context<Self>) {
-        self.membership.configure(rules.hosts);
+        self.membership.configure(rules);
         self.configure_allowances(now, rules);
         match &mut self.lease {
             Some(l) => l.configure(now, version, rules.hosts),
@@ -201,7 +201,7 @@
         let keys = rules
             .accounts
             .iter()
-            .flat_map(|(name, a)| a.keys.iter().filter_map(|k| Some((hash(k)?, name.clone()))))
+            .flat_map(|(name, a)| a.keys.iter().filter_map(|k| Some((KeyHash::parse(k)?, name.clone()))))
             .collect();
         let adapters: HashMap<_, _> = rules
             .adapters
@@ -270,14 +270,3 @@
     Head(yuccawing_core::rules::Head),
     Part(arcstr::ArcStr),
 }
-
-fn hash(hex: &str) -> Option<KeyHash> {
-    let mut out = [0; 32];
-    if hex.len() != 64 {
-        return None;
-    }
-    for (i, b) in out.iter_mut().enumerate() {
-        *b = u8::from_str_radix(hex.get(2 * i..2 * i + 2)?, 16).ok()?;
-    }
-    Some(out)
-}
