--- a/crates/daemon/src/control/allowances.rs
+++ b/crates/daemon/src/control/allowances.rs
@@ -14,7 +14,10 @@
 impl Control {
     /// Takes the limits of all accounts and of the weight store into use.
     pub(super) fn configure_allowances(&mut self, now: Tick, rules: &Rules) {
-        let accounts = rules.accounts.iter().map(|(n, a)| (n.clone(), Limits { rate: a.rate, burst: a.burst }));
+        let accounts = rules
+            .accounts
+            .iter()
+            .map(|(n, a)| (n.clone(), Limits { rate: a.rate, burst: a.burst }));
         // One second of the store's rate may be used at once.
         let store = Limits { rate: rules.store.rate, burst: rules.store.rate.max(1) };
         self.allowance.configure(now, accounts.chain([(STORE, store)]));
--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -80,8 +80,7 @@
                 }
                 placement::Effect::Load { command, engine, instance, target, fence } => {
                     let path = format!("{}/{}", target.adapter, target.version);
-                    let body =
-                        json!({"lora_name": instance, "lora_path": path, "fence": fence});
+                    let body = json!({"lora_name": instance, "lora_path": path, "fence": fence});
                     self.send_load(command, engine, instance, body, ctx);
                 }
                 placement::Effect::Unload { command, engine, instance, fence } => {
@@ -154,9 +153,7 @@
         ctx.spawn(call.into_actor(self).map(move |answer, act, ctx| {
             let (result, event) = match answer {
                 Some((StatusCode::OK, _)) => (UnloadResult::Unloaded, Event::AdapterUnloaded),
-                Some((_, code)) if code == "fenced" => {
-                    (UnloadResult::Fenced, Event::CommandFenced)
-                }
+                Some((_, code)) if code == "fenced" => (UnloadResult::Fenced, Event::CommandFenced),
                 Some(_) | None => (UnloadResult::Unknown, Event::LoadFailed),
             };
             let f = slog::b!("engine" => engine.as_str(), "instance" => instance.as_str());
@@ -306,4 +303,3 @@
     let mut answer = client.get(url).timeout(REPORT_LIMIT).send().await.ok()?;
     answer.json().limit(REPORT_BYTES).await.ok()
 }
-
--- a/crates/daemon/src/control/group.rs
+++ b/crates/daemon/src/control/group.rs
@@ -137,8 +137,9 @@
         let now = self.clock.now();
         let probe = self.probe(now);
         let Some(link) = self.link(&peer, addr) else { return };
-        let call =
-            async move { link.call(CALL_LIMIT, |c, x| async move { c.probe(x, probe).await }).await };
+        let call = async move {
+            link.call(CALL_LIMIT, |c, x| async move { c.probe(x, probe).await }).await
+        };
         ctx.spawn(call.into_actor(self).map(move |answer, act, ctx| {
             // A host that took over the address is not the peer that was asked.
             let Ok(Some(p)) = answer else { return };
@@ -226,8 +227,9 @@
     fn ask_vote(&mut self, now: Tick, to: Ordinal, q: &LeaseRequest, ctx: &mut Context<Self>) {
         for link in self.ordinal_links(now, to) {
             let q = q.clone();
-            let call =
-                async move { link.call(CALL_LIMIT, |c, x| async move { c.confirm(x, q).await }).await };
+            let call = async move {
+                link.call(CALL_LIMIT, |c, x| async move { c.confirm(x, q).await }).await
+            };
             ctx.spawn(call.into_actor(self).map(move |vote, act, ctx| {
                 let (Ok(Some(vote)), Some(l)) = (vote, &mut act.lease) else { return };
                 let (now, mut out) = (act.clock.now(), Vec::new());
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -106,9 +106,7 @@
                 let nonce = self.random.next();
                 let out = match self.tickets.issue(now, account, nonce) {
                     Ok(t) => Ok(t.to_string().into()),
-                    Err(e) => {
-                        Err(Refusal::not_run(Code::Overloaded, e.to_string()).retry(e.retry))
-                    }
+                    Err(e) => Err(Refusal::not_run(Code::Overloaded, e.to_string()).retry(e.retry)),
                 };
                 let _ = reply.send(out);
             }
@@ -478,14 +476,8 @@
         if self.requests.prefixes.len() > PREFIXES {
             self.requests.prefixes.clear();
         }
-        let need = Need {
-            model: &model,
-            target: &target,
-            class,
-            deadline,
-            avoid: &[],
-            prefix: None,
-        };
+        let need =
+            Need { model: &model, target: &target, class, deadline, avoid: &[], prefix: None };
         if let Some(extra) = self.route.spread(now, &need) {
             self.ask_pin(now, extra, target, model, 0, ctx);
         }
--- a/crates/daemon/src/control/versions.rs
+++ b/crates/daemon/src/control/versions.rs
@@ -23,12 +23,7 @@
 
 impl Control {
     /// Takes what a platform reader has read.
-    pub(super) fn platform_call(
-        &mut self,
-        now: Tick,
-        call: PlatformCall,
-        ctx: &mut Context<Self>,
-    ) {
+    pub(super) fn platform_call(&mut self, now: Tick, call: PlatformCall, ctx: &mut Context<Self>) {
         let from = Source::Service;
         match call {
             PlatformCall::Head(Some(head)) => {
@@ -201,14 +196,14 @@
         let keys = rules
             .accounts
             .iter()
-            .flat_map(|(name, a)| a.keys.iter().filter_map(|k| Some((KeyHash::parse(k)?, name.clone()))))
+            .flat_map(|(name, a)| {
+                a.keys.iter().filter_map(|k| Some((KeyHash::parse(k)?, name.clone())))
+            })
             .collect();
         let adapters: HashMap<_, _> = rules
             .adapters
             .iter()
-            .map(|(n, a)| {
-                (n.clone(), AdapterView { versions: a.versions.clone(), class: a.class })
-            })
+            .map(|(n, a)| (n.clone(), AdapterView { versions: a.versions.clone(), class: a.class }))
             .collect();
         let mut routes: Vec<_> = rules
             .routes
@@ -254,8 +249,7 @@
             weight: a.weight,
             incarnation: a.incarnation.into(),
         };
-        let hosts =
-            Hosts { ttl_ms: a.ttl_ms, hosts: a.hosts.into_iter().map(entry).collect() };
+        let hosts = Hosts { ttl_ms: a.ttl_ms, hosts: a.hosts.into_iter().map(entry).collect() };
         Snapshot {
             incarnation: self.setup.incarnation,
             ready,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -109,7 +109,11 @@
 }
 
 async fn ready(h: web::Data<Handle>) -> HttpResponse {
-    if h.view().ready { HttpResponse::Ok().finish() } else { HttpResponse::ServiceUnavailable().finish() }
+    if h.view().ready {
+        HttpResponse::Ok().finish()
+    } else {
+        HttpResponse::ServiceUnavailable().finish()
+    }
 }
 
 async fn status(h: web::Data<Handle>) -> HttpResponse {
--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -90,7 +90,8 @@
             .map_err(|_| LinkError::Timeout(self.addr, limit))?
             .map_err(|e| LinkError::Connect(self.addr, e))?;
         stream.set_nodelay(true).map_err(|e| LinkError::Connect(self.addr, e))?;
-        let framed = LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_framed(stream);
+        let framed =
+            LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_framed(stream);
         let transport = serde_transport::new(framed, Bincode::default());
         let client = MeshClient::new(client::Config::default(), transport).spawn();
         *self.opened.borrow_mut() += 1;
--- a/crates/daemon/src/mesh/server.rs
+++ b/crates/daemon/src/mesh/server.rs
@@ -123,7 +123,8 @@
             continue;
         }
         slots.set(slots.get() - 1);
-        let (slots, server, stop) = (slots.clone(), Server { control: control.clone() }, stop.clone());
+        let (slots, server, stop) =
+            (slots.clone(), Server { control: control.clone() }, stop.clone());
         actix_rt::spawn(async move {
             tokio::select! {
                 () = stop.cancelled() => {}
--- /dev/null
+++ b/crates/daemon/src/mesh/tests.rs
@@ -0,0 +1,74 @@
+use std::time::{Duration, Instant};
+
+use actix::{Actor, Context, Handler};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use yuccawing_core::rules::Rules;
+
+use super::{CALL_LIMIT, Link, LinkError, PeerCall, serve};
+
+struct Peer;
+
+impl Actor for Peer {
+    type Context = Context<Self>;
+}
+
+impl Handler<PeerCall> for Peer {
+    type Result = ();
+
+    fn handle(&mut self, call: PeerCall, _: &mut Self::Context) {
+        if let PeerCall::Head(answer) = call {
+            let _ = answer.send(Some(Rules::default().render(3).head));
+        }
+    }
+}
+
+async fn head(link: &Link) -> Result<u64, LinkError> {
+    let head = link.call(CALL_LIMIT, |c, x| async move { c.head(x).await }).await?;
+    Ok(head.map_or(0, |h| h.version))
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[actix_rt::test] async fn $name() $body)* };
+}
+
+cases! {
+    // Guards against a link that keeps using a connection that has gone silent for good.
+    a_silent_connection_is_replaced: {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let link = Link::new(listener.local_addr().unwrap());
+        let stop = CancellationToken::new();
+        let peer = Peer.start();
+        let token = stop.clone();
+        actix_rt::spawn(async move {
+            let silent = listener.accept().await;
+            serve(listener, peer.recipient(), token).await;
+            drop(silent);
+        });
+        let start = Instant::now();
+        assert!(matches!(head(&link).await, Err(LinkError::Timeout(..))));
+        assert!(start.elapsed() >= CALL_LIMIT);
+        assert_eq!(head(&link).await.unwrap(), 3);
+        stop.cancel();
+    }
+    // Guards against a call that waits without end for a host that is gone.
+    a_host_that_is_gone_is_an_error: {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let link = Link::new(listener.local_addr().unwrap());
+        drop(listener);
+        let out = tokio::time::timeout(Duration::from_secs(10), head(&link)).await.unwrap();
+        assert!(matches!(out, Err(LinkError::Connect(..))));
+    }
+    // Guards against a call that the control thread never answers holding up the next one.
+    calls_share_a_connection_independently: {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let link = Link::new(listener.local_addr().unwrap());
+        let stop = CancellationToken::new();
+        actix_rt::spawn(serve(listener, Peer.start().recipient(), stop.clone()));
+        let slow = link.call(CALL_LIMIT, |c, x| async move { c.part(x, "d".into()).await });
+        let (slow, fast) = futures::join!(slow, head(&link));
+        assert_eq!(fast.unwrap(), 3);
+        assert!(matches!(slow, Ok(None) | Err(_)));
+        stop.cancel();
+    }
+}
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -168,8 +168,7 @@
 
     async fn part(&self, digest: &str) -> Result<ArcStr, PlatformError> {
         let body = self.value(&format!("part/{digest}")).await?;
-        let text =
-            std::str::from_utf8(&body).map_err(|e| PlatformError::Format(e.to_string()))?;
+        let text = std::str::from_utf8(&body).map_err(|e| PlatformError::Format(e.to_string()))?;
         Ok(text.into())
     }
 
