Read rules from several files with exact lines, check more, add diff

Change: spans of the TOML parser give the line of the field; each item is read by itself; findings that follow from another one are left out. Rules::diff names the changes.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -1,8 +1,10 @@
 //! Inventory and rules of one configuration version.
 //!
-//! Operators write TOML files; [`Rules::parse`] reads them and reports all findings together.
+//! Operators write TOML files; [`Rules::read`] reads them and reports all findings together.
 //! [`Rules::render`] makes the values that are published, [`Rules::assemble`] reads them back.
 
+mod check;
+mod diff;
 mod parse;
 mod publish;
 #[cfg(test)]
@@ -14,7 +16,9 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::{
-    parse::{Finding, Findings},
+    check::{Issue, MAX_NAME, MAX_TOKENS, Place, Section},
+    diff::{Change, Entry, What},
+    parse::{File, Finding, Findings},
     publish::{Digest, Head, MAX_PART, MAX_PARTS, PARTS, PublishError, Rendered, digest},
 };
 
--- /dev/null
+++ b/crates/core/src/rules/check.rs
@@ -0,0 +1,336 @@
+//! Checks of ranges, names and references.
+
+use std::{collections::BTreeMap, fmt, net::SocketAddr};
+
+use arcstr::ArcStr;
+
+use super::{Account, Adapter, Objectives, Route, Rules, Upstream};
+
+/// Longest name, in bytes. Names become parts of URLs, metrics and log events.
+pub const MAX_NAME: usize = 128;
+
+/// Largest rate, burst or cost, in tokens. The buckets count in millionths of a token in 64 bits.
+pub const MAX_TOKENS: u64 = 1_000_000_000_000;
+
+/// Paths that the daemon answers itself.
+const RESERVED: [&str; 9] = [
+    "/admin",
+    "/healthz",
+    "/metrics",
+    "/readyz",
+    "/v1/chat/completions",
+    "/v1/completions",
+    "/v1/hosts",
+    "/v1/models",
+    "/v1/tickets",
+];
+
+/// A top-level key of the rules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Section {
+    /// `hosts`.
+    Hosts,
+    /// `store`.
+    Store,
+    /// `models`.
+    Models,
+    /// `adapters`.
+    Adapters,
+    /// `accounts`.
+    Accounts,
+    /// `upstreams`.
+    Upstreams,
+    /// `routes`.
+    Routes,
+    /// `objectives`.
+    Objectives,
+}
+
+impl Section {
+    const ALL: [Self; 8] = [
+        Self::Hosts,
+        Self::Store,
+        Self::Models,
+        Self::Adapters,
+        Self::Accounts,
+        Self::Upstreams,
+        Self::Routes,
+        Self::Objectives,
+    ];
+
+    /// The section with this key.
+    pub fn of(key: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|s| s.key() == key)
+    }
+
+    /// Its key in the files.
+    pub fn key(self) -> &'static str {
+        match self {
+            Self::Hosts => "hosts",
+            Self::Store => "store",
+            Self::Models => "models",
+            Self::Adapters => "adapters",
+            Self::Accounts => "accounts",
+            Self::Upstreams => "upstreams",
+            Self::Routes => "routes",
+            Self::Objectives => "objectives",
+        }
+    }
+
+    /// One of its items, for messages.
+    pub fn noun(self, name: &str) -> String {
+        match self {
+            Self::Models => format!("model {name}"),
+            Self::Adapters => format!("adapter {name}"),
+            Self::Accounts => format!("account {name}"),
+            Self::Upstreams => format!("upstream {name}"),
+            Self::Routes => format!("route {name}"),
+            Self::Hosts | Self::Store | Self::Objectives => self.key().into(),
+        }
+    }
+
+    pub(super) fn is_single(self) -> bool {
+        matches!(self, Self::Hosts | Self::Store | Self::Objectives)
+    }
+}
+
+impl fmt::Display for Section {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.key())
+    }
+}
+
+/// What an issue is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Top-level key.
+    pub section: Section,
+    /// Name of the item, empty where there is only one.
+    pub name: ArcStr,
+    /// Field of the item, empty for the item itself.
+    pub field: &'static str,
+    /// Index in the field, if it is a list.
+    pub index: Option<usize>,
+}
+
+/// Something that a check does not accept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Issue {
+    /// What it is about.
+    pub place: Place,
+    /// The item that is missing or wrong, if it is another one.
+    pub refers: Option<(Section, ArcStr)>,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl Rules {
+    /// Checks names, ranges and references.
+    pub fn check(&self) -> Vec<Issue> {
+        let mut c = Checker { rules: self, out: Vec::new() };
+        c.fleet();
+        for (name, a) in &self.adapters {
+            c.adapter(name, a);
+        }
+        c.accounts();
+        c.upstreams();
+        for (path, r) in &self.routes {
+            c.route(path, r);
+        }
+        c.objectives(&self.objectives);
+        c.out
+    }
+}
+
+struct Checker<'a> {
+    rules: &'a Rules,
+    out: Vec<Issue>,
+}
+
+/// An item under check.
+#[derive(Clone, Copy)]
+struct Item<'a>(Section, &'a ArcStr);
+
+impl Item<'_> {
+    fn place(self, field: &'static str, index: Option<usize>) -> Place {
+        Place { section: self.0, name: self.1.clone(), field, index }
+    }
+}
+
+impl Checker<'_> {
+    fn bad(&mut self, item: Item<'_>, field: &'static str, index: Option<usize>, what: String) {
+        let message = format!("{}: {what}", item.0.noun(item.1));
+        self.out.push(Issue { place: item.place(field, index), refers: None, message });
+    }
+
+    fn refers(&mut self, section: Section, name: &ArcStr) {
+        if let Some(issue) = self.out.last_mut() {
+            issue.refers = Some((section, name.clone()));
+        }
+    }
+
+    fn name(&mut self, item: Item<'_>, name: &str, field: &'static str, index: Option<usize>) {
+        let allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
+        if name.is_empty() || name.len() > MAX_NAME || !name.bytes().all(allowed) {
+            let what = format!(
+                "{name:?} is no name: 1 to {MAX_NAME} letters, digits, dots, hyphens or underscores"
+            );
+            self.bad(item, field, index, what);
+        }
+    }
+
+    fn range(&mut self, item: Item<'_>, field: &'static str, value: u64, least: u64, most: u64) {
+        if !(least..=most).contains(&value) {
+            let what = format!("{field} is {value}, allowed are {least} to {most}");
+            self.bad(item, field, None, what);
+        }
+    }
+
+    fn fleet(&mut self) {
+        let none = ArcStr::new();
+        let (hosts, store) = (self.rules.hosts, self.rules.store);
+        if !(1..=7).contains(&hosts) {
+            let message = format!("hosts is {hosts}, allowed are 1 to 7");
+            let place = Item(Section::Hosts, &none).place("", None);
+            self.out.push(Issue { place, refers: None, message });
+        }
+        let item = Item(Section::Store, &none);
+        self.range(item, "rate", store.rate, 1, MAX_TOKENS);
+        // The limit is divided over the ordinals; one without a share could never load.
+        if store.flight < u64::from(hosts) {
+            let what = format!("flight is {}, each of {hosts} hosts needs 1", store.flight);
+            self.bad(item, "flight", None, what);
+            self.refers(Section::Hosts, &none);
+        }
+        for (i, m) in self.rules.models.iter().enumerate() {
+            let item = Item(Section::Models, m);
+            self.name(item, m, "", Some(i));
+            if self.rules.models[..i].contains(m) {
+                self.bad(item, "", Some(i), "is listed twice".into());
+            }
+        }
+    }
+
+    fn model(&mut self, item: Item<'_>, model: &ArcStr) {
+        if !self.rules.models.contains(model) {
+            self.bad(item, "model", None, format!("unknown model {model}"));
+            self.refers(Section::Models, model);
+        }
+    }
+
+    fn adapter(&mut self, name: &ArcStr, a: &Adapter) {
+        let item = Item(Section::Adapters, name);
+        self.name(item, name, "", None);
+        self.model(item, &a.model);
+        if a.versions.is_empty() {
+            self.bad(item, "versions", None, "no versions".into());
+        }
+        for (i, v) in a.versions.iter().enumerate() {
+            self.name(item, v, "versions", Some(i));
+            if a.versions[..i].contains(v) {
+                self.bad(item, "versions", Some(i), format!("version {v} is listed twice"));
+            }
+        }
+    }
+
+    fn accounts(&mut self) {
+        let mut owners: BTreeMap<&ArcStr, &ArcStr> = BTreeMap::new();
+        for (name, a) in &self.rules.accounts {
+            self.account(name, a);
+            let item = Item(Section::Accounts, name);
+            for (i, k) in a.keys.iter().enumerate() {
+                let hex = |b: u8| matches!(b, b'0'..=b'9' | b'a'..=b'f');
+                if k.len() != 64 || !k.bytes().all(hex) {
+                    let what = "a key is not a SHA-256 in lower-case hexadecimal";
+                    self.bad(item, "keys", Some(i), what.into());
+                }
+                if let Some(other) = owners.insert(k, name) {
+                    self.bad(item, "keys", Some(i), format!("key already belongs to {other}"));
+                    if other != name {
+                        self.refers(Section::Accounts, other);
+                    }
+                }
+            }
+        }
+    }
+
+    fn account(&mut self, name: &ArcStr, a: &Account) {
+        let item = Item(Section::Accounts, name);
+        self.name(item, name, "", None);
+        self.range(item, "rate", a.rate, 0, MAX_TOKENS);
+        // A rate of 0 suspends an account, a burst of 0 beside a rate would do so unnoticed.
+        self.range(item, "burst", a.burst, a.rate.min(1), MAX_TOKENS);
+        self.range(item, "weight", a.weight.into(), 1, 1_000_000);
+    }
+
+    fn upstreams(&mut self) {
+        let mut addrs: BTreeMap<SocketAddr, &ArcStr> = BTreeMap::new();
+        for (name, u) in &self.rules.upstreams {
+            let item = Item(Section::Upstreams, name);
+            self.name(item, name, "", None);
+            self.name(item, u.domain(), "domain", None);
+            match u {
+                Upstream::Engine { model, slots, batch, .. } => {
+                    self.model(item, model);
+                    self.range(item, "slots", (*slots).into(), 1, 100_000);
+                    self.range(item, "batch", (*batch).into(), 1, 100_000);
+                }
+                Upstream::Plain { limit, .. } => {
+                    self.range(item, "limit", (*limit).into(), 1, 100_000);
+                }
+            }
+            let Ok(addr) = u.addr().parse() else {
+                self.bad(item, "addr", None, format!("addr {} is not IP:PORT", u.addr()));
+                continue;
+            };
+            if let Some(other) = addrs.insert(addr, name) {
+                self.bad(item, "addr", None, format!("addr {addr} already belongs to {other}"));
+                self.refers(Section::Upstreams, other);
+            }
+        }
+    }
+
+    fn route(&mut self, path: &ArcStr, r: &Route) {
+        let item = Item(Section::Routes, path);
+        if !path.starts_with('/') || !path.bytes().all(|b| b.is_ascii_graphic()) {
+            self.bad(item, "", None, "a path starts with / and has no spaces".into());
+        }
+        let path = path.trim_end_matches('/');
+        let own =
+            |r: &&str| path.strip_prefix(*r).is_some_and(|p| p.is_empty() || p.starts_with('/'));
+        if let Some(r) = RESERVED.into_iter().find(own) {
+            self.bad(item, "", None, format!("{r} is a path of the daemon"));
+        }
+        if r.upstreams.is_empty() {
+            self.bad(item, "upstreams", None, "no upstreams".into());
+        }
+        for (i, u) in r.upstreams.iter().enumerate() {
+            match self.rules.upstreams.get(u) {
+                Some(Upstream::Plain { .. }) => {}
+                Some(Upstream::Engine { .. }) => {
+                    self.bad(item, "upstreams", Some(i), format!("upstream {u} is an engine"));
+                }
+                None => {
+                    self.bad(item, "upstreams", Some(i), format!("unknown upstream {u}"));
+                    self.refers(Section::Upstreams, u);
+                }
+            }
+        }
+        self.range(item, "cost", r.cost, 0, MAX_TOKENS);
+        if r.open && r.cost > 0 {
+            self.bad(item, "cost", None, "an open route has no account to charge".into());
+        }
+    }
+
+    fn objectives(&mut self, o: &Objectives) {
+        let none = ArcStr::new();
+        let item = Item(Section::Objectives, &none);
+        self.range(item, "first_ms", o.first_ms, 1, 120_000);
+        self.range(item, "status_ms", o.status_ms, 1, 120_000);
+        // A share of 1,000,000 leaves no budget to burn.
+        self.range(item, "first_ppm", o.first_ppm.into(), 1, 999_999);
+        self.range(item, "status_ppm", o.status_ppm.into(), 1, 999_999);
+        self.range(item, "refusal_ppm", o.refusal_ppm.into(), 1, 999_999);
+        self.range(item, "stall_ppm", o.stall_ppm.into(), 1, 999_999);
+    }
+}
--- /dev/null
+++ b/crates/core/src/rules/diff.rs
@@ -0,0 +1,287 @@
+//! What a change of the rules does, in operators' terms.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
+
+use arcstr::ArcStr;
+
+use super::{Account, Adapter, Class, Route, Rules, Section, Upstream};
+
+/// One difference between two versions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Top-level key.
+    pub section: Section,
+    /// Name of the item, empty where there is only one.
+    pub name: ArcStr,
+    /// What happens to it.
+    pub what: What,
+}
+
+/// What happens to an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum What {
+    /// It is new.
+    Added,
+    /// It is gone.
+    Removed,
+    /// A number changes.
+    Number {
+        /// Which one.
+        field: &'static str,
+        /// Old value.
+        from: u64,
+        /// New value.
+        to: u64,
+        /// Unit, may be empty.
+        unit: &'static str,
+    },
+    /// A name, address or switch changes.
+    Text {
+        /// Which one.
+        field: &'static str,
+        /// Old value.
+        from: ArcStr,
+        /// New value.
+        to: ArcStr,
+    },
+    /// An entry of a list is new.
+    Listed {
+        /// What the entry is.
+        entry: Entry,
+        /// Its value.
+        value: ArcStr,
+    },
+    /// An entry of a list is gone.
+    Withdrawn {
+        /// What the entry is.
+        entry: Entry,
+        /// Its value.
+        value: ArcStr,
+    },
+}
+
+/// Entry of a list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entry {
+    /// A version of an adapter.
+    Version,
+    /// The digest of an account's key.
+    Key,
+    /// An upstream of a route.
+    Upstream,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.section.noun(&self.name))?;
+        match &self.what {
+            What::Added => write!(f, " added"),
+            What::Removed => write!(f, " removed{}", consequence(self.section)),
+            What::Number { field, from, to, unit } => {
+                let verb = if to < from { "lowered" } else { "raised" };
+                let field = if field.is_empty() { String::new() } else { format!(": {field}") };
+                let unit = if unit.is_empty() { String::new() } else { format!(" {unit}") };
+                write!(f, "{field} {verb} from {from} to {to}{unit}")
+            }
+            What::Text { field, from, to } => write!(f, ": {field} changed from {from} to {to}"),
+            What::Listed { entry: Entry::Key, value } => {
+                write!(f, ": key {} added", short(value))
+            }
+            What::Withdrawn { entry: Entry::Key, value } => {
+                let after = "callers with it are refused once the version is in force";
+                write!(f, ": key {} withdrawn; {after}", short(value))
+            }
+            What::Listed { entry, value } => write!(f, ": {entry} {value} added"),
+            What::Withdrawn { entry: Entry::Version, value } => {
+                write!(f, ": version {value} withdrawn; requests for it are refused")
+            }
+            What::Withdrawn { entry, value } => write!(f, ": {entry} {value} withdrawn"),
+        }
+    }
+}
+
+impl fmt::Display for Entry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Version => "version",
+            Self::Key => "key",
+            Self::Upstream => "upstream",
+        })
+    }
+}
+
+fn consequence(section: Section) -> &'static str {
+    match section {
+        Section::Adapters => "; requests for it are refused",
+        Section::Accounts => "; all its keys are withdrawn",
+        Section::Upstreams => "; it gets no new work",
+        Section::Routes => "; calls to it are refused",
+        _ => "",
+    }
+}
+
+// 12 digits tell keys apart and are what operators see in their own key lists.
+fn short(key: &str) -> &str {
+    key.get(..12).unwrap_or(key)
+}
+
+impl Rules {
+    /// What a change from these rules to `new` does, by section and name.
+    pub fn diff(&self, new: &Self) -> Vec<Change> {
+        let mut d = Differ::default();
+        let none = ArcStr::new();
+        d.at(Section::Hosts, &none).number("", self.hosts.into(), new.hosts.into(), "");
+        d.at(Section::Store, &none)
+            .number("rate", self.store.rate, new.store.rate, "loads/s")
+            .number("flight", self.store.flight, new.store.flight, "loads");
+        let set = |l: &[ArcStr]| l.iter().cloned().map(|m| (m, ())).collect();
+        let (old_models, new_models) = (set(&self.models), set(&new.models));
+        d.items(Section::Models, &old_models, &new_models, |_, (), ()| {});
+        d.items(Section::Adapters, &self.adapters, &new.adapters, Differ::adapter);
+        d.items(Section::Accounts, &self.accounts, &new.accounts, Differ::account);
+        d.items(Section::Upstreams, &self.upstreams, &new.upstreams, Differ::upstream);
+        d.items(Section::Routes, &self.routes, &new.routes, Differ::route);
+        let (o, n) = (&self.objectives, &new.objectives);
+        d.at(Section::Objectives, &none)
+            .number("first_ms", o.first_ms, n.first_ms, "ms")
+            .number("status_ms", o.status_ms, n.status_ms, "ms")
+            .number("first_ppm", o.first_ppm.into(), n.first_ppm.into(), "ppm")
+            .number("status_ppm", o.status_ppm.into(), n.status_ppm.into(), "ppm")
+            .number("refusal_ppm", o.refusal_ppm.into(), n.refusal_ppm.into(), "ppm")
+            .number("stall_ppm", o.stall_ppm.into(), n.stall_ppm.into(), "ppm");
+        d.out
+    }
+}
+
+struct Differ {
+    section: Section,
+    name: ArcStr,
+    out: Vec<Change>,
+}
+
+impl Default for Differ {
+    fn default() -> Self {
+        Self { section: Section::Hosts, name: ArcStr::new(), out: Vec::new() }
+    }
+}
+
+impl Differ {
+    fn at(&mut self, section: Section, name: &ArcStr) -> &mut Self {
+        (self.section, self.name) = (section, name.clone());
+        self
+    }
+
+    fn push(&mut self, what: What) -> &mut Self {
+        self.out.push(Change { section: self.section, name: self.name.clone(), what });
+        self
+    }
+
+    fn number(&mut self, field: &'static str, from: u64, to: u64, unit: &'static str) -> &mut Self {
+        if from == to { self } else { self.push(What::Number { field, from, to, unit }) }
+    }
+
+    fn text(&mut self, field: &'static str, from: &str, to: &str) -> &mut Self {
+        if from == to {
+            return self;
+        }
+        self.push(What::Text { field, from: from.into(), to: to.into() })
+    }
+
+    fn entries(&mut self, entry: Entry, old: &[ArcStr], new: &[ArcStr]) -> &mut Self {
+        let (a, b): (BTreeSet<_>, BTreeSet<_>) = (old.iter().collect(), new.iter().collect());
+        for v in a.difference(&b) {
+            self.push(What::Withdrawn { entry, value: (*v).clone() });
+        }
+        for v in b.difference(&a) {
+            self.push(What::Listed { entry, value: (*v).clone() });
+        }
+        self
+    }
+
+    fn items<T: PartialEq>(
+        &mut self,
+        section: Section,
+        old: &BTreeMap<ArcStr, T>,
+        new: &BTreeMap<ArcStr, T>,
+        changed: impl Fn(&mut Self, &T, &T),
+    ) {
+        for (name, o) in old {
+            self.at(section, name);
+            match new.get(name) {
+                Some(n) if n != o => changed(self, o, n),
+                Some(_) => {}
+                None => drop(self.push(What::Removed)),
+            }
+        }
+        for name in new.keys().filter(|n| !old.contains_key(*n)) {
+            self.at(section, name).push(What::Added);
+        }
+    }
+
+    fn adapter(&mut self, old: &Adapter, new: &Adapter) {
+        let last = |a: &Adapter| a.versions.last().cloned().unwrap_or_default();
+        self.text("model", &old.model, &new.model)
+            .entries(Entry::Version, &old.versions, &new.versions)
+            .text("default version", &last(old), &last(new))
+            .text("class", class(old.class), class(new.class));
+    }
+
+    fn account(&mut self, old: &Account, new: &Account) {
+        self.number("rate", old.rate, new.rate, "tokens/s")
+            .number("burst", old.burst, new.burst, "tokens")
+            .number("weight", old.weight.into(), new.weight.into(), "")
+            .entries(Entry::Key, &old.keys, &new.keys);
+    }
+
+    fn upstream(&mut self, old: &Upstream, new: &Upstream) {
+        self.text("kind", kind(old), kind(new)).text("addr", old.addr(), new.addr()).text(
+            "domain",
+            old.domain(),
+            new.domain(),
+        );
+        match (old, new) {
+            (
+                Upstream::Engine { model, slots, batch, fencing, .. },
+                Upstream::Engine { model: m, slots: s, batch: b, fencing: f, .. },
+            ) => {
+                self.text("model", model, m)
+                    .number("slots", (*slots).into(), (*s).into(), "")
+                    .number("batch", (*batch).into(), (*b).into(), "")
+                    .text("fencing", flag(*fencing), flag(*f));
+            }
+            (Upstream::Plain { limit, .. }, Upstream::Plain { limit: l, .. }) => {
+                self.number("limit", (*limit).into(), (*l).into(), "calls");
+            }
+            _ => {}
+        }
+    }
+
+    fn route(&mut self, old: &Route, new: &Route) {
+        self.entries(Entry::Upstream, &old.upstreams, &new.upstreams)
+            .text("open", flag(old.open), flag(new.open))
+            .text("idempotent", flag(old.idempotent), flag(new.idempotent))
+            .number("cost", old.cost, new.cost, "tokens");
+    }
+}
+
+fn class(c: Class) -> &'static str {
+    match c {
+        Class::Status => "status",
+        Class::Interactive => "interactive",
+        Class::Drafting => "drafting",
+    }
+}
+
+fn kind(u: &Upstream) -> &'static str {
+    match u {
+        Upstream::Engine { .. } => "engine",
+        Upstream::Plain { .. } => "plain",
+    }
+}
+
+fn flag(on: bool) -> &'static str {
+    if on { "yes" } else { "no" }
+}
--- a/crates/core/src/rules/parse.rs
+++ b/crates/core/src/rules/parse.rs
@@ -1,10 +1,19 @@
-//! Reading and checking of the operators' files.
+//! Reading of the operators' files.
 
-use std::{collections::BTreeMap, fmt};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    ops::Range,
+};
 
 use arcstr::ArcStr;
+use serde::de::DeserializeOwned;
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue, Error, ValueDeserializer},
+};
 
-use super::{Rules, Upstream};
+use super::{Issue, Place, Rules, Section};
 
 /// Something wrong in a file.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,6 +37,15 @@
 #[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
 pub struct Findings(pub Vec<Finding>);
 
+/// A file of the operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct File {
+    /// Name for findings.
+    pub name: String,
+    /// Its text.
+    pub text: String,
+}
+
 impl Rules {
     /// Reads and checks one TOML file.
     ///
@@ -35,73 +53,279 @@
     ///
     /// All findings, each with file and line.
     pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
-        let rules: Self = toml::from_str(text).map_err(|e| {
-            let line = e.span().map_or(1, |s| line_at(text, s.start));
-            Findings(vec![Finding { file: file.into(), line, message: e.message().into() }])
-        })?;
-        let found: Vec<_> = rules
-            .check()
-            .into_iter()
-            .map(|(key, message)| Finding { file: file.into(), line: line_of(text, &key), message })
-            .collect();
-        if found.is_empty() { Ok(rules) } else { Err(Findings(found)) }
-    }
-
-    /// Checks references and ranges. Each finding is the name it is about and a message.
-    pub fn check(&self) -> Vec<(String, String)> {
-        let mut out = Vec::new();
-        let mut bad = |key: &str, message: String| out.push((key.to_owned(), message));
-        if !(1..=7).contains(&self.hosts) {
-            bad("hosts", format!("hosts is {}, allowed are 1 to 7", self.hosts));
+        Self::read(&[File { name: file.into(), text: text.into() }])
+    }
+
+    /// Reads and checks one version that is spread over several TOML files.
+    ///
+    /// # Errors
+    ///
+    /// All findings of all files, in the order of files and lines.
+    pub fn read(files: &[File]) -> Result<Self, Findings> {
+        let mut reader = Reader::default();
+        for f in files {
+            reader.open(f);
         }
-        for (name, a) in &self.adapters {
-            if !self.models.contains(&a.model) {
-                bad(name, format!("adapter {name}: unknown model {}", a.model));
-            }
-            if a.versions.is_empty() {
-                bad(name, format!("adapter {name}: no versions"));
-            }
+        for i in 0..reader.sources.len() {
+            reader.file(i);
         }
-        let mut owners: BTreeMap<&ArcStr, &ArcStr> = BTreeMap::new();
-        for (name, a) in &self.accounts {
-            for k in &a.keys {
-                if k.len() != 64 || !k.bytes().all(|b| b.is_ascii_hexdigit()) {
-                    bad(k, format!("account {name}: a key is not a SHA-256 in hexadecimal"));
+        reader.finish()
+    }
+}
+
+/// A file that is being read.
+struct Source<'a> {
+    name: &'a str,
+    table: DeTable<'a>,
+    // Offsets of the line ends.
+    ends: Vec<usize>,
+    sound: bool,
+}
+
+/// Index of a file and line.
+type Spot = (usize, usize);
+
+#[derive(Default)]
+struct Reader<'a> {
+    sources: Vec<Source<'a>>,
+    rules: Rules,
+    found: Vec<(Spot, String)>,
+    // Where each table or item is defined.
+    seen: BTreeMap<(Section, ArcStr), Spot>,
+    // Items that could not be read; what refers to them is no finding of its own.
+    broken: BTreeSet<(Section, ArcStr)>,
+    models: Vec<Spot>,
+}
+
+impl<'a> Reader<'a> {
+    fn open(&mut self, file: &'a File) {
+        let (table, errors) = DeTable::parse_recoverable(&file.text);
+        let ends = file.text.match_indices('\n').map(|(i, _)| i).collect();
+        let (name, i) = (file.name.as_str(), self.sources.len());
+        let table = table.into_inner();
+        self.sources.push(Source { name, table, ends, sound: errors.is_empty() });
+        for e in errors {
+            let spot = (i, self.sources[i].line(e.span()));
+            self.found.push((spot, e.message().into()));
+        }
+    }
+
+    fn file(&mut self, i: usize) {
+        if !self.sources[i].sound {
+            return;
+        }
+        for (key, value) in std::mem::take(&mut self.sources[i].table) {
+            self.table(i, &key, &value);
+            self.sources[i].table.insert(key, value);
+        }
+    }
+
+    fn table(&mut self, i: usize, key: &Spanned<impl AsRef<str>>, value: &Spanned<DeValue<'a>>) {
+        let spot = (i, self.sources[i].line(Some(key.span())));
+        let Some(section) = Section::of(key.get_ref().as_ref()) else {
+            let message = format!("unknown table or key {}", key.get_ref().as_ref());
+            return self.found.push((spot, message));
+        };
+        match section {
+            Section::Hosts => {
+                if let Some(v) = self.single(section, spot, value) {
+                    self.rules.hosts = v;
                 }
-                if let Some(other) = owners.insert(k, name) {
-                    bad(k, format!("account {name}: key already belongs to {other}"));
+            }
+            Section::Store => {
+                if let Some(v) = self.single(section, spot, value) {
+                    self.rules.store = v;
                 }
             }
+            Section::Objectives => {
+                if let Some(v) = self.single(section, spot, value) {
+                    self.rules.objectives = v;
+                }
+            }
+            Section::Models => self.model_list(spot, value),
+            Section::Adapters => self.items(section, spot, value, |r, n, v| {
+                r.adapters.insert(n, v);
+            }),
+            Section::Accounts => self.items(section, spot, value, |r, n, v| {
+                r.accounts.insert(n, v);
+            }),
+            Section::Upstreams => self.items(section, spot, value, |r, n, v| {
+                r.upstreams.insert(n, v);
+            }),
+            Section::Routes => self.items(section, spot, value, |r, n, v| {
+                r.routes.insert(n, v);
+            }),
         }
-        for (path, r) in &self.routes {
-            for u in &r.upstreams {
-                match self.upstreams.get(u) {
-                    Some(Upstream::Plain { .. }) => {}
-                    Some(Upstream::Engine { .. }) => {
-                        bad(path, format!("route {path}: upstream {u} is an engine"));
-                    }
-                    None => bad(path, format!("route {path}: unknown upstream {u}")),
+    }
+
+    /// A value that only one file may define.
+    fn single<T: DeserializeOwned>(
+        &mut self,
+        section: Section,
+        spot: Spot,
+        value: &Spanned<DeValue<'a>>,
+    ) -> Option<T> {
+        let none = ArcStr::new();
+        if self.is_new(section, &none, spot) { self.item(section, none, spot, value) } else { None }
+    }
+
+    fn model_list(&mut self, spot: Spot, value: &Spanned<DeValue<'a>>) {
+        let Some(list) = value.get_ref().as_array() else {
+            self.broken.insert((Section::Models, ArcStr::new()));
+            return self.found.push((spot, "models is not a list".into()));
+        };
+        for v in list.iter() {
+            let spot = (spot.0, self.sources[spot.0].line(Some(v.span())));
+            match v.get_ref().as_str() {
+                Some(m) if self.is_new(Section::Models, &m.into(), spot) => {
+                    self.rules.models.push(m.into());
+                    self.models.push(spot);
+                }
+                Some(_) => {}
+                None => {
+                    self.broken.insert((Section::Models, ArcStr::new()));
+                    self.found.push((spot, "a model is not a string".into()));
                 }
             }
         }
-        for (name, u) in &self.upstreams {
-            if let Upstream::Engine { model, .. } = u
-                && !self.models.contains(model)
+    }
+
+    fn items<T: DeserializeOwned>(
+        &mut self,
+        section: Section,
+        spot: Spot,
+        value: &Spanned<DeValue<'a>>,
+        put: impl Fn(&mut Rules, ArcStr, T),
+    ) {
+        let Some(table) = value.get_ref().as_table() else {
+            return self.found.push((spot, format!("{section} is not a table")));
+        };
+        for (key, value) in table {
+            let name = ArcStr::from(key.get_ref().as_ref());
+            let spot = (spot.0, self.sources[spot.0].line(Some(key.span())));
+            if self.is_new(section, &name, spot)
+                && let Some(v) = self.item(section, name.clone(), spot, value)
             {
-                bad(name, format!("upstream {name}: unknown model {model}"));
+                put(&mut self.rules, name, v);
             }
-            if u.addr().parse::<std::net::SocketAddr>().is_err() {
-                bad(name, format!("upstream {name}: addr {} is not IP:PORT", u.addr()));
+        }
+    }
+
+    fn is_new(&mut self, section: Section, name: &ArcStr, spot: Spot) -> bool {
+        let Some(first) = self.seen.get(&(section, name.clone())) else {
+            self.seen.insert((section, name.clone()), spot);
+            return true;
+        };
+        let file = self.sources[first.0].name;
+        let what = section.noun(name);
+        self.found.push((spot, format!("{what} is already defined at {file}:{}", first.1)));
+        false
+    }
+
+    fn item<T: DeserializeOwned>(
+        &mut self,
+        section: Section,
+        name: ArcStr,
+        spot: Spot,
+        value: &Spanned<DeValue<'a>>,
+    ) -> Option<T> {
+        let e = match read::<T>(value) {
+            Ok(v) => return Some(v),
+            Err(e) => e,
+        };
+        let span = culprit::<T>(value, &e);
+        let line = span.map_or(spot.1, |s| self.sources[spot.0].line(Some(s)));
+        self.found.push(((spot.0, line), format!("{}: {}", section.noun(&name), e.message())));
+        self.broken.insert((section, name));
+        None
+    }
+
+    fn finish(mut self) -> Result<Rules, Findings> {
+        let sound = self.sources.iter().all(|s| s.sound);
+        if sound && !self.seen.contains_key(&(Section::Hosts, ArcStr::new())) {
+            self.found.push(((0, 1), "hosts is missing".into()));
+            self.broken.insert((Section::Hosts, ArcStr::new()));
+        }
+        // References into a file with a syntax error cannot be judged.
+        if sound {
+            for issue in self.rules.check() {
+                if !self.is_consequence(&issue) {
+                    self.found.push((self.spot(&issue.place), issue.message));
+                }
             }
         }
-        out
+        self.found.sort();
+        let files: Vec<_> = self.sources.iter().map(|s| s.name.to_owned()).collect();
+        let finding = |((i, line), message): (Spot, String)| Finding {
+            file: files.get(i).cloned().unwrap_or_default(),
+            line,
+            message,
+        };
+        let found: Vec<_> = self.found.into_iter().map(finding).collect();
+        if found.is_empty() { Ok(self.rules) } else { Err(Findings(found)) }
+    }
+
+    fn is_consequence(&self, issue: &Issue) -> bool {
+        let broken = |s, n: &ArcStr| {
+            self.broken.contains(&(s, n.clone())) || self.broken.contains(&(s, ArcStr::new()))
+        };
+        broken(issue.place.section, &issue.place.name)
+            || issue.refers.as_ref().is_some_and(|(s, n)| broken(*s, n))
+    }
+
+    /// The most exact position that is known of a place.
+    fn spot(&self, place: &Place) -> Spot {
+        if place.section == Section::Models
+            && let Some(spot) = place.index.and_then(|i| self.models.get(i))
+        {
+            return *spot;
+        }
+        let name = if place.section.is_single() { ArcStr::new() } else { place.name.clone() };
+        let start = self.seen.get(&(place.section, name)).copied().unwrap_or((0, 1));
+        let source = &self.sources[start.0];
+        source.field(place).map_or(start, |span| (start.0, source.line(Some(span))))
+    }
+}
+
+impl Source<'_> {
+    fn line(&self, span: Option<Range<usize>>) -> usize {
+        span.map_or(1, |s| self.ends.partition_point(|e| *e < s.start) + 1)
+    }
+
+    fn field(&self, place: &Place) -> Option<Range<usize>> {
+        let mut table = self.table.get(place.section.key())?.get_ref().as_table()?;
+        if !place.section.is_single() {
+            table = table.get(place.name.as_str())?.get_ref().as_table()?;
+        }
+        let (key, value) = table.get_key_value(place.field)?;
+        let item = place.index.and_then(|i| value.get_ref().as_array()?.get(i));
+        Some(item.map_or(key.span(), Spanned::span))
     }
 }
 
-fn line_at(text: &str, offset: usize) -> usize {
-    text[..offset.min(text.len())].matches('\n').count() + 1
+fn read<T: DeserializeOwned>(value: &Spanned<DeValue<'_>>) -> Result<T, Error> {
+    T::deserialize(ValueDeserializer::from(value.clone()))
 }
 
-fn line_of(text: &str, key: &str) -> usize {
-    text.find(key).map_or(1, |at| line_at(text, at))
+/// Span of the field that an error is about. A tagged enum loses the span, so there the field is
+/// the one without which the error is another one; the tag is tried last, as every error of the
+/// other fields goes away with it.
+fn culprit<T: DeserializeOwned>(value: &Spanned<DeValue<'_>>, e: &Error) -> Option<Range<usize>> {
+    let table = value.get_ref().as_table()?;
+    if let Some(s) = e.span().filter(|s| *s != value.span()) {
+        return Some(s);
+    }
+    if e.message().starts_with("missing field") {
+        return None;
+    }
+    let mut keys: Vec<_> = table.keys().collect();
+    keys.sort_by_key(|k| k.get_ref() == "kind");
+    keys.into_iter().find_map(|key| {
+        let mut rest = table.clone();
+        rest.remove(key.get_ref().as_ref());
+        let rest = Spanned::new(value.span(), DeValue::Table(rest));
+        let other = read::<T>(&rest).err();
+        let same = other.is_some_and(|o| o.message() == e.message());
+        (!same).then(|| key.span())
+    })
 }
