--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,7 @@
 mod mesh;
 mod metrics;
 mod settings;
+mod upstream;
 mod watch;
 
 use std::{
