--- a/crates/core/src/rules/publish.rs
+++ b/crates/core/src/rules/publish.rs
@@ -6,12 +6,19 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
-use super::{Adapter, Rules};
+use super::{Account, Adapter, Rules, Upstream};
 
-/// Number of parts that adapters are hashed into. With 21,000 adapters a part is about 20 KB, so
-/// that a change of one adapter sends one part and not the inventory.
+/// Number of parts that adapters, accounts and upstreams are hashed into by name, so that a change
+/// to one of them sends one part and not the inventory.
 pub const PARTS: usize = 64;
 
+/// Largest value of the configuration service, in bytes.
+pub const MAX_PART: usize = 1_000_000;
+
+/// Most parts of a head; more than [`PARTS`] and the rules, so that the number of parts can grow
+/// without a new format.
+pub const MAX_PARTS: usize = 256;
+
 /// Hexadecimal digest of a value: the first 128 bits of its SHA-256.
 pub type Digest = ArcStr;
 
@@ -22,7 +29,7 @@
     pub version: u64,
     /// Digest over version and parts.
     pub digest: Digest,
-    /// Digests of the parts: rules first, then the adapter parts.
+    /// Digests of the parts: the rules first, then the shards.
     pub parts: Vec<Digest>,
 }
 
@@ -35,6 +42,19 @@
     pub parts: BTreeMap<Digest, String>,
 }
 
+/// Items whose names have the same hash. One value for all upstreams would exceed [`MAX_PART`] at
+/// 12,000 upstreams.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Shard {
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    adapters: BTreeMap<ArcStr, Adapter>,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    accounts: BTreeMap<ArcStr, Account>,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    upstreams: BTreeMap<ArcStr, Upstream>,
+}
+
 /// Why published values do not make a version.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum PublishError {
@@ -53,6 +73,49 @@
 }
 
 impl Head {
+    /// The head of these parts.
+    pub fn new(version: u64, parts: Vec<Digest>) -> Self {
+        Self { version, digest: head_digest(version, &parts), parts }
+    }
+
+    /// Reads a published head.
+    ///
+    /// # Errors
+    ///
+    /// The value is too large, is no JSON of a head, or does not pass [`Head::check`].
+    pub fn read(bytes: &[u8]) -> Result<Self, PublishError> {
+        let format = |m: String| PublishError::Format("head".into(), m);
+        if bytes.len() > MAX_PART {
+            return Err(format(format!("{} bytes, allowed are {MAX_PART}", bytes.len())));
+        }
+        let head: Self = serde_json::from_slice(bytes).map_err(|e| format(e.to_string()))?;
+        head.check()?;
+        Ok(head)
+    }
+
+    /// Checks ranges, the form of the digests and the head's own digest.
+    ///
+    /// # Errors
+    ///
+    /// The first thing that is wrong.
+    pub fn check(&self) -> Result<(), PublishError> {
+        let invalid = |m: String| Err(PublishError::Invalid(self.version, m));
+        if self.version == 0 {
+            return invalid("versions start at 1".into());
+        }
+        let n = self.parts.len();
+        if !(1..=MAX_PARTS).contains(&n) {
+            return invalid(format!("the head has {n} parts, allowed are 1 to {MAX_PARTS}"));
+        }
+        if !self.parts.iter().all(is_digest) {
+            return invalid("the head names a part by something that is no digest".into());
+        }
+        if !self.is_intact() {
+            return Err(PublishError::Mismatch(self.digest.clone()));
+        }
+        Ok(())
+    }
+
     /// Whether the head's own digest is that of its version and parts.
     pub fn is_intact(&self) -> bool {
         self.digest == head_digest(self.version, &self.parts)
@@ -62,20 +125,23 @@
 impl Rules {
     /// Canonical values of this inventory under `version`.
     pub fn render(&self, version: u64) -> Rendered {
-        let mut texts = vec![String::new()];
         let mut base = self.clone();
-        let adapters = std::mem::take(&mut base.adapters);
-        texts[0] = serde_json::to_string(&base).expect("rules serialise to JSON");
-        let mut shards: Vec<BTreeMap<ArcStr, Adapter>> = vec![BTreeMap::new(); PARTS];
-        for (name, a) in adapters {
-            let i = shard(&name);
-            shards[i].insert(name, a);
+        let mut shards = vec![Shard::default(); PARTS];
+        for (name, a) in std::mem::take(&mut base.adapters) {
+            shards[shard(&name)].adapters.insert(name, a);
+        }
+        for (name, a) in std::mem::take(&mut base.accounts) {
+            shards[shard(&name)].accounts.insert(name, a);
         }
+        for (name, u) in std::mem::take(&mut base.upstreams) {
+            shards[shard(&name)].upstreams.insert(name, u);
+        }
+        let mut texts = vec![serde_json::to_string(&base).expect("rules serialise to JSON")];
         for s in &shards {
-            texts.push(serde_json::to_string(s).expect("adapters serialise to JSON"));
+            texts.push(serde_json::to_string(s).expect("a shard serialises to JSON"));
         }
         let digests: Vec<Digest> = texts.iter().map(|t| digest(t.as_bytes())).collect();
-        let head = Head { version, digest: head_digest(version, &digests), parts: digests.clone() };
+        let head = Head::new(version, digests.clone());
         Rendered { head, parts: digests.into_iter().zip(texts).collect() }
     }
 
@@ -101,16 +167,17 @@
             match &mut rules {
                 None => rules = Some(serde_json::from_str(&text).map_err(format)?),
                 Some(r) => {
-                    let part: BTreeMap<ArcStr, Adapter> =
-                        serde_json::from_str(&text).map_err(format)?;
-                    r.adapters.extend(part);
+                    let part: Shard = serde_json::from_str(&text).map_err(format)?;
+                    r.adapters.extend(part.adapters);
+                    r.accounts.extend(part.accounts);
+                    r.upstreams.extend(part.upstreams);
                 }
             }
         }
         let rules = rules
             .ok_or_else(|| PublishError::Invalid(head.version, "the head has no parts".into()))?;
         match rules.check().into_iter().next() {
-            Some((_, message)) => Err(PublishError::Invalid(head.version, message)),
+            Some(issue) => Err(PublishError::Invalid(head.version, issue.message)),
             None => Ok(rules),
         }
     }
@@ -122,6 +189,10 @@
     hash[..16].iter().map(|b| format!("{b:02x}")).collect::<String>().into()
 }
 
+fn is_digest(d: &Digest) -> bool {
+    d.len() == 32 && d.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
+}
+
 fn head_digest(version: u64, parts: &[Digest]) -> Digest {
     let mut text = version.to_string();
     for p in parts {
