--- a/crates/daemon/src/edge/info.rs
+++ b/crates/daemon/src/edge/info.rs
@@ -16,7 +16,7 @@
     let view = shared.setup.handle.view();
     auth::account(&view, &req)?;
     let mut ids: Vec<String> = Vec::new();
-    for (name, a) in &view.adapters {
+    for (name, a) in view.adapters.iter() {
         ids.extend(a.versions.iter().map(|v| format!("{name}@{v}")));
     }
     ids.sort_unstable();
