--- a/crates/daemon/src/edge/tests.rs
+++ b/crates/daemon/src/edge/tests.rs
@@ -1,1 +1,6 @@
-
+mod fake;
+mod http;
+mod overhead;
+mod plain;
+mod stopping;
+mod streams;
--- /dev/null
+++ b/crates/daemon/src/edge/tests/http.rs
@@ -0,0 +1,237 @@
+//! Keys, paths, methods, bodies and HTTP/2.
+
+use std::{sync::Arc, time::Duration};
+
+use awc::http::StatusCode;
+use bytes::Bytes;
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+use yuccawing_core::rules::Class;
+
+use super::fake::{Answer, KEY, Upstream, World, ask, expected, snapshot};
+use crate::control::messages::{HostEntry, Hosts};
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[actix_rt::test] async fn $name() $body)* };
+}
+
+async fn raw(w: &World, text: &str) -> String {
+    let mut s = TcpStream::connect(w.addr).await.unwrap();
+    s.write_all(text.as_bytes()).await.unwrap();
+    let mut out = Vec::new();
+    let _ = tokio::time::timeout(Duration::from_secs(8), s.read_to_end(&mut out)).await.unwrap();
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+async fn keyed(w: &World, key: Option<&str>) -> Answer {
+    let mut r = w.client.post(format!("http://{}/v1/completions", w.addr));
+    if let Some(key) = key {
+        r = r.insert_header(("authorization", key));
+    }
+    Answer::read(r.send_json(&ask(2, false)).await.unwrap()).await
+}
+
+cases! {
+    // Guards against the key on its way to upstreams, logs or metrics.
+    the_key_stays_at_the_edge: {
+        let w = World::start();
+        w.post("/v1/completions", &ask(2, true)).await;
+        w.post("/v1/completions", &json!({"model": "none", "prompt": "x"})).await;
+        w.post("/catalogue/x", &json!({})).await;
+        keyed(&w, Some("Bearer not-the-key-of-anyone")).await;
+        w.dones(2).await;
+        let seen = format!("{:?}", w.up.seen.borrow());
+        let logs = w.lines.text();
+        assert!(logs.contains("\"code\":\"bad_key\""), "{logs}");
+        for text in [&seen, &logs, &w.metrics.render()] {
+            assert!(!text.contains(KEY) && !text.contains("not-the-key"), "{text}");
+            assert!(!text.to_ascii_lowercase().contains("authorization"), "{text}");
+        }
+        assert_eq!(w.up.seen.borrow().len(), 2);
+    }
+    // Guards against requests that run without a valid key.
+    a_valid_key_is_needed: {
+        let w = World::start();
+        let upper = format!("Bearer {}", KEY.to_uppercase());
+        let long = format!("Bearer {}", "x".repeat(600));
+        let part = format!("Bearer {}", &KEY[..KEY.len() - 1]);
+        for key in [None, Some(""), Some("Bearer "), Some(KEY), Some(upper.as_str()), Some(long.as_str()),
+            Some(part.as_str()), Some("Basic abc")] {
+            let a = keyed(&w, key).await;
+            assert_eq!(a.error(), (401, "bad_key".into(), "not_run".into()), "{key:?}");
+            assert_eq!(a.headers["www-authenticate"], "Bearer");
+        }
+        let lower = format!("bearer {KEY}");
+        assert_eq!(keyed(&w, Some(&lower)).await.status, StatusCode::OK);
+        assert_eq!(w.get("/v1/models").await.status, StatusCode::OK);
+        assert_eq!(w.up.count("POST"), 1);
+    }
+    // Guards against a revoked key that goes on working, and a running answer that is cut by it.
+    a_revoked_key_is_refused_and_its_running_stream_finishes: {
+        let up = Upstream::start(20);
+        let addrs = vec![up.addr];
+        let w = World::with(up, addrs, 1000);
+        let body = ask(15, true);
+        let running = w.post("/v1/completions", &body);
+        let revoke = async {
+            w.wait(|| w.up.count("POST") == 1).await;
+            let mut s = snapshot();
+            s.keys = Arc::default();
+            w.view.store(s.into());
+            w.post("/v1/completions", &ask(2, false)).await
+        };
+        let (stream, refused) = futures::join!(running, revoke);
+        assert_eq!(stream.text(), expected(15));
+        assert_eq!(refused.error(), (401, "bad_key".into(), "not_run".into()));
+    }
+    // Guards against a host without its configuration that tells callers their key is wrong.
+    a_host_that_is_not_ready_says_so: {
+        let w = World::start();
+        w.view.store(Arc::default());
+        let a = w.post("/v1/completions", &ask(2, false)).await;
+        assert_eq!(a.error(), (503, "not_ready".into(), "not_run".into()));
+        assert_eq!(w.get("/readyz").await.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(w.get("/healthz").await.status, StatusCode::OK);
+    }
+    // Guards against a request that runs on another adapter or version than it asked for.
+    model_and_version_are_resolved: {
+        let w = World::start();
+        for (model, version) in [("deck", "2"), ("deck@1", "1"), ("deck@2", "2")] {
+            w.post("/v1/completions", &json!({"model": model, "prompt": "x", "max_tokens": 1})).await;
+            assert_eq!(w.log.lock().unwrap().admits.last().unwrap().version, version);
+        }
+        for model in ["none", "deck@3", "deck@", "@1", ""] {
+            let body = json!({"model": model, "prompt": "x"});
+            let a = w.post("/v1/completions", &body).await;
+            assert_eq!(a.error(), (404, "not_found".into(), "not_run".into()), "{model}");
+        }
+    }
+    // Guards against callers that raise their own class.
+    a_class_can_only_be_lowered: {
+        let w = World::start();
+        for (model, asked, class) in [
+            ("deck", "status", Class::Interactive), ("deck", "drafting", Class::Drafting),
+            ("check", "status", Class::Status), ("check", "interactive", Class::Interactive),
+        ] {
+            let body = json!({"model": model, "prompt": "x", "max_tokens": 1});
+            w.post_with("/v1/completions", &body, &[("x-class", asked)]).await;
+            assert_eq!(w.log.lock().unwrap().admits.last().unwrap().class, class);
+        }
+        let a = w.post_with("/v1/completions", &ask(1, false), &[("x-class", "first")]).await;
+        assert_eq!(a.error(), (400, "bad_request".into(), "not_run".into()));
+        assert!(w.metrics.render().contains("yuccawing_status_seconds_count{account=\"shop\"} 1"));
+    }
+    // Guards against deadlines that outlast the pins.
+    deadlines_have_a_range: {
+        let w = World::start();
+        for ms in ["0", "-1", "120001", "soon", ""] {
+            let a = w.post_with("/v1/completions", &ask(1, false), &[("x-deadline-ms", ms)]).await;
+            assert_eq!(a.error(), (400, "bad_request".into(), "not_run".into()), "{ms}");
+        }
+        let a = w.post_with("/v1/completions", &ask(1, false), &[("x-deadline-ms", "120000")]).await;
+        assert_eq!(a.status, StatusCode::OK);
+    }
+    // Guards against errors that clients cannot read.
+    unknown_paths_and_methods_answer_in_json: {
+        let w = World::start();
+        assert_eq!(w.get("/v1/nothing").await.error(), (404, "not_found".into(), "not_run".into()));
+        let a = w.get("/v1/completions").await;
+        assert_eq!(a.error(), (405, "bad_method".into(), "not_run".into()));
+        assert!(a.headers.contains_key("x-request-id"));
+        let a = w.post("/v1/completions", &json!({"model": "deck"})).await;
+        assert_eq!(a.error(), (400, "bad_request".into(), "not_run".into()));
+    }
+    // Guards against callers that learn a wrong set of hosts, and against secrets in the answer.
+    the_address_look_up_needs_no_key: {
+        let w = World::start();
+        let mut s = snapshot();
+        let host = HostEntry {
+            name: "h0".into(), http: "127.0.0.1:1".into(), weight: 2, incarnation: "a".into(),
+        };
+        s.hosts = Hosts { ttl_ms: 2000, hosts: vec![host] };
+        w.view.store(s.into());
+        let r = w.client.get(format!("http://{}/v1/hosts", w.addr)).send().await.unwrap();
+        let want = json!({"ttl_ms": 2000, "hosts": [
+            {"name": "h0", "http": "127.0.0.1:1", "weight": 2, "incarnation": "a"}]});
+        assert_eq!(Answer::read(r).await.json(), want);
+    }
+    // Guards against operators' calls that do not reach the control thread.
+    admin_calls_ask_the_control_thread: {
+        let w = World::start();
+        assert_eq!(w.get("/admin/status").await.json(), json!({"state": "fake"}));
+        assert_eq!(w.get("/admin/explain?adapter=deck").await.status, StatusCode::NOT_FOUND);
+        for path in ["/admin/explain", "/admin/explain?request=x", "/admin/explain?adapter=a&request=1-1"] {
+            assert_eq!(w.get(path).await.status, StatusCode::BAD_REQUEST, "{path}");
+        }
+        assert!(w.get("/metrics").await.body.contains("yuccawing_lease_held 0"));
+    }
+    // Guards against bodies that fill the memory, with and without a stated length.
+    a_large_body_is_refused: {
+        let up = Upstream::start(0);
+        let addrs = vec![up.addr];
+        let w = World::with(up, addrs, 1000);
+        let mut body = ask(1, false);
+        body["prompt"] = json!("x".repeat(2000));
+        let a = w.post("/v1/completions", &body).await;
+        assert_eq!(a.error(), (413, "too_large".into(), "not_run".into()));
+        let parts = futures::stream::iter((0..100).map(|_| Ok::<_, std::io::Error>(Bytes::from(vec![b' '; 100]))));
+        let call = w.client.post(format!("http://{}/v1/completions", w.addr)).bearer_auth(KEY);
+        let a = Answer::read(call.send_stream(parts).await.unwrap()).await;
+        assert_eq!(a.error(), (413, "too_large".into(), "not_run".into()));
+        assert!(w.log.lock().unwrap().admits.is_empty());
+    }
+    // Guards against senders that hold a request open by sending slowly.
+    a_slow_body_is_refused_at_its_deadline: {
+        let w = World::start();
+        let text = format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+             x-deadline-ms: 200\r\ncontent-length: 100\r\n\r\n{{");
+        let mut s = TcpStream::connect(w.addr).await.unwrap();
+        s.write_all(text.as_bytes()).await.unwrap();
+        let mut out = vec![0; 4096];
+        let n = tokio::time::timeout(Duration::from_secs(2), s.read(&mut out)).await.unwrap().unwrap();
+        let out = String::from_utf8_lossy(&out[..n]);
+        assert!(out.starts_with("HTTP/1.1 408") && out.contains("slow_body"), "{out}");
+    }
+    // Guards against a connection that is held by a head that never ends.
+    a_slow_head_is_refused: {
+        let w = World::start();
+        let out = raw(&w, "POST /v1/completions HTTP/1.1\r\nhost: x\r\n").await;
+        assert!(out.is_empty() || out.starts_with("HTTP/1.1 408"), "{out}");
+    }
+    // Guards against malformed requests that reach an upstream or stop the thread.
+    malformed_requests_are_refused: {
+        let w = World::start();
+        for text in ["\0\r\n\r\n", "GET\r\n\r\n", "POST /v1/completions HTTP/1.1\r\ncontent-length: x\r\n\r\n"] {
+            let out = raw(&w, text).await;
+            assert!(out.starts_with("HTTP/1.1 400"), "{text:?}: {out}");
+        }
+        let a = w.post("/v1/completions", &ask(2, false)).await;
+        assert_eq!(a.status, StatusCode::OK);
+        assert_eq!(w.up.lines().len(), 1);
+    }
+    // Guards against streams that work with HTTP/1.1 only.
+    http_2_serves_streams: {
+        let w = World::start();
+        let socket = TcpStream::connect(w.addr).await.unwrap();
+        let (client, connection) = h2::client::handshake(socket).await.unwrap();
+        actix_rt::spawn(connection);
+        let mut client = client.ready().await.unwrap();
+        let request = http::Request::post(format!("http://{}/v1/completions", w.addr))
+            .header("authorization", format!("Bearer {KEY}")).body(()).unwrap();
+        let (response, mut body) = client.send_request(request, false).unwrap();
+        body.send_data(ask(5, true).to_string().into(), true).unwrap();
+        let response = response.await.unwrap();
+        assert_eq!(response.status(), 200);
+        let (mut body, mut out) = (response.into_body(), Vec::new());
+        while let Some(part) = body.data().await {
+            out.extend_from_slice(&part.unwrap());
+        }
+        let out = String::from_utf8(out).unwrap();
+        assert!(out.ends_with("data: [DONE]\n\n"), "{out}");
+        assert!((0..5).all(|i| out.contains(&format!("\"deck:2#{i} \""))));
+    }
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,6 +14,7 @@
 };
 
 use self::read::Reader;
+use crate::control::messages::KeyHash;
 
 /// Highest ordinal; a group has at most 7 hosts.
 const MAX_ORDINAL: u8 = 6;
@@ -52,6 +53,8 @@
     pub stop: Stop,
     /// Limits of the edge.
     pub limits: Limits,
+    /// Operators' calls.
+    pub admin: Admin,
 }
 
 /// Addresses to listen on.
@@ -112,6 +115,13 @@
     pub level: Level,
 }
 
+/// Operators' calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Admin {
+    /// SHA-256 of the operators' key. Without one, only loopback reaches `/admin`.
+    pub key: Option<KeyHash>,
+}
+
 /// Graceful shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stop {
@@ -187,6 +197,7 @@
             connections: to_usize(r.range("limits", "connections", 10_000, 1..=100_000)),
             workers: to_usize(r.range("limits", "workers", 2, 1..=64)),
         };
+        let admin = Admin { key: r.hash("admin", "key") };
         Some(Self {
             name: name?,
             ordinal: Ordinal(ordinal?),
@@ -199,6 +210,7 @@
             log: Log { format, level },
             stop: Stop { limit },
             limits,
+            admin,
         })
     }
 
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -7,8 +7,11 @@
 use toml::{Table, Value};
 use yuccawing_core::rules::{Finding, Findings};
 
+use crate::control::messages::KeyHash;
+
 /// Tables of the settings; the empty name is the root.
-const SECTIONS: &[&str] = &["listen", "platform", "plaintext", "tls", "log", "stop", "limits"];
+const SECTIONS: &[&str] =
+    &["listen", "platform", "plaintext", "tls", "log", "stop", "limits", "admin"];
 
 pub(super) struct Reader<'a> {
     file: &'a str,
@@ -71,6 +74,16 @@
         addr
     }
 
+    pub(super) fn hash(&mut self, section: &str, key: &str) -> Option<KeyHash> {
+        let text: Option<String> = self.or(section, key, None);
+        let hash = KeyHash::parse(text.as_deref()?);
+        if hash.is_none() {
+            let message = format!("{} is not a SHA-256 in hexadecimal", path(section, key));
+            self.find(section, key, message);
+        }
+        hash
+    }
+
     pub(super) fn level(&mut self, section: &str, key: &str) -> Level {
         let text: String = self.or(section, key, "info".to_owned());
         text.parse().unwrap_or_else(|()| {
