--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,6 +7,7 @@
 mod metrics;
 mod settings;
 mod stop;
+mod tls;
 mod upstream;
 mod watch;
 
