--- a/crates/bench/src/cmd.rs
+++ b/crates/bench/src/cmd.rs
@@ -1,3 +1,4 @@
 //! Commands of `yuccabench`.
 
+pub mod capacity;
 pub mod demo;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -15,6 +15,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Capacity(cmd::capacity::Args),
     Demo(cmd::demo::Args),
 }
 
@@ -31,6 +32,7 @@
 
 async fn run(command: Command) -> Result<()> {
     match command {
+        Command::Capacity(a) => cmd::capacity::run(a).await,
         Command::Demo(a) => cmd::demo::run(a).await,
     }
 }
