Check placement safety with several hosts and engines under faults

The driver found two faults, both fixed here: a host ran under a pin whose answer arrived after the release of a later one, and a new holder evicted instances that it had loaded itself on an engine with fencing, where a pin of its predecessor names the same instance.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::{
-    engine::{Engine, Room, State},
+    engine::{Engine, HANDOVER, Room, State},
     score::Scores,
 };
 use crate::{
@@ -390,6 +390,9 @@
     wants: BTreeMap<Key, Want>,
     failures: BTreeMap<Key, Failure>,
     commands: BTreeMap<u64, Command>,
+    // Engines that this host controlled under this generation, and when it ceased to: their pins
+    // may last.
+    retired: BTreeMap<ArcStr, Tick>,
     // Instances with an unanswered unload, and until when it may still arrive.
     late: BTreeMap<(ArcStr, ArcStr), Tick>,
     next: u64,
@@ -428,6 +431,7 @@
             wants: BTreeMap::new(),
             failures: BTreeMap::new(),
             commands: BTreeMap::new(),
+            retired: BTreeMap::new(),
             late: BTreeMap::new(),
             next: 1,
             permits: Vec::new(),
@@ -507,15 +511,20 @@
     fn configure(&mut self, now: Tick, specs: Vec<Spec>) {
         let mut old = std::mem::take(&mut self.engines);
         for s in specs {
+            let same = |e: &Engine| e.spec.fencing == s.fencing && e.spec.model == s.model;
             let e = match old.remove(&s.name) {
-                Some(mut e) if e.spec.fencing == s.fencing && e.spec.model == s.model => {
+                Some(mut e) if same(&e) => {
                     e.spec = s.clone();
                     e
                 }
-                _ => Engine::new(s.clone(), now),
+                e => {
+                    let known = e.is_some() || self.retired.contains_key(&s.name);
+                    Engine::new(s.clone(), now, known)
+                }
             };
             self.engines.insert(s.name, e);
         }
+        self.retired.extend(old.into_keys().map(|n| (n, now)));
     }
 
     fn held(&mut self, now: Tick, generation: Generation, until: Tick) {
@@ -523,8 +532,9 @@
         if self.generation != Some(generation) {
             self.generation = Some(generation);
             for e in self.engines.values_mut() {
-                *e = Engine::new(e.spec.clone(), now);
+                *e = Engine::new(e.spec.clone(), now, false);
             }
+            self.retired.clear();
             self.failures.clear();
             for w in self.wants.values_mut() {
                 w.evicting = None;
@@ -673,6 +683,7 @@
             e.expire(now);
         }
         self.late.retain(|_, t| now < *t);
+        self.retired.retain(|_, t| now < *t + plus_drift(PIN + HANDOVER));
         // A failure is forgotten once its back-off is over by as long again.
         self.failures.retain(|_, f| now <= f.retry + BACKOFF_MAX);
         self.scores.trim(now);
--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -36,7 +36,7 @@
     pub(super) target: Option<Target>,
     pub(super) state: State,
     pub(super) running: u32,
-    // Loaded by this process under its present generation.
+    // Loaded by this process since it controls the engine.
     own: bool,
     changed: Tick,
     // A load, rather than an unload, is in doubt.
@@ -52,7 +52,7 @@
 
 /// How long an earlier controlling host may still grant pins after this one took the engine over
 /// by a change of configuration.
-const HANDOVER: Duration = Duration::from_secs(5);
+pub(super) const HANDOVER: Duration = Duration::from_secs(5);
 
 /// Where a load can go.
 #[derive(Clone, Debug, PartialEq)]
@@ -66,6 +66,8 @@
 pub(super) struct Engine {
     pub(super) spec: Spec,
     since: Tick,
+    // Nobody else has pinned instances under the names that this holder uses.
+    fresh: bool,
     boot: Option<u64>,
     pub(super) reported: bool,
     pub(super) fence_raised: bool,
@@ -80,9 +82,11 @@
 }
 
 impl Engine {
-    pub(super) fn new(spec: Spec, now: Tick) -> Self {
+    /// `known` tells whether this process has controlled the engine before in this generation.
+    pub(super) fn new(spec: Spec, now: Tick, known: bool) -> Self {
         Self {
             since: now,
+            fresh: !spec.fencing && !known,
             boot: None,
             reported: false,
             fence_raised: !spec.fencing,
@@ -241,7 +245,9 @@
     }
 
     fn evictable(&self, now: Tick, name: &ArcStr, i: &Instance) -> bool {
-        let known = i.own || now >= self.since + plus_drift(PIN + HANDOVER);
+        // A host that holds a pin of an earlier holder may run on any instance of that name. On
+        // engines without fencing, names of this generation are new.
+        let known = i.own && self.fresh || now >= self.since + plus_drift(PIN + HANDOVER);
         i.state == State::Resident && known && i.running == 0 && self.pins_of(now, name) == 0
     }
 }
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -1,6 +1,9 @@
+mod fleet;
+
 use std::time::Duration;
 
 use arcstr::ArcStr;
+use proptest::prelude::*;
 
 use super::{
     Effect, Event, LoadResult, PinAnswer, PinRequest, Placement, Reason, Report, Spec, Target,
@@ -129,6 +132,15 @@
         let out = one.load(4, "b");
         assert!(matches!(&out[0], Effect::Unload { instance, .. } if instance == "a:1:g3"));
     }
+    // Guards against a fleet driver in which nothing happens: its safety checks would show nothing.
+    the_fleet_driver_runs_evicts_and_fails: {
+        let runs: Vec<_> = (0..8).map(|seed| fleet::Fleet::new(seed).run(1200)).collect();
+        let sum = |f: fn(&fleet::Seen) -> u32| runs.iter().map(f).sum::<u32>();
+        assert!(sum(|s| s.ran) > 4000, "{runs:?}");
+        assert!(sum(|s| s.evicted) > 80 && sum(|s| s.loads) > 400, "{runs:?}");
+        assert!(sum(|s| s.restarts) > 50 && sum(|s| s.holders) > 30, "{runs:?}");
+        assert!(sum(|s| s.late) > 50, "{runs:?}");
+    }
     // Guards against evicting what the predecessor's pins protect.
     a_new_holder_evicts_nothing_before_old_pins_have_ended: {
         let mut one = One::new(true);
@@ -170,3 +182,16 @@
         assert_eq!(answer(&out), Some(&failing));
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { max_shrink_iters: 0, ..ProptestConfig::with_cases(400) })]
+
+    // Guards against an unload of an instance in use, a request on a wrong version, and more loads
+    // than were permitted, under lost, late and repeated messages, pauses, replacements, commands
+    // of old holders, cold restarts and failed loads.
+    #[test]
+    fn safety_holds_under_faults(seed in any::<u64>()) {
+        let seen = fleet::Fleet::new(seed).run(1200);
+        prop_assert!(seen.faults.is_empty(), "{:?}", seen.faults);
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/tests/fleet.rs
@@ -0,0 +1,661 @@
+//! Several hosts, successive controlling hosts and engines under faults, driven by a seed.
+//!
+//! Messages are late, repeated or lost; processes pause, end and are replaced; commands of an old
+//! holder arrive after its successor's; engines restart cold; loads fail.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use arcstr::ArcStr;
+
+use crate::{
+    ids::{Generation, Incarnation},
+    placement::{
+        self, Effect, Event, LoadResult, PinAnswer, PinRequest, Placement, Target, UnloadResult,
+        Unpin,
+    },
+    route::{self, Choice, Granted, Need, Outcome, Route},
+    rules::Class,
+    time::{Tick, less_drift},
+};
+
+const SECOND: u64 = 1_000_000;
+const HOSTS: usize = 3;
+const SLOTS: u32 = 2;
+const FLIGHT: u32 = 2;
+const ENGINES: [&str; 4] = ["f0", "f1", "u0", "u1"];
+
+/// What happened in a run.
+#[derive(Debug, Default)]
+pub(super) struct Seen {
+    pub(super) faults: Vec<String>,
+    pub(super) ran: u32,
+    pub(super) evicted: u32,
+    pub(super) loads: u32,
+    pub(super) restarts: u32,
+    pub(super) holders: u32,
+    pub(super) late: u32,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    ToHolder(usize, Event),
+    Answer { host: Incarnation, id: u64, answer: PinAnswer },
+    Load { from: usize, command: u64, engine: usize, instance: ArcStr, target: Target, fence: u64 },
+    LoadEnds { engine: usize, boot: u64, instance: ArcStr, target: Target, reply: Reply },
+    Unload { from: usize, command: u64, engine: usize, instance: ArcStr, fence: u64 },
+    Timeout { from: usize, command: u64, load: bool },
+    Start { engine: usize, request: Request },
+    Finish { engine: usize, id: u64 },
+    HostReport(route::Report),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reply {
+    to: usize,
+    command: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    id: u64,
+    host: Incarnation,
+    target: Target,
+    instance: ArcStr,
+    ends: u64,
+}
+
+struct Engine {
+    name: ArcStr,
+    fencing: bool,
+    boot: u64,
+    fence: u64,
+    resident: BTreeMap<ArcStr, Target>,
+    loading: u32,
+    running: Vec<Request>,
+}
+
+struct Holder {
+    placement: Placement,
+    generation: u64,
+    until: u64,
+    paused: u64,
+    drift: i64,
+    permits: u32,
+    loads: u32,
+    // Load commands without an answer.
+    flying: BTreeSet<u64>,
+}
+
+struct Host {
+    route: Route,
+    incarnation: Incarnation,
+    pending: BTreeMap<u64, (ArcStr, Target, Tick, u64)>,
+    next: u64,
+    paused: u64,
+    drift: i64,
+}
+
+pub(super) struct Fleet {
+    now: u64,
+    seed: u64,
+    messages: BTreeMap<(u64, u64), Message>,
+    sequence: u64,
+    engines: Vec<Engine>,
+    holders: Vec<Holder>,
+    hosts: Vec<Host>,
+    lag: u64,
+    requests: u64,
+    seen: Seen,
+}
+
+fn local(t: u64, drift: i64) -> Tick {
+    // Offsets differ too: ticks of two processes have nothing in common.
+    let t = t as i64 + t as i64 * drift / 1000 + 1_000_000 * (drift + 10);
+    Tick(t as u64)
+}
+
+impl Fleet {
+    pub(super) fn new(seed: u64) -> Self {
+        let engines = ENGINES
+            .iter()
+            .map(|n| Engine {
+                name: ArcStr::from(*n),
+                fencing: n.starts_with('f'),
+                boot: 1,
+                fence: 0,
+                resident: BTreeMap::new(),
+                loading: 0,
+                running: Vec::new(),
+            })
+            .collect();
+        let mut fleet = Self {
+            now: 0,
+            seed,
+            messages: BTreeMap::new(),
+            sequence: 0,
+            engines,
+            holders: Vec::new(),
+            hosts: Vec::new(),
+            lag: 0,
+            requests: 0,
+            seen: Seen::default(),
+        };
+        fleet.lag = fleet.below(4 * SECOND);
+        for _ in 0..HOSTS {
+            let h = fleet.host();
+            fleet.hosts.push(h);
+        }
+        fleet.admit();
+        fleet
+    }
+
+    pub(super) fn run(mut self, seconds: u64) -> Seen {
+        let step = SECOND / 10;
+        for i in 0..seconds * 10 {
+            self.now = i * step;
+            while let Some(((t, _), _)) = self.messages.first_key_value()
+                && *t <= self.now
+            {
+                let Some((_, m)) = self.messages.pop_first() else { break };
+                self.deliver(m);
+            }
+            self.faults();
+            self.renew(i);
+            for h in 0..HOSTS {
+                self.work(h);
+            }
+            if i % 5 == 0 {
+                self.report();
+            }
+        }
+        self.seen
+    }
+
+    fn random(&mut self) -> u64 {
+        self.seed = self.seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let x = self.seed ^ (self.seed >> 33);
+        x.wrapping_mul(0xff51_afd7_ed55_8ccd) ^ (x >> 29)
+    }
+
+    fn below(&mut self, n: u64) -> u64 {
+        (self.random() >> 16) % n.max(1)
+    }
+
+    fn chance(&mut self, per_mille: u64) -> bool {
+        self.below(1000) < per_mille
+    }
+
+    fn drift(&mut self) -> i64 {
+        self.below(9) as i64 - 4
+    }
+
+    fn post(&mut self, delay: u64, m: Message) {
+        self.sequence += 1;
+        self.messages.insert((self.now + delay, self.sequence), m);
+    }
+
+    // Usually milliseconds; sometimes seconds, twice or never.
+    fn post_lossy(&mut self, m: Message) {
+        if self.chance(30) {
+            return;
+        }
+        let delay = if self.chance(50) { self.below(20 * SECOND) } else { self.below(50_000) };
+        if self.chance(30) {
+            let late = self.below(60 * SECOND);
+            self.post(late, m.clone());
+        }
+        self.post(delay, m);
+    }
+
+    fn host(&mut self) -> Host {
+        let incarnation = Incarnation(self.random());
+        let mut route = Route::new(incarnation);
+        route.configure(
+            ENGINES
+                .iter()
+                .map(|n| route::Spec {
+                    name: ArcStr::from(*n),
+                    model: ArcStr::from("m"),
+                    batch: 100,
+                    reserved: 0,
+                    fencing: n.starts_with('f'),
+                    leaving: false,
+                    held: true,
+                })
+                .collect(),
+        );
+        let drift = self.drift();
+        Host { route, incarnation, pending: BTreeMap::new(), next: 1, paused: 0, drift }
+    }
+
+    fn admit(&mut self) {
+        self.seen.holders += 1;
+        let h = Holder {
+            placement: Placement::new(),
+            generation: self.holders.len() as u64 + 1,
+            until: 0,
+            paused: 0,
+            drift: self.drift(),
+            permits: 0,
+            loads: 0,
+            flying: BTreeSet::new(),
+        };
+        self.holders.push(h);
+        let specs = ENGINES
+            .iter()
+            .map(|n| placement::Spec {
+                name: ArcStr::from(*n),
+                model: ArcStr::from("m"),
+                slots: SLOTS,
+                fencing: n.starts_with('f'),
+                leaving: false,
+            })
+            .collect();
+        let i = self.holders.len() - 1;
+        self.tell(i, Event::Flight(FLIGHT));
+        self.hold(i);
+        self.tell(i, Event::Configure(specs));
+    }
+
+    fn hold(&mut self, i: usize) {
+        let lease = Duration::from_secs(3);
+        let h = &mut self.holders[i];
+        h.until = self.now + 3 * SECOND;
+        let until = local(self.now, h.drift) + less_drift(lease);
+        let generation = Generation(h.generation);
+        self.tell(i, Event::Held { generation, until });
+    }
+
+    fn renew(&mut self, i: u64) {
+        let last = self.holders.len() - 1;
+        if self.now >= self.holders[last].paused && i.is_multiple_of(5) {
+            self.hold(last);
+        }
+        for i in 0..self.holders.len() {
+            if self.now >= self.holders[i].paused {
+                self.tell(i, Event::Poll);
+            }
+        }
+    }
+
+    fn faults(&mut self) {
+        let last = self.holders.len() - 1;
+        // Per 100 ms step.
+        if self.chance(1) && self.chance(700) {
+            let pause = self.below(20 * SECOND);
+            self.holders[last].paused = self.now + pause;
+        }
+        let lapsed = self.now > self.holders[last].until;
+        if (lapsed && self.chance(10)) || (self.chance(1) && self.chance(250)) {
+            // The old process renews no more; it may go on with what it has until its lease ends.
+            let end = self.holders[last].until;
+            if self.now > end {
+                self.admit();
+            } else {
+                self.holders[last].paused = end + self.seed % (5 * SECOND);
+            }
+        }
+        for e in 0..ENGINES.len() {
+            if self.chance(1) && self.chance(400) {
+                let e = &mut self.engines[e];
+                (e.boot, e.fence, e.loading) = (e.boot + 1, 0, 0);
+                e.resident.clear();
+                e.running.clear();
+                self.seen.restarts += 1;
+            }
+        }
+        for h in 0..HOSTS {
+            if self.chance(2) {
+                let pause = self.below(30 * SECOND);
+                self.hosts[h].paused = self.now + pause;
+            }
+            if self.chance(1) {
+                self.replace(h);
+            }
+        }
+    }
+
+    // The old process's requests go on: the engine may notice the loss of its caller late.
+    fn replace(&mut self, h: usize) {
+        let old = self.hosts[h].incarnation;
+        for e in 0..ENGINES.len() {
+            let longer = self.below(250 * SECOND);
+            for r in self.engines[e].running.iter_mut().filter(|r| r.host == old) {
+                r.ends += longer;
+            }
+        }
+        let last = self.holders.len() - 1;
+        self.post(SECOND, Message::ToHolder(last, Event::Ended(old)));
+        self.hosts[h] = self.host();
+    }
+
+    fn tell(&mut self, i: usize, event: Event) {
+        let now = local(self.now, self.holders[i].drift);
+        let mut out = Vec::new();
+        self.holders[i].placement.handle(now, event, &mut out);
+        for e in out {
+            self.carry_out(i, e);
+        }
+    }
+
+    fn carry_out(&mut self, i: usize, effect: Effect) {
+        match effect {
+            Effect::AskPermit => {
+                let event = if self.chance(700) {
+                    self.holders[i].permits += 1;
+                    Event::Permit
+                } else {
+                    let now = local(self.now, self.holders[i].drift);
+                    Event::NoPermit { retry: now + Duration::from_millis(300) }
+                };
+                let delay = self.below(300_000);
+                self.post(delay, Message::ToHolder(i, event));
+            }
+            Effect::Answer { host, id, answer } => {
+                self.post_lossy(Message::Answer { host, id, answer });
+            }
+            Effect::Load { command, engine, instance, target, fence } => {
+                self.seen.loads += 1;
+                let h = &mut self.holders[i];
+                h.loads += 1;
+                h.flying.insert(command);
+                if h.loads > h.permits || h.flying.len() > FLIGHT as usize {
+                    let fault = format!("loads {} flying {:?} at {}", h.loads, h.flying, self.now);
+                    self.seen.faults.push(fault);
+                }
+                let engine = at(&engine);
+                let m = Message::Load { from: i, command, engine, instance, target, fence };
+                self.command(m, i, command, true);
+            }
+            Effect::Unload { command, engine, instance, fence } => {
+                let engine = at(&engine);
+                let m = Message::Unload { from: i, command, engine, instance, fence };
+                self.command(m, i, command, false);
+            }
+        }
+    }
+
+    fn command(&mut self, m: Message, from: usize, command: u64, load: bool) {
+        self.post(5 * SECOND, Message::Timeout { from, command, load });
+        if self.chance(20) {
+            return;
+        }
+        let late = self.chance(150);
+        let delay = if late { self.below(100 * SECOND) } else { self.below(20_000) };
+        self.seen.late += u32::from(delay > 5 * SECOND);
+        self.post(delay, m);
+    }
+
+    fn deliver(&mut self, m: Message) {
+        match m {
+            Message::ToHolder(i, event) => {
+                let resume = self.holders[i].paused;
+                if self.now < resume {
+                    self.post(resume - self.now, Message::ToHolder(i, event));
+                    return;
+                }
+                if let Event::Loaded { command, .. } = &event {
+                    self.holders[i].flying.remove(command);
+                }
+                self.tell(i, event);
+            }
+            Message::Answer { host, id, answer } => self.answered(host, id, answer),
+            Message::Load { from, command, engine, instance, target, fence } => {
+                let reply = Reply { to: from, command };
+                self.load(engine, instance, target, fence, reply);
+            }
+            Message::LoadEnds { engine, boot, instance, target, reply } => {
+                let fail = self.chance(100);
+                let e = &mut self.engines[engine];
+                if e.boot != boot {
+                    return;
+                }
+                e.loading -= 1;
+                if !fail {
+                    e.resident.insert(instance, target);
+                }
+                let result = if fail { LoadResult::Failed } else { LoadResult::Loaded };
+                self.reply_load(reply, result);
+            }
+            Message::Unload { from, command, engine, instance, fence } => {
+                let e = &mut self.engines[engine];
+                let result = if e.fencing && fence < e.fence {
+                    UnloadResult::Fenced
+                } else {
+                    e.fence = e.fence.max(fence);
+                    if let Some(r) = e.running.iter().find(|r| r.instance == instance) {
+                        let fault =
+                            format!("unload of {instance} in use by {} at {}", r.id, self.now);
+                        self.seen.faults.push(fault);
+                    }
+                    if e.resident.remove(&instance).is_some() {
+                        self.seen.evicted += 1;
+                    }
+                    UnloadResult::Unloaded
+                };
+                let m = Message::ToHolder(from, Event::Unloaded { command, result });
+                let delay = self.below(20_000);
+                self.post(delay, m);
+            }
+            Message::Timeout { from, command, load } => {
+                let random = self.random();
+                let event = if load {
+                    Event::Loaded { command, result: LoadResult::Unknown, random }
+                } else {
+                    Event::Unloaded { command, result: UnloadResult::Unknown }
+                };
+                self.deliver(Message::ToHolder(from, event));
+            }
+            Message::Start { engine, request } => self.start(engine, request),
+            Message::Finish { engine, id } => self.finish(engine, id),
+            Message::HostReport(r) => {
+                for h in 0..HOSTS {
+                    let now = self.clock(h);
+                    self.hosts[h].route.report(now, &r);
+                }
+            }
+        }
+    }
+
+    fn load(&mut self, engine: usize, instance: ArcStr, target: Target, fence: u64, reply: Reply) {
+        let e = &mut self.engines[engine];
+        if e.fencing && fence < e.fence {
+            self.reply_load(reply, LoadResult::Fenced);
+            return;
+        }
+        e.fence = e.fence.max(fence);
+        if e.resident.len() as u32 + e.loading >= SLOTS && !e.resident.contains_key(&instance) {
+            self.reply_load(reply, LoadResult::NoSlot);
+            return;
+        }
+        e.loading += 1;
+        let boot = e.boot;
+        let took = SECOND / 4 + self.below(SECOND);
+        self.post(took, Message::LoadEnds { engine, boot, instance, target, reply });
+    }
+
+    fn reply_load(&mut self, r: Reply, result: LoadResult) {
+        let random = self.random();
+        let event = Event::Loaded { command: r.command, result, random };
+        let delay = self.below(20_000);
+        self.post(delay, Message::ToHolder(r.to, event));
+    }
+
+    fn clock(&self, h: usize) -> Tick {
+        local(self.now, self.hosts[h].drift)
+    }
+
+    fn answered(&mut self, host: Incarnation, id: u64, answer: PinAnswer) {
+        let Some(h) = self.hosts.iter().position(|h| h.incarnation == host) else { return };
+        if self.now < self.hosts[h].paused {
+            let wait = self.hosts[h].paused - self.now;
+            self.post(wait, Message::Answer { host, id, answer });
+            return;
+        }
+        let now = self.clock(h);
+        let Some((engine, target, sent, wait)) = self.hosts[h].pending.remove(&id) else { return };
+        if let PinAnswer::Pinned { instance, duration } = answer {
+            let t = target.clone();
+            let g = Granted { engine, target, instance, id, sent, duration };
+            if let Some(u) = self.hosts[h].route.pinned(now, g) {
+                self.unpin(u);
+            }
+            self.attempt(h, t, wait, &[]);
+        }
+    }
+
+    fn unpin(&mut self, u: Unpin) {
+        let last = self.holders.len() - 1;
+        self.post_lossy(Message::ToHolder(last, Event::Unpin(u)));
+    }
+
+    // One step of a host: releases idle pins and starts a request now and then.
+    fn work(&mut self, h: usize) {
+        if self.now < self.hosts[h].paused {
+            return;
+        }
+        let now = self.clock(h);
+        let mut idle = Vec::new();
+        self.hosts[h].route.release(now, false, &mut idle);
+        for u in idle {
+            self.unpin(u);
+        }
+        if !self.chance(100) {
+            return;
+        }
+        let adapter = self.below(6);
+        let version = self.below(2);
+        let target = Target {
+            adapter: ArcStr::from(format!("a{adapter}")),
+            version: ArcStr::from(format!("{version}")),
+        };
+        let avoid: Vec<ArcStr> =
+            ENGINES.iter().filter(|_| self.chance(400)).map(|n| ArcStr::from(*n)).collect();
+        let limit = if self.chance(850) { 5 } else { 120 };
+        let wait = 1 + self.below(limit * SECOND);
+        self.attempt(h, target, wait, &avoid);
+    }
+
+    // Runs a request of up to `wait` microseconds under a pin, or asks for one.
+    fn attempt(&mut self, h: usize, target: Target, wait: u64, avoid: &[ArcStr]) {
+        let now = self.clock(h);
+        let random = self.random();
+        let host = &mut self.hosts[h];
+        let model = ArcStr::from("m");
+        let need = Need {
+            model: &model,
+            target: &target,
+            class: Class::Interactive,
+            deadline: now + Duration::from_micros(wait),
+            avoid,
+            prefix: None,
+        };
+        match host.route.pick(now, &need, random) {
+            Choice::Run { engine, instance } => {
+                host.route.started(now, &engine, &target);
+                self.requests += 1;
+                let id = self.requests;
+                let incarnation = host.incarnation;
+                let delay = self.below(wait.min(5 * SECOND));
+                // The host's clock may run behind, so that its deadline ends later in true time.
+                let ends = self.now + delay + self.below(wait - delay);
+                let request = Request { id, host: incarnation, target, instance, ends };
+                self.post(delay, Message::Start { engine: at(&engine), request });
+            }
+            Choice::Pin { engine, .. } => {
+                let id = host.next;
+                host.next += 1;
+                host.pending.insert(id, (engine.clone(), target.clone(), now, wait));
+                let r = PinRequest {
+                    host: host.incarnation,
+                    id,
+                    engine,
+                    model,
+                    target,
+                    wait: Duration::from_secs(20),
+                    requests: 1,
+                };
+                let last = self.holders.len() - 1;
+                self.post_lossy(Message::ToHolder(last, Event::Pin(r)));
+            }
+            Choice::Wait | Choice::Nowhere => {}
+        }
+    }
+
+    fn start(&mut self, engine: usize, r: Request) {
+        let e = &mut self.engines[engine];
+        let resident = e.resident.get(&r.instance).cloned();
+        let name = e.name.clone();
+        let Some(target) = resident else {
+            let instance = r.instance.clone();
+            let last = self.holders.len() - 1;
+            self.post_lossy(Message::ToHolder(
+                last,
+                Event::Missing { engine: name.clone(), instance },
+            ));
+            let now = self.now;
+            if let Some(h) = self.hosts.iter_mut().find(|h| h.incarnation == r.host) {
+                let now = local(now, h.drift);
+                h.route.ended(now, &name, &r.target, &r.instance, Outcome::Neutral);
+                h.route.dropped(now, &name, &r.target);
+            }
+            return;
+        };
+        if target != r.target {
+            self.seen.faults.push(format!("{} ran on {target}", r.target));
+        }
+        self.seen.ran += 1;
+        let (id, wait) = (r.id, r.ends.saturating_sub(self.now));
+        e.running.push(r);
+        self.post(wait, Message::Finish { engine, id });
+    }
+
+    fn finish(&mut self, engine: usize, id: u64) {
+        let e = &mut self.engines[engine];
+        let Some(i) = e.running.iter().position(|r| r.id == id) else { return };
+        if e.running[i].ends > self.now {
+            let wait = e.running[i].ends - self.now;
+            self.post(wait, Message::Finish { engine, id });
+            return;
+        }
+        let r = e.running.remove(i);
+        let name = e.name.clone();
+        let now = self.now;
+        if let Some(h) = self.hosts.iter_mut().find(|h| h.incarnation == r.host) {
+            let now = local(now, h.drift);
+            h.route.ended(now, &name, &r.target, &r.instance, Outcome::Good);
+        }
+    }
+
+    fn report(&mut self) {
+        for e in 0..ENGINES.len() {
+            let e = &self.engines[e];
+            let resident: Vec<(ArcStr, u32)> = e
+                .resident
+                .keys()
+                .map(|n| (n.clone(), e.running.iter().filter(|r| r.instance == *n).count() as u32))
+                .collect();
+            let (engine, boot, running) = (e.name.clone(), e.boot, e.running.len() as u32);
+            let report = placement::Report { engine, boot, resident };
+            let for_hosts = route::Report {
+                engine: report.engine.clone(),
+                boot,
+                running,
+                waiting: 0,
+                resident: report.resident.clone(),
+            };
+            let lag = self.lag;
+            for i in 0..self.holders.len() {
+                self.post(lag, Message::ToHolder(i, Event::Report(report.clone())));
+            }
+            self.post(lag, Message::HostReport(for_hosts));
+        }
+    }
+}
+
+fn at(engine: &str) -> usize {
+    ENGINES.iter().position(|n| *n == engine).expect("engine")
+}
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -16,7 +16,7 @@
 pub use self::{health::Outcome, view::Copy};
 use crate::{
     ids::Incarnation,
-    placement::{Target, Unpin},
+    placement::{PIN, Target, Unpin},
     rules::Class,
     time::{Tick, less_drift},
 };
@@ -143,12 +143,23 @@
     engines: BTreeMap<ArcStr, View>,
     // By engine and target: a new instance name replaces the old pin.
     pins: BTreeMap<(ArcStr, Target), Pin>,
+    // Highest id of the released pins: an answer that arrives after the release of a later pin
+    // grants nothing any more.
+    released: BTreeMap<(ArcStr, Target), (u64, Tick)>,
+    // The same for all engines and targets.
+    floor: u64,
 }
 
 impl Route {
     /// No engines.
     pub fn new(host: Incarnation) -> Self {
-        Self { host, engines: BTreeMap::new(), pins: BTreeMap::new() }
+        Self {
+            host,
+            engines: BTreeMap::new(),
+            pins: BTreeMap::new(),
+            released: BTreeMap::new(),
+            floor: 0,
+        }
     }
 
     /// Sets the engines. What is known of those that stay is kept.
@@ -175,10 +186,11 @@
         let Granted { engine, target, instance, id, sent, duration } = g;
         let until = sent + less_drift(duration);
         let leaving = self.engines.get(&engine).is_none_or(|v| v.spec.leaving);
-        if leaving || self.pins.len() >= MAX_PINS || until <= now {
+        let key = (engine.clone(), target);
+        let released = self.released.get(&key).map_or(self.floor, |(id, _)| self.floor.max(*id));
+        if leaving || id <= released || self.pins.len() >= MAX_PINS || until <= now {
             return Some(Unpin { host: self.host, id, engine, instance, uses: 0 });
         }
-        let key = (engine, target);
         match self.pins.get_mut(&key) {
             Some(p) if p.instance == instance => {
                 p.id = p.id.max(id);
@@ -287,9 +299,11 @@
     /// Releases pins that are idle, and all idle ones when `all` is set (shutdown).
     pub fn release(&mut self, now: Tick, all: bool, out: &mut Vec<Unpin>) {
         let host = self.host;
-        self.pins.retain(|(engine, _), p| {
+        let released = &mut self.released;
+        self.pins.retain(|(engine, target), p| {
             let idle = p.running == 0 && (all || now.since(p.idle) >= IDLE);
             if idle {
+                released.insert((engine.clone(), target.clone()), (p.id, now));
                 out.push(Unpin {
                     host,
                     id: p.id,
@@ -300,6 +314,12 @@
             }
             !idle
         });
+        // A pin that was asked for before a release ends at most `PIN` after it.
+        self.released.retain(|_, (_, t)| now.since(*t) < PIN);
+        if self.released.len() > MAX_PINS {
+            self.floor = self.released.values().map(|(id, _)| *id).fold(self.floor, u64::max);
+            self.released.clear();
+        }
     }
 
     /// Replicas of an adapter version in this host's view.
--- a/crates/core/src/route/tests.rs
+++ b/crates/core/src/route/tests.rs
@@ -123,6 +123,19 @@
         r.release(at(12_000), false, &mut out);
         assert_eq!((out[0].id, out[0].uses), (2, 2));
     }
+    // Guards against running under a pin whose answer arrives after the release of a later one, which
+    // released both at the controlling host.
+    a_pin_below_a_released_one_is_not_used: {
+        let mut r = fleet(1);
+        grant(&mut r, 0, 2);
+        let mut out = Vec::new();
+        r.release(at(2_000), false, &mut out);
+        let (engine, target, instance) = (ArcStr::from("e0"), target("a"), ArcStr::from("a:1"));
+        let (sent, duration) = (at(0), Duration::from_secs(150));
+        let g = Granted { engine, target, instance, id: 1, sent, duration };
+        assert!(r.pinned(at(2_001), g).is_some());
+        grant(&mut r, 2_002, 3);
+    }
     // Guards against ejecting every replica of an adapter.
     at_most_half_of_the_replicas_are_ejected: {
         let mut r = fleet(3);
