Add burn rates of objectives from Prometheus text

Cause: the report on service-level burn had no computation. Change: samples per host, growth over restarts, burn rate per objective and account over several windows; a window alerts only together with the shortest one.

--- a/crates/core/src/burn.rs
+++ b/crates/core/src/burn.rs
@@ -1,1 +1,249 @@
 //! Burn rates of service-level objectives.
+//!
+//! The burn rate is the share of bad requests divided by the share that the objective allows: at 1
+//! the budget of a period lasts exactly that period. An objective burns when a window and the
+//! shortest window are both above the window's limit, so that neither a short peak nor a fault that
+//! is over raises an alert.
+
+#[cfg(test)]
+mod tests;
+mod text;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
+
+use arcstr::ArcStr;
+use serde::{Deserialize, Serialize};
+
+use self::text::Series;
+pub use self::text::{MAX_SERIES, Sample, TextError};
+use crate::rules::Objectives;
+
+/// Longest window and its limit, for a budget of 30 days: the limits spend 2% of it in 1 hour, 5%
+/// in 6 hours and 10% in 3 days.
+pub const LIMITS: [(u64, f64); 2] = [(3_600, 14.4), (21_600, 6.0)];
+
+/// Limit of windows longer than those of [`LIMITS`].
+pub const LIMIT: f64 = 1.0;
+
+/// Fewest bad requests in a window that can raise an alert; with fewer, one request of a small
+/// account would.
+pub const MIN_BAD: f64 = 10.0;
+
+/// Reasons of refusals that are the caller's own: its allowance, its key or its request.
+pub const CALLER_REASONS: [&str; 4] = ["allowance", "key", "adapter", "request"];
+
+const REQUESTS: &str = "yuccawing_requests_total";
+const REFUSALS: &str = "yuccawing_refusals_total";
+const STALLS: &str = "yuccawing_load_stalls_total";
+const FIRST: &str = "yuccawing_first_token_seconds";
+const STATUS: &str = "yuccawing_status_seconds";
+
+/// What an objective is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Objective {
+    /// First token in time.
+    FirstToken,
+    /// Status check in time.
+    Status,
+    /// No refusal for a limit of the system's own.
+    Refusal,
+    /// No wait for a load.
+    Stall,
+}
+
+impl fmt::Display for Objective {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::FirstToken => "first_token",
+            Self::Status => "status",
+            Self::Refusal => "refusal",
+            Self::Stall => "stall",
+        })
+    }
+}
+
+/// Requests of a window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Count {
+    /// Bad ones.
+    pub bad: f64,
+    /// All.
+    pub total: f64,
+}
+
+/// A window that ends with the newest sample.
+#[derive(Clone, Debug)]
+pub struct Window {
+    /// Length in seconds.
+    pub seconds: u64,
+    /// Sample at its start.
+    pub from: Sample,
+}
+
+/// Burn rate over a window.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Burn {
+    /// Length of the window in seconds.
+    pub seconds: u64,
+    /// Requests in it.
+    pub count: Count,
+    /// Share of bad requests, relative to the share that is allowed.
+    pub rate: f64,
+    /// Limit of the window.
+    pub limit: f64,
+}
+
+/// One objective of one account.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// The objective.
+    pub objective: Objective,
+    /// The account, `None` for all accounts together.
+    pub account: Option<ArcStr>,
+    /// Burn rates, shortest window first.
+    pub burns: Vec<Burn>,
+    /// Whether it raises an alert.
+    pub burning: bool,
+}
+
+/// Burn rates of all objectives.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// By objective and account; objectives without requests are left out.
+    pub rows: Vec<Row>,
+    /// Hosts that are in the sample of a window's start only: their last requests are not counted.
+    pub missing: Vec<ArcStr>,
+}
+
+impl Report {
+    /// Whether any objective raises an alert.
+    pub fn is_burning(&self) -> bool {
+        self.rows.iter().any(|r| r.burning)
+    }
+}
+
+type Key = (Objective, Option<ArcStr>);
+
+/// Burn rates over `windows` that end with the sample `to`.
+pub fn report(objectives: &Objectives, mut windows: Vec<Window>, to: &Sample) -> Report {
+    windows.sort_by_key(|w| w.seconds);
+    let shortest = windows.first().map_or(0, |w| w.seconds);
+    let mut burns: BTreeMap<Key, Vec<Burn>> = BTreeMap::new();
+    let mut missing = BTreeSet::new();
+    for w in &windows {
+        missing.extend(w.from.hosts().filter(|h| !to.hosts.contains_key(*h)).cloned());
+        for (key, count) in counts(objectives, &w.from, to) {
+            let allowed = f64::from(1_000_000 - ppm(objectives, key.0).min(999_999)) / 1e6;
+            let rate = if count.total > 0.0 { count.bad / count.total / allowed } else { 0.0 };
+            let burn = Burn { seconds: w.seconds, count, rate, limit: limit(w.seconds) };
+            burns.entry(key).or_default().push(burn);
+        }
+    }
+    let row = |((objective, account), burns): (Key, Vec<Burn>)| {
+        let burning = is_burning(&burns, shortest);
+        Row { objective, account, burns, burning }
+    };
+    Report { rows: burns.into_iter().map(row).collect(), missing: missing.into_iter().collect() }
+}
+
+/// Limit of the burn rate over a window of this many seconds.
+pub fn limit(seconds: u64) -> f64 {
+    LIMITS.iter().find(|(s, _)| seconds <= *s).map_or(LIMIT, |(_, l)| *l)
+}
+
+fn is_burning(burns: &[Burn], shortest: u64) -> bool {
+    let Some(short) = burns.first().filter(|b| b.seconds == shortest) else { return false };
+    let above = |b: &&Burn| b.rate >= b.limit && b.count.bad >= MIN_BAD && short.rate >= b.limit;
+    burns.iter().any(|b| above(&b))
+}
+
+fn ppm(o: &Objectives, objective: Objective) -> u32 {
+    match objective {
+        Objective::FirstToken => o.first_ppm,
+        Objective::Status => o.status_ppm,
+        Objective::Refusal => o.refusal_ppm,
+        Objective::Stall => o.stall_ppm,
+    }
+}
+
+/// Requests between two samples by objective and account.
+fn counts(o: &Objectives, from: &Sample, to: &Sample) -> BTreeMap<Key, Count> {
+    let grown = increase(from, to);
+    let mut out = BTreeMap::new();
+    in_time(&grown, FIRST, o.first_ms, Objective::FirstToken, &mut out);
+    in_time(&grown, STATUS, o.status_ms, Objective::Status, &mut out);
+    for (s, n) in &grown {
+        match s.metric.as_str() {
+            REQUESTS => {
+                add(&mut out, Objective::Refusal, s, 0.0, *n);
+                add(&mut out, Objective::Stall, s, 0.0, *n);
+            }
+            REFUSALS if is_own(s) => add(&mut out, Objective::Refusal, s, *n, 0.0),
+            STALLS => add(&mut out, Objective::Stall, s, *n, 0.0),
+            _ => {}
+        }
+    }
+    // Samples of several threads are not taken at the same instant.
+    for c in out.values_mut() {
+        c.total = c.total.max(c.bad);
+    }
+    out.retain(|_, c| c.total > 0.0);
+    out
+}
+
+fn is_own(s: &Series) -> bool {
+    s.label("reason").is_none_or(|r| !CALLER_REASONS.contains(&r.as_str()))
+}
+
+fn add(out: &mut BTreeMap<Key, Count>, objective: Objective, s: &Series, bad: f64, total: f64) {
+    for account in [None, s.label("account").cloned()].into_iter().collect::<BTreeSet<_>>() {
+        let c = out.entry((objective, account)).or_default();
+        c.bad += bad;
+        c.total += total;
+    }
+}
+
+/// Counts a histogram: good are the requests up to the highest bucket that is within `ms`.
+fn in_time(
+    grown: &BTreeMap<Series, f64>,
+    metric: &str,
+    ms: u64,
+    objective: Objective,
+    out: &mut BTreeMap<Key, Count>,
+) {
+    let buckets = || grown.iter().filter(|(s, _)| s.metric.strip_suffix("_bucket") == Some(metric));
+    let bound = |s: &Series| s.label("le").and_then(|l| l.parse::<f64>().ok());
+    // Seconds from milliseconds are exact to far below the width of a bucket.
+    let within = |b: &f64| *b <= ms as f64 / 1e3 + 1e-9;
+    let best = buckets().filter_map(|(s, _)| bound(s)).filter(within).fold(0.0, f64::max);
+    for (s, n) in buckets() {
+        match bound(s) {
+            Some(b) if b.is_infinite() => add(out, objective, s, *n, *n),
+            Some(b) if b == best => add(out, objective, s, -*n, 0.0),
+            _ => {}
+        }
+    }
+    for ((o, _), c) in out.iter_mut() {
+        if *o == objective {
+            c.bad = c.bad.max(0.0);
+        }
+    }
+}
+
+/// Growth of each series over all hosts. A counter that is lower than before was reset by a restart
+/// and has grown by its value; a host without an earlier sample has started in between.
+fn increase(from: &Sample, to: &Sample) -> BTreeMap<Series, f64> {
+    let mut out: BTreeMap<Series, f64> = BTreeMap::new();
+    for (host, now) in &to.hosts {
+        let before = from.hosts.get(host);
+        for (s, n) in now {
+            let b = before.and_then(|h| h.get(s)).copied().unwrap_or(0.0);
+            *out.entry(s.clone()).or_default() += if *n < b { *n } else { n - b };
+        }
+    }
+    out
+}
