--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -475,8 +475,12 @@
         if bytes > MAX_BYTES {
             return Err(Reason::Invalid(format!("{bytes} bytes, allowed are {MAX_BYTES}")));
         }
-        Rules::assemble(head, |d| self.parts.get(d).cloned())
-            .map_err(|e| Reason::Invalid(e.to_string()))
+        let get = |d: &Digest| self.parts.get(d).cloned();
+        let rules = match &self.force {
+            Some(f) => f.rules.update(&f.head, head, get),
+            None => Rules::assemble(head, get),
+        };
+        rules.map_err(|e| Reason::Invalid(e.to_string()))
     }
 
     fn apply(&mut self, now: Tick, c: Candidate, rules: Arc<Rules>, out: &mut Vec<Effect>) {
--- a/crates/core/src/rules/publish.rs
+++ b/crates/core/src/rules/publish.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use arcstr::ArcStr;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use sha2::{Digest as _, Sha256};
 
 use super::{Account, Adapter, Rules, Upstream};
@@ -128,13 +128,13 @@
         let mut base = self.clone();
         let mut shards = vec![Shard::default(); PARTS];
         for (name, a) in std::mem::take(&mut base.adapters) {
-            shards[shard(&name)].adapters.insert(name, a);
+            shards[shard(&name, PARTS)].adapters.insert(name, a);
         }
         for (name, a) in std::mem::take(&mut base.accounts) {
-            shards[shard(&name)].accounts.insert(name, a);
+            shards[shard(&name, PARTS)].accounts.insert(name, a);
         }
         for (name, u) in std::mem::take(&mut base.upstreams) {
-            shards[shard(&name)].upstreams.insert(name, u);
+            shards[shard(&name, PARTS)].upstreams.insert(name, u);
         }
         let mut texts = vec![serde_json::to_string(&base).expect("rules serialise to JSON")];
         for s in &shards {
@@ -157,32 +157,118 @@
         if !head.is_intact() {
             return Err(PublishError::Mismatch(head.digest.clone()));
         }
-        let mut rules: Option<Self> = None;
-        for d in &head.parts {
-            let text = get(d).ok_or_else(|| PublishError::Missing(d.clone()))?;
-            if digest(text.as_bytes()) != *d {
-                return Err(PublishError::Mismatch(d.clone()));
+        let Some((base, shards)) = head.parts.split_first() else {
+            return Err(PublishError::Invalid(head.version, "the head has no parts".into()));
+        };
+        let mut rules = Self::base(base, &get)?;
+        for (i, d) in shards.iter().enumerate() {
+            rules.insert(Shard::read(d, i, shards.len(), &get)?);
+        }
+        rules.checked(head.version)
+    }
+
+    /// Reads the version `new` back as a change to these rules, which are those of `old`. Only
+    /// parts that differ are read, so that a change to one adapter does not cost the inventory.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Rules::assemble`].
+    pub fn update(
+        &self,
+        old: &Head,
+        new: &Head,
+        get: impl Fn(&Digest) -> Option<ArcStr>,
+    ) -> Result<Self, PublishError> {
+        let count = new.parts.len();
+        let known = old.parts.iter().all(|d| new.parts.contains(d) || get(d).is_some());
+        if !new.is_intact() || count == 0 || count != old.parts.len() || !known {
+            return Self::assemble(new, get);
+        }
+        let mut rules = if old.parts[0] == new.parts[0] {
+            self.clone()
+        } else {
+            let base = Self::base(&new.parts[0], &get)?;
+            Self {
+                adapters: self.adapters.clone(),
+                accounts: self.accounts.clone(),
+                upstreams: self.upstreams.clone(),
+                ..base
             }
-            let format = |e: serde_json::Error| PublishError::Format(d.clone(), e.to_string());
-            match &mut rules {
-                None => rules = Some(serde_json::from_str(&text).map_err(format)?),
-                Some(r) => {
-                    let part: Shard = serde_json::from_str(&text).map_err(format)?;
-                    r.adapters.extend(part.adapters);
-                    r.accounts.extend(part.accounts);
-                    r.upstreams.extend(part.upstreams);
-                }
+        };
+        for (i, (o, n)) in old.parts[1..].iter().zip(&new.parts[1..]).enumerate() {
+            if o != n {
+                rules.remove(&Shard::read(o, i, count - 1, &get)?);
+                rules.insert(Shard::read(n, i, count - 1, &get)?);
             }
         }
-        let rules = rules
-            .ok_or_else(|| PublishError::Invalid(head.version, "the head has no parts".into()))?;
-        match rules.check().into_iter().next() {
-            Some(issue) => Err(PublishError::Invalid(head.version, issue.message)),
-            None => Ok(rules),
+        rules.checked(new.version)
+    }
+
+    fn base(d: &Digest, get: impl Fn(&Digest) -> Option<ArcStr>) -> Result<Self, PublishError> {
+        let base: Self = read(d, get)?;
+        if base.adapters.is_empty() && base.accounts.is_empty() && base.upstreams.is_empty() {
+            Ok(base)
+        } else {
+            Err(PublishError::Format(d.clone(), "an item outside of its shard".into()))
+        }
+    }
+
+    fn insert(&mut self, shard: Shard) {
+        self.adapters.extend(shard.adapters);
+        self.accounts.extend(shard.accounts);
+        self.upstreams.extend(shard.upstreams);
+    }
+
+    fn remove(&mut self, shard: &Shard) {
+        for name in shard.adapters.keys() {
+            self.adapters.remove(name);
+        }
+        for name in shard.accounts.keys() {
+            self.accounts.remove(name);
+        }
+        for name in shard.upstreams.keys() {
+            self.upstreams.remove(name);
+        }
+    }
+
+    fn checked(self, version: u64) -> Result<Self, PublishError> {
+        match self.check().into_iter().next() {
+            Some(issue) => Err(PublishError::Invalid(version, issue.message)),
+            None => Ok(self),
         }
     }
 }
 
+impl Shard {
+    /// Reads shard `i` of `count`. An item of another shard is an error: two shards with the same
+    /// item would make the result depend on the order of changes.
+    fn read(
+        d: &Digest,
+        i: usize,
+        count: usize,
+        get: impl Fn(&Digest) -> Option<ArcStr>,
+    ) -> Result<Self, PublishError> {
+        let part: Self = read(d, get)?;
+        let mut names =
+            part.adapters.keys().chain(part.accounts.keys()).chain(part.upstreams.keys());
+        match names.find(|n| shard(n, count) != i) {
+            Some(n) => Err(PublishError::Format(d.clone(), format!("{n} is in the wrong shard"))),
+            None => Ok(part),
+        }
+    }
+}
+
+fn read<T: DeserializeOwned>(
+    d: &Digest,
+    get: impl Fn(&Digest) -> Option<ArcStr>,
+) -> Result<T, PublishError> {
+    let text = get(d).ok_or_else(|| PublishError::Missing(d.clone()))?;
+    if digest(text.as_bytes()) != *d {
+        return Err(PublishError::Mismatch(d.clone()));
+    }
+    serde_json::from_str(&text).map_err(|e| PublishError::Format(d.clone(), e.to_string()))
+}
+
 /// Digest of a value.
 pub fn digest(bytes: &[u8]) -> Digest {
     let hash = Sha256::digest(bytes);
@@ -202,7 +288,7 @@
     digest(text.as_bytes())
 }
 
-fn shard(name: &str) -> usize {
+fn shard(name: &str, count: usize) -> usize {
     let hash = Sha256::digest(name.as_bytes());
-    usize::from(hash[0]) % PARTS
+    usize::from(u16::from_be_bytes([hash[0], hash[1]])) % count
 }
--- a/crates/core/src/rules/tests.rs
+++ b/crates/core/src/rules/tests.rs
@@ -40,6 +40,17 @@
         let back = Rules::assemble(&out.head, |_| None);
         assert!(matches!(back, Err(PublishError::Missing(_))));
     }
+    // Guards against an item in two shards, with which hosts would disagree after a change.
+    an_item_in_the_wrong_shard_is_an_error: {
+        let out = Rules::parse("r.toml", SAMPLE).unwrap().render(7);
+        let mut parts = out.head.parts.clone();
+        let full = |d: &Digest| out.parts[d].contains("deck-check");
+        let i = parts.iter().position(full).unwrap();
+        parts.swap(i, if i == 1 { 2 } else { 1 });
+        let get = |d: &Digest| out.parts.get(d).map(|t| ArcStr::from(t.as_str()));
+        let back = Rules::assemble(&Head::new(7, parts), get);
+        assert!(matches!(back, Err(PublishError::Format(..))));
+    }
     // Guards against checks that stop at the first finding, and against a finding at the line of
     // the table although the field has a line of its own.
     all_findings_are_reported: {
@@ -187,6 +198,15 @@
         prop_assert_eq!(a.diff(&b).is_empty(), a == b);
         prop_assert!(a.check().is_empty());
     }
+    // Guards against a version that differs with the way to it: an update reads only what changed.
+    #[test]
+    fn an_update_equals_reading_everything(a in rules(), b in rules()) {
+        let (old, new) = (a.render(1), b.render(2));
+        let get = |d: &Digest| {
+            old.parts.get(d).or_else(|| new.parts.get(d)).map(|t| ArcStr::from(t.as_str()))
+        };
+        prop_assert_eq!(a.update(&old.head, &new.head, get).unwrap(), b);
+    }
     // Guards against operators' files and published values that disagree.
     #[test]
     fn rendered_rules_read_back(a in rules(), version in 1..u64::MAX) {
