--- /dev/null
+++ b/crates/bench/src/checker/bound.rs
@@ -0,0 +1,106 @@
+//! The bound rate x window + burst over any window.
+
+/// Tokens that were granted at an unknown time between two known ones, in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Use {
+    /// Earliest time.
+    pub from_us: u64,
+    /// Latest time.
+    pub until_us: u64,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+/// Millionths of a token.
+const MICRO: i128 = 1_000_000;
+
+/// A window with more tokens than allowed: the one with the largest excess, if there is any. A use
+/// counts only in windows that contain both its times.
+pub fn excess(uses: &[Use], rate: u64, burst: u64) -> Option<Use> {
+    let mut ends: Vec<u64> = uses.iter().map(|u| u.until_us).collect();
+    ends.sort_unstable();
+    ends.dedup();
+    let mut by_start: Vec<&Use> = uses.iter().collect();
+    by_start.sort_unstable_by_key(|u| std::cmp::Reverse(u.from_us));
+    // Leaf i is the window's end `ends[i]`: tokens of the uses that end by then, less its refill.
+    let mut tree = Tree::new(ends.iter().map(|t| -i128::from(*t) * i128::from(rate)).collect());
+    let mut worst: Option<(i128, u64, u64)> = None;
+    for (i, u) in by_start.iter().enumerate() {
+        let end = ends.partition_point(|t| *t < u.until_us);
+        tree.add(end, i128::from(u.tokens) * MICRO);
+        if by_start.get(i + 1).is_some_and(|next| next.from_us == u.from_us) {
+            continue;
+        }
+        let first = ends.partition_point(|t| *t < u.from_us);
+        let Some((level, at)) = tree.max_from(first) else { continue };
+        let over = level + i128::from(u.from_us) * i128::from(rate) - i128::from(burst) * MICRO;
+        if over > 0 && worst.is_none_or(|w| over > w.0) {
+            worst = Some((over, u.from_us, ends[at]));
+        }
+    }
+    let (_, from_us, until_us) = worst?;
+    let inside = uses.iter().filter(|u| u.from_us >= from_us && u.until_us <= until_us);
+    Some(Use { from_us, until_us, tokens: inside.map(|u| u.tokens).sum() })
+}
+
+/// Maximum over a suffix, and addition to a suffix, in logarithmic time.
+struct Tree {
+    size: usize,
+    // Maximum of the subtree with its index, without the additions above.
+    max: Vec<(i128, usize)>,
+    add: Vec<i128>,
+}
+
+impl Tree {
+    fn new(leaves: Vec<i128>) -> Self {
+        let size = leaves.len().next_power_of_two();
+        let mut max = vec![(i128::MIN / 2, 0); 2 * size];
+        for (i, v) in leaves.into_iter().enumerate() {
+            max[size + i] = (v, i);
+        }
+        for n in (1..size).rev() {
+            max[n] = max[2 * n].max(max[2 * n + 1]);
+        }
+        Self { size, max, add: vec![0; 2 * size] }
+    }
+
+    /// Adds `v` to all leaves from `from` on.
+    fn add(&mut self, from: usize, v: i128) {
+        self.add_in(1, 0, self.size, from, v);
+    }
+
+    fn add_in(&mut self, node: usize, lo: usize, hi: usize, from: usize, v: i128) {
+        if hi <= from {
+            return;
+        }
+        if from <= lo {
+            self.add[node] += v;
+            self.max[node].0 += v;
+            return;
+        }
+        let mid = lo.midpoint(hi);
+        self.add_in(2 * node, lo, mid, from, v);
+        self.add_in(2 * node + 1, mid, hi, from, v);
+        let (value, at) = self.max[2 * node].max(self.max[2 * node + 1]);
+        self.max[node] = (value + self.add[node], at);
+    }
+
+    /// Largest leaf from `from` on.
+    fn max_from(&self, from: usize) -> Option<(i128, usize)> {
+        (from < self.size).then(|| self.max_in(1, 0, self.size, from))
+    }
+
+    fn max_in(&self, node: usize, lo: usize, hi: usize, from: usize) -> (i128, usize) {
+        if hi <= from {
+            return (i128::MIN / 2, 0);
+        }
+        if from <= lo {
+            return self.max[node];
+        }
+        let mid = lo.midpoint(hi);
+        let left = self.max_in(2 * node, lo, mid, from);
+        let right = self.max_in(2 * node + 1, mid, hi, from);
+        let (value, at) = left.max(right);
+        (value + self.add[node], at)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/driver.rs
@@ -0,0 +1,181 @@
+//! Callers whose requests are recorded for the checker.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+};
+
+use crate::{
+    Result,
+    checker::{Asked, Called, Evidence, Key, Limits, Span, Violation},
+    client::{Ask, Call, Http, Outcome},
+    fleet::{Fleet, Host},
+    now_us,
+    plan::key,
+};
+
+/// Where a request is sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Name of the host.
+    pub name: String,
+    /// Address for callers.
+    pub addr: SocketAddr,
+}
+
+impl From<&Host> for Target {
+    fn from(h: &Host) -> Self {
+        Self { name: h.name.clone(), addr: h.http }
+    }
+}
+
+/// Sends requests and records them.
+pub struct Driver {
+    http: Http,
+    seen: RefCell<Evidence>,
+    newest: RefCell<Vec<String>>,
+    marks: Cell<u64>,
+}
+
+impl Driver {
+    /// A driver of the fleet's accounts.
+    pub fn new(fleet: &Fleet) -> Self {
+        let accounts = &fleet.plan.accounts;
+        let keys = accounts.keys().map(|a| Key {
+            key: key(a),
+            account: a.to_string(),
+            from_us: 0,
+            until_us: None,
+        });
+        let limits =
+            accounts.iter().map(|(n, a)| (n.to_string(), Limits { rate: a.rate, burst: a.burst }));
+        let seen =
+            Evidence { keys: keys.collect(), limits: limits.collect(), ..Default::default() };
+        Self {
+            http: fleet.http.clone(),
+            seen: RefCell::new(seen),
+            newest: RefCell::new(
+                fleet.plan.versions.last().map(ToString::to_string).into_iter().collect(),
+            ),
+            marks: Cell::new(0),
+        }
+    }
+
+    fn mark(&self) -> String {
+        self.marks.set(self.marks.get() + 1);
+        format!("m{}", self.marks.get())
+    }
+
+    /// Sends a request for a completion; its mark is set here.
+    pub async fn ask(&self, to: &Target, mut a: Ask) -> Outcome {
+        a.mark = self.mark();
+        let outcome = self.http.ask(to.addr, &a).await;
+        let versions = match &a.version {
+            Some(v) => vec![v.clone()],
+            None => self.newest.borrow().clone(),
+        };
+        self.seen.borrow_mut().asked.push(Asked {
+            mark: a.mark.clone(),
+            host: to.name.clone(),
+            tokens: a.tokens(),
+            key: a.key,
+            adapter: a.adapter,
+            versions,
+            outcome: outcome.clone(),
+        });
+        outcome
+    }
+
+    /// Calls a route to a plain service once; the mark is set here.
+    pub async fn call(&self, to: &Target, c: Call, idempotent: bool, open: bool) -> Outcome {
+        self.call_each(&[to], c, idempotent, open).await.pop().unwrap_or_default()
+    }
+
+    /// Makes the same call at each host in turn, as a caller that tries again.
+    pub async fn call_each(
+        &self,
+        to: &[&Target],
+        mut c: Call,
+        idempotent: bool,
+        open: bool,
+    ) -> Vec<Outcome> {
+        c.mark = self.mark();
+        let mut outcomes = Vec::new();
+        for t in to {
+            outcomes.push(self.http.call(t.addr, &c).await);
+        }
+        let called =
+            Called { mark: c.mark, idempotent, open, key: c.key, outcomes: outcomes.clone() };
+        self.seen.borrow_mut().called.push(called);
+        outcomes
+    }
+
+    /// Notes that a key was published now.
+    pub fn key_added(&self, key: &str, account: &str) {
+        let (key, account) = (key.to_owned(), account.to_owned());
+        let k = Key { key, account, from_us: now_us(), until_us: None };
+        self.seen.borrow_mut().keys.push(k);
+    }
+
+    /// Notes that a version without the key was published now.
+    pub fn key_revoked(&self, key: &str) {
+        for k in self.seen.borrow_mut().keys.iter_mut().filter(|k| k.key == key) {
+            k.until_us = Some(now_us());
+        }
+    }
+
+    /// Notes that a version was published now and is the newest of all adapters.
+    pub fn version_added(&self, version: &str) {
+        self.newest.borrow_mut().push(version.into());
+    }
+
+    /// Notes that a host was killed now.
+    pub fn killed(&self, host: &str) {
+        self.seen.borrow_mut().killed.push((host.into(), now_us()));
+    }
+
+    /// Notes that a host was told to shut down now.
+    pub fn stopped(&self, host: &str) {
+        self.seen.borrow_mut().stopped.push((host.into(), now_us()));
+    }
+
+    /// Notes that an upstream was marked leaving, or live again, now.
+    pub fn leaving(&self, upstream: &str, leaving: bool) {
+        let mut seen = self.seen.borrow_mut();
+        if leaving {
+            seen.leaving.push((upstream.into(), Span { from_us: now_us(), until_us: None }));
+            return;
+        }
+        for (_, s) in seen.leaving.iter_mut().filter(|(n, _)| n == upstream) {
+            s.until_us.get_or_insert_with(now_us);
+        }
+    }
+
+    /// Notes a time in which the newest configuration cannot be read.
+    pub fn blind(&self, from_us: u64, until_us: u64) {
+        self.seen.borrow_mut().blind.push(Span { from_us, until_us: Some(until_us) });
+    }
+
+    /// What was recorded so far, with the journals of all stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// A stand-in does not answer.
+    pub async fn evidence(&self, fleet: &Fleet) -> Result<Evidence> {
+        let mut e = self.seen.borrow().clone();
+        e.engines = fleet.engine_journals().await?;
+        for p in &fleet.plan.plain {
+            e.plain.insert(p.name.to_string(), fleet.journal(&p.name).await?);
+        }
+        Ok(e)
+    }
+
+    /// All violations so far.
+    ///
+    /// # Errors
+    ///
+    /// A stand-in does not answer.
+    pub async fn check(&self, fleet: &Fleet) -> Result<Vec<Violation>> {
+        Ok(self.evidence(fleet).await?.check())
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,8 +1,10 @@
 //! Experiments with yuccawing: a fleet of real processes on this machine, a fault-injecting proxy
 //! between them, open-loop load, and a checker of the guarantees.
 
+pub mod checker;
 pub mod client;
 pub mod cmd;
+pub mod driver;
 pub mod fleet;
 pub mod plan;
 pub mod process;
