--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -115,6 +115,17 @@
     }
 }
 
+impl Host {
+    /// Lets a paused process continue (SIGCONT), also when the fleet has a successor.
+    ///
+    /// # Errors
+    ///
+    /// It has ended.
+    pub fn resume(&self) -> Result<()> {
+        self.process.signal(Signal::CONT)
+    }
+}
+
 #[derive(Deserialize)]
 struct Journal {
     entries: Vec<Entry>,
--- /dev/null
+++ b/crates/bench/tests/p3_keys.rs
@@ -0,0 +1,78 @@
+//! P3: except on open routes, a request runs only for the account whose key came with it; no
+//! upstream sees the key; a revoked key stops working within seconds.
+
+mod support;
+
+use std::time::Duration;
+
+use support::*;
+use yuccabench::plan::key_hash;
+
+fn call(path: &str, key: Option<String>) -> Call {
+    Call { mark: String::new(), key, path: path.into(), ticket: None }
+}
+
+cases! {
+    // Guards against requests that run without a valid key.
+    a_request_without_a_valid_key_does_not_run: {
+        let (f, d, t) = fleet(Plan::new(3)).await?;
+        for key in [None, Some("wrong".to_owned()), Some(String::new())] {
+            for to in &t {
+                let o = d.ask(to, Ask { key: key.clone(), ..ask("a0", "1", 4) }).await;
+                assert_eq!((o.status, o.run), (Some(401), Some(Run::NotRun)), "{o:?}");
+                let o = d.call(to, call("/notes/1", key.clone()), true, false).await;
+                assert_eq!((o.status, o.run), (Some(401), Some(Run::NotRun)), "{o:?}");
+            }
+        }
+        let e = clean(&f, &d).await?;
+        let ran = e.engines.values().chain(e.plain.values()).flatten();
+        assert_eq!(ran.filter(|e| matches!(&*e.kind, "request" | "call")).count(), 0);
+    }
+    // Guards against an open route that needs a key, or one that forwards it.
+    an_open_route_needs_no_key_and_forwards_none: {
+        let plan = Plan::new(3).route("/open", |r| r.open = true);
+        let (f, d, t) = fleet(plan).await?;
+        for key in [None, Some(key("press"))] {
+            all_served(&[d.call(&t[0], call("/open/x", key), true, true).await]);
+        }
+        let e = clean(&f, &d).await?;
+        assert_eq!(e.plain["p0"].len(), 2);
+    }
+    // Guards against a key that reaches an upstream in a header or body.
+    no_upstream_sees_a_key: {
+        let (f, d, t) = fleet(Plan::new(3)).await?;
+        for to in &t {
+            all_served(&[
+                d.ask(to, ask("a0", "1", 4)).await,
+                d.call(to, call("/notes/1", Some(key("press"))), true, false).await,
+            ]);
+        }
+        let e = clean(&f, &d).await?;
+        let seen = e.engines.values().chain(e.plain.values()).flatten();
+        let auth = seen.filter(|e| e.headers.iter().any(|h| h == "authorization")).count();
+        assert_eq!(auth, 0);
+    }
+    // Guards against a revoked key that goes on to work for callers who stay connected.
+    a_revoked_key_stops_within_seconds: {
+        let (mut f, d, t) = fleet(Plan::new(3).account("other", 1_000_000, 1_000_000)).await?;
+        let other = Ask { key: Some(key("other")), ..ask("a0", "1", 4) };
+        for to in &t {
+            served_at(&d, to, &other, LONG).await?;
+        }
+        f.publish(|r| r.accounts.get_mut("other").unwrap().keys.clear()).await?;
+        d.key_revoked(&key("other"));
+        // The checker allows 5 s from here; the load goes on beyond that.
+        let out = load(&d, 6, Duration::from_secs(8), |i| (t[i % 3].clone(), other.clone())).await;
+        assert!(out.iter().any(|o| o.status == Some(401)));
+        clean(&f, &d).await?;
+        all_served(&[d.ask(&t[0], ask("a0", "1", 4)).await]);
+    }
+    // Guards against a key that moves to another account and is still taken for the old one.
+    a_key_is_known_by_its_hash_only: {
+        let (f, d, t) = fleet(Plan::new(3)).await?;
+        let hash = key_hash(&key("press")).to_string();
+        let o = d.ask(&t[0], Ask { key: Some(hash), ..ask("a0", "1", 4) }).await;
+        assert_eq!(o.status, Some(401));
+        clean(&f, &d).await?;
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/p4_allowance.rs
@@ -0,0 +1,100 @@
+//! P4: no account receives more than rate x window + burst over all hosts together, over any
+//! window.
+
+mod support;
+
+use std::time::Duration;
+
+use futures::future::join;
+use support::*;
+
+/// Tokens per second of the account under test; about 16 requests per second.
+const RATE: u64 = 480;
+
+/// Burst of the account under test.
+const BURST: u64 = 960;
+
+fn limited() -> Plan {
+    Plan::new(3).account("small", RATE, BURST).each_engine(|e| (e.first_ms, e.token_ms) = (2, 0))
+}
+
+fn small() -> Ask {
+    // 30 tokens: 6 of the prompt at most 10, and 20 of the answer.
+    Ask { key: Some(key("small")), ..ask("a0", "1", 20) }
+}
+
+/// Tokens that the account's requests received, without the prompts.
+fn received(out: &[Outcome]) -> u64 {
+    out.iter().filter(|o| o.is_ok()).count() as u64 * 20
+}
+
+cases! {
+    // Guards against shares that are given to several hosts at once.
+    the_bound_holds_with_callers_on_all_hosts: {
+        let (f, d, t) = fleet(limited()).await?;
+        let span = Duration::from_secs(8);
+        let out = load(&d, 12, span, |i| (t[i % 3].clone(), small())).await;
+        clean(&f, &d).await?;
+        // Far above the share of one host, or the test shows nothing.
+        assert!(received(&out) > RATE * 8 / 3, "{}", received(&out));
+        assert!(out.iter().any(|o| o.status == Some(429)));
+    }
+    // Guards against loans that create tokens, and against shares that cannot be borrowed.
+    the_bound_holds_when_callers_move_from_host_to_host: {
+        let (f, d, t) = fleet(limited()).await?;
+        let begin = std::time::Instant::now();
+        let out = load(&d, 12, Duration::from_secs(9), |_| {
+            let i = begin.elapsed().as_secs() as usize / 3 % 3;
+            (t[i].clone(), small())
+        }).await;
+        clean(&f, &d).await?;
+        assert!(received(&out) > RATE * 9 / 2, "{} of {}", received(&out), RATE * 9);
+    }
+    // Guards against a successor that uses its predecessor's share a second time.
+    the_bound_holds_when_a_host_is_replaced: {
+        let (mut f, d, t) = fleet(limited()).await?;
+        let first = t[0].clone();
+        load(&d, 12, Duration::from_secs(3), |i| (t[i % 3].clone(), small())).await;
+        d.killed(&first.name);
+        f.kill_host(&first.name)?;
+        let rest: Vec<_> = t[1..].to_vec();
+        let work = load(&d, 12, Duration::from_secs(8), |i| (rest[i % 2].clone(), small()));
+        let fault = async {
+            let new = f.replace_host(&first.name).await.unwrap();
+            f.host_ready(&new, LONG).await.unwrap();
+            let all = targets(&f);
+            load(&d, 12, Duration::from_secs(4), |i| (all[i % 3].clone(), small())).await
+        };
+        join(work, fault).await;
+        clean(&f, &d).await?;
+    }
+    // Guards against a paused host that goes on to spend a share that others use by now.
+    the_bound_holds_when_a_host_pauses_and_resumes: {
+        let (f, d, t) = fleet(limited()).await?;
+        let work = load(&d, 12, Duration::from_secs(10), |i| (t[i % 3].clone(), small()));
+        let fault = async {
+            for _ in 0..2 {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                f.pause_host(&t[0].name).unwrap();
+                tokio::time::sleep(Duration::from_secs(4)).await;
+                f.resume_host(&t[0].name).unwrap();
+            }
+        };
+        join(work, fault).await;
+        clean(&f, &d).await?;
+    }
+    // Guards against two sides of a partition that both spend the whole allowance.
+    the_bound_holds_through_a_partition: {
+        let (f, d, t) = fleet(limited().proxied()).await?;
+        let work = load(&d, 12, Duration::from_secs(12), |i| (t[i % 3].clone(), small()));
+        let fault = async {
+            let rest = [t[1].name.as_str(), t[2].name.as_str()];
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            f.links(&[&t[0].name], &rest, |l| l.drop = true).unwrap();
+            tokio::time::sleep(Duration::from_secs(6)).await;
+            f.links(&[&t[0].name], &rest, |l| l.drop = false).unwrap();
+        };
+        join(work, fault).await;
+        clean(&f, &d).await?;
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/p5_answers.rs
@@ -0,0 +1,66 @@
+//! P5: every caller receives the complete answer to its own request, even when answers arrive late
+//! or crossed.
+
+mod support;
+
+use std::time::Duration;
+
+use futures::future::{join, join_all};
+use serde_json::json;
+use support::*;
+
+async fn under(faults: serde_json::Value) -> Result<()> {
+    let (f, d, t) = fleet(Plan::new(3)).await?;
+    for e in ["e0", "e1", "e2"] {
+        f.faults(e, faults.clone()).await?;
+    }
+    let asks = (0..24).map(|i| d.ask(&t[i % 3], ask(&adapter(i % 4), "1", 40)));
+    let out = join_all(asks.collect::<Vec<_>>()).await;
+    all_served(&out);
+    clean(&f, &d).await?;
+    Ok(())
+}
+
+cases! {
+    // Guards against repeated chunks that are passed on.
+    repeated_chunks_are_dropped: { under(json!({"duplicate": true})).await? }
+    // Guards against chunks of another request that are passed on.
+    chunks_of_other_requests_are_rejected: { under(json!({"cross": true})).await? }
+    // Guards against answers that end where a connection broke.
+    a_broken_stream_is_resumed: { under(json!({"cut_after": 15})).await? }
+    // Guards against faults that are handled one by one only.
+    all_at_once: { under(json!({"cut_after": 15, "cross": true, "duplicate": true})).await? }
+    // Guards against a wait without end on a stream that is silent for good.
+    a_silent_stream_is_resumed_on_a_new_connection: {
+        let plan = Plan::new(3).each_engine(|e| e.token_ms = 20);
+        let (f, d, t) = fleet(plan).await?;
+        let streams = join_all((0..3).map(|i| d.ask(&t[i], ask("a0", "1", 150))));
+        let fault = async {
+            tokio::time::sleep(Duration::from_millis(1500)).await;
+            for e in ["e0", "e1", "e2"] {
+                f.faults(e, json!({"silent": true})).await.unwrap();
+            }
+        };
+        let (out, ()) = join(streams, fault).await;
+        all_served(&out);
+        clean(&f, &d).await?;
+    }
+    // Guards against the same when the network goes silent: requests on old connections get lost.
+    silent_connections_to_engines_are_replaced: {
+        let (f, d, t) = fleet(Plan::new(3).proxied()).await?;
+        all_served(&join_all(t.iter().map(|t| d.ask(t, ask("a0", "1", 8)))).await);
+        let hosts: Vec<_> = t.iter().map(|t| t.name.as_str()).collect();
+        f.silence(&hosts, &["e0", "e1", "e2"])?;
+        let out = join_all(t.iter().map(|t| d.ask(t, ask("a0", "1", 8)))).await;
+        all_served(&out);
+        clean(&f, &d).await?;
+    }
+    // Guards against a graceful shutdown or a slow caller being needed for a whole answer: an
+    // answer without streaming is complete too.
+    an_answer_that_is_not_streamed_is_complete: {
+        let (f, d, t) = fleet(Plan::new(3)).await?;
+        let a = Ask { stream: false, ..ask("a2", "2", 30) };
+        all_served(&join_all(t.iter().map(|t| d.ask(t, a.clone()))).await);
+        clean(&f, &d).await?;
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/p7_once.rs
@@ -0,0 +1,88 @@
+//! P7: a non-idempotent request runs at most once.
+
+mod support;
+
+use futures::future::{join, join_all};
+use serde_json::json;
+use support::*;
+
+fn once(ticket: Option<String>) -> Call {
+    Call { mark: String::new(), key: Some(key("press")), path: "/once/1".into(), ticket }
+}
+
+async fn start() -> Result<(Fleet, Driver, Vec<Target>)> {
+    fleet(Plan::new(3).route("/once", |r| r.idempotent = false)).await
+}
+
+cases! {
+    // Guards against calls that are let through without a ticket.
+    a_call_needs_a_ticket: {
+        let (f, d, t) = start().await?;
+        let o = d.call(&t[0], once(None), false, false).await;
+        assert_eq!((o.status, o.run), (Some(428), Some(Run::NotRun)), "{o:?}");
+        let ticket = f.http.ticket(t[0].addr, &key("press")).await?;
+        all_served(&[d.call(&t[0], once(Some(ticket)), false, false).await]);
+        clean(&f, &d).await?;
+    }
+    // Guards against a second run for a caller that tries again after an answer that got lost.
+    a_call_whose_answer_breaks_is_not_repeated: {
+        let (f, d, t) = start().await?;
+        f.faults("p0", json!({"cut": true})).await?;
+        let ticket = f.http.ticket(t[0].addr, &key("press")).await?;
+        let out = d.call_each(&[&t[0], &t[0], &t[0]], once(Some(ticket)), false, false).await;
+        assert!(out.iter().all(|o| !o.is_ok() && o.run != Some(Run::NotRun)), "{out:?}");
+        let e = clean(&f, &d).await?;
+        assert_eq!(e.plain["p0"].len(), 1);
+    }
+    // Guards against a ticket that is taken by a host that did not issue it.
+    a_ticket_is_valid_at_its_own_host_only: {
+        let (f, d, t) = start().await?;
+        let ticket = f.http.ticket(t[0].addr, &key("press")).await?;
+        let out = d.call_each(&[&t[1], &t[0], &t[2]], once(Some(ticket)), false, false).await;
+        assert!(!out[0].is_ok() && !out[2].is_ok(), "{out:?}");
+        clean(&f, &d).await?;
+    }
+    // Guards against a ticket that two calls spend at the same time.
+    a_ticket_is_spent_once_under_concurrency: {
+        let (f, d, t) = start().await?;
+        f.faults("p0", json!({"delay_ms": 50})).await?;
+        let ticket = f.http.ticket(t[0].addr, &key("press")).await?;
+        let calls = (0..8).map(|_| d.call(&t[0], once(Some(ticket.clone())), false, false));
+        let out = join_all(calls).await;
+        assert_eq!(served(&out), 1, "{out:?}");
+        let e = clean(&f, &d).await?;
+        assert_eq!(e.plain["p0"].len(), 1);
+    }
+    // Guards against a successor that accepts tickets of its predecessor.
+    a_ticket_ends_with_its_process: {
+        let (mut f, d, t) = start().await?;
+        let old = t[0].name.clone();
+        let ticket = f.http.ticket(t[0].addr, &key("press")).await?;
+        d.killed(&old);
+        f.kill_host(&old)?;
+        let new = f.replace_host(&old).await?;
+        f.host_ready(&new, LONG).await?;
+        let to = Target::from(f.host(&new)?);
+        let o = d.call(&to, once(Some(ticket)), false, false).await;
+        assert!(!o.is_ok(), "{o:?}");
+        let e = clean(&f, &d).await?;
+        assert_eq!(e.plain["p0"].len(), 0);
+    }
+    // Guards against a repeat when the host dies between the run and the answer.
+    a_call_is_not_repeated_when_its_host_dies: {
+        let (mut f, d, t) = start().await?;
+        f.faults("p0", json!({"delay_ms": 1000})).await?;
+        let ticket = f.http.ticket(t[0].addr, &key("press")).await?;
+        let to = [&t[0], &t[1], &t[2]];
+        let call = d.call_each(&to, once(Some(ticket)), false, false);
+        let (name, fleet) = (t[0].name.clone(), &mut f);
+        let fault = async {
+            tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+            d.killed(&name);
+            fleet.kill_host(&name).unwrap();
+        };
+        let (out, ()) = join(call, fault).await;
+        assert!(out.iter().all(|o| !o.is_ok()), "{out:?}");
+        clean(&f, &d).await?;
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/p8_leaving.rs
@@ -0,0 +1,43 @@
+//! P8: a leaving upstream receives no new work after a few seconds.
+
+mod support;
+
+use std::time::Duration;
+
+use support::*;
+
+cases! {
+    // Guards against engines that get requests because their adapters are resident there.
+    a_leaving_engine_gets_no_new_requests: {
+        let (mut f, d, t) = fleet(Plan::new(3)).await?;
+        let make = |i: usize| (t[i % 3].clone(), ask(&adapter(i % 4), "1", 8));
+        all_served(&load(&d, 8, Duration::from_secs(3), make).await);
+        d.leaving("e0", true);
+        f.set_leaving("e0", true).await?;
+        // The checker allows 5 s; the load goes on beyond that.
+        all_served(&load(&d, 8, Duration::from_secs(9), make).await);
+        let e = clean(&f, &d).await?;
+        assert!(e.engines["e0"].iter().any(|e| e.kind == "request"), "e0 never had work");
+    }
+    // Guards against the same for plain services.
+    a_leaving_plain_service_gets_no_new_calls: {
+        let mut plan = Plan::new(3);
+        let mut second = plan.plain[0].clone();
+        second.name = "p1".into();
+        plan.plain.push(second);
+        let (mut f, d, t) = fleet(plan.route("/notes", |_| {})).await?;
+        let c = Call {
+            mark: String::new(), key: Some(key("press")), path: "/notes/1".into(), ticket: None,
+        };
+        d.leaving("p0", true);
+        f.set_leaving("p0", true).await?;
+        let end = std::time::Instant::now() + Duration::from_secs(9);
+        while std::time::Instant::now() < end {
+            for to in &t {
+                all_served(&[d.call(to, c.clone(), true, false).await]);
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        clean(&f, &d).await?;
+    }
+}
