Serve the whole path: edge, TLS, control thread, engines

Cause: edge and control thread were built apart. Change: main wires the HTTP edge, TLS, graceful stop and the control thread; connections to engines and platform are kept until a call fails.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -46,6 +46,7 @@
     mesh::{Link, PeerCall},
     metrics::Metrics,
     settings::Settings,
+    tls::Tls,
     watch::{Platform, PlatformCall},
 };
 
@@ -68,6 +69,8 @@
     pub metrics: Metrics,
     /// Log.
     pub log: Logger,
+    /// TLS between hosts, `None` for plain text.
+    pub tls: Option<Tls>,
     /// Cancelled when the process ends.
     pub stop: CancellationToken,
 }
--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -43,13 +43,15 @@
 const PERMIT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Commands and reports in progress.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(super) struct Commands {
     /// Pin requests that wait for an answer, by asking process and number.
     pub(super) waiters: HashMap<(Incarnation, u64), Answer<PinAnswer>>,
     // When the next report of an engine is due; `None` while one is in progress.
     reports: BTreeMap<ArcStr, Option<Tick>>,
     boots: BTreeMap<ArcStr, ArcStr>,
+    // Clients keep their connection; one that failed is dropped with it.
+    clients: BTreeMap<ArcStr, Client>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -185,8 +187,13 @@
                 continue;
             };
             self.commands.reports.insert(engine.clone(), None);
-            ctx.spawn(report(addr).into_actor(self).map(move |r, act, ctx| {
+            let client = self.commands.clients.entry(engine.clone()).or_insert_with(client);
+            let call = report(client.clone(), addr);
+            ctx.spawn(call.into_actor(self).map(move |r, act, ctx| {
                 let now = act.clock.now();
+                if r.is_none() {
+                    act.commands.clients.remove(&engine);
+                }
                 let own = act.controlled.iter().any(|s| s.name == engine);
                 let pause = if own { REPORT_OWN } else { REPORT_OTHER };
                 act.commands.reports.insert(engine.clone(), Some(now + pause));
@@ -287,8 +294,8 @@
 
 async fn post(addr: ArcStr, what: &str, body: Value) -> Option<(StatusCode, String)> {
     let url = format!("http://{addr}/v1/{what}");
-    let client = Client::builder().disable_timeout().finish();
-    let mut answer = client.post(url).timeout(COMMAND_LIMIT).send_json(&body).await.ok()?;
+    // A new connection: a command must not wait on one that has gone silent.
+    let mut answer = client().post(url).timeout(COMMAND_LIMIT).send_json(&body).await.ok()?;
     let text = answer.body().limit(REPORT_BYTES).await.ok()?;
     let code = serde_json::from_slice::<Value>(&text)
         .ok()
@@ -297,9 +304,12 @@
     Some((answer.status(), code))
 }
 
-async fn report(addr: ArcStr) -> Option<ReportBody> {
+fn client() -> Client {
+    Client::builder().disable_timeout().finish()
+}
+
+async fn report(client: Client, addr: ArcStr) -> Option<ReportBody> {
     let url = format!("http://{addr}/v1/report");
-    let client = Client::builder().disable_timeout().finish();
     let mut answer = client.get(url).timeout(REPORT_LIMIT).send().await.ok()?;
     answer.json().limit(REPORT_BYTES).await.ok()
 }
--- a/crates/daemon/src/control/group.rs
+++ b/crates/daemon/src/control/group.rs
@@ -110,11 +110,10 @@
     /// The link to a host, opened anew when its address has changed.
     pub(super) fn link(&mut self, name: &ArcStr, addr: &str) -> Option<Link> {
         let addr: SocketAddr = addr.parse().ok()?;
-        let link = self.links.entry(name.clone()).or_insert_with(|| Link::new(addr));
-        if link.addr() != addr {
-            *link = Link::new(addr);
+        if self.links.get(name).is_none_or(|l| l.addr() != addr) {
+            self.links.insert(name.clone(), Link::new(addr, self.setup.tls.clone()));
         }
-        Some(link.clone())
+        self.links.get(name).cloned()
     }
 
     /// Link to the best host of an ordinal of the group.
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -214,6 +214,7 @@
 
         impl Code {
             /// All codes.
+            #[cfg(test)]
             pub const ALL: &[Self] = &[$(Self::$name),*];
 
             /// Name in error answers and metrics.
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -28,7 +28,10 @@
         Reply, RequestId, Run,
     },
 };
-use crate::mesh::CALL_LIMIT;
+use crate::{
+    events::{Event, emit},
+    mesh::CALL_LIMIT,
+};
 
 /// How long a request waits for loans before it is refused.
 const LOAN_WAIT: Duration = Duration::from_millis(400);
@@ -423,9 +426,12 @@
             return;
         }
         self.queue.retain(|i| i.data != id);
-        let r = Refusal::not_run(Code::NoUpstream, "no engine can take the request")
-            .retry(Duration::from_secs(1));
-        self.close(now, flight, r);
+        let r = if o.stalled {
+            Refusal::not_run(Code::LoadFailed, "the adapter could not be loaded")
+        } else {
+            Refusal::not_run(Code::NoUpstream, "no engine can take the request")
+        };
+        self.close(now, flight, r.retry(Duration::from_secs(1)));
     }
 
     fn mark_stalled(&mut self, target: &Target) {
@@ -561,7 +567,8 @@
             let ran = matches!(d.outcome, Outcome::Finished);
             self.tickets.finish(t, if ran { Fate::Ran } else { Fate::Unknown });
         }
-        let Some(flight) = self.requests.ids.get(&d.id).copied() else { return };
+        let known = || self.requests.ids.get(&d.id).copied();
+        let Some(flight) = d.flight.or_else(known) else { return };
         let outcome = match d.outcome {
             Outcome::Finished => route::Outcome::Good,
             Outcome::Broken | Outcome::NotRun(NotRun::Connect | NotRun::Silent) => {
@@ -768,6 +775,7 @@
             }
             act.lease_effects(now, out, ctx);
             act.publish(now);
+            emit(&act.setup.log, Event::LeaseReleased, &slog::b!());
             // The peers are told by calls that this waits for.
             let told = tokio::time::sleep(CALL_LIMIT / 2);
             ctx.spawn(told.into_actor(act).map(move |(), _, _| {
--- a/crates/daemon/src/edge/context.rs
+++ b/crates/daemon/src/edge/context.rs
@@ -45,7 +45,7 @@
     pub(super) id: RequestId,
     pub(super) arrival: Instant,
     // Held by the answer's body until it is sent.
-    pub(super) pass: Rc<Option<Pass>>,
+    _pass: Rc<Option<Pass>>,
 }
 
 impl Context {
@@ -93,7 +93,7 @@
         let refusal = refusal.retry(Duration::ZERO);
         req.into_response(Failure(refusal).response()).map_into_right_body()
     } else {
-        let context = Context { id, arrival: Instant::now(), pass: Rc::new(pass) };
+        let context = Context { id, arrival: Instant::now(), _pass: Rc::new(pass) };
         req.extensions_mut().insert(context);
         next.call(req).await?.map_into_left_body()
     };
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -24,6 +24,7 @@
 
         impl Event {
             /// All events, by number.
+            #[cfg(test)]
             pub const ALL: &[Self] = &[$(Self::$name),*];
 
             /// Number, which never changes its meaning.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,9 +18,8 @@
     sync::{Arc, mpsc},
 };
 
-use actix::Actor;
+use actix::{Actor, Addr};
 use actix_rt::Arbiter;
-use actix_web::{App, HttpResponse, HttpServer, web};
 use arc_swap::ArcSwap;
 use argh::FromArgs;
 use slog::Logger;
@@ -28,10 +27,13 @@
 use yuccawing_core::rules::Findings;
 
 use crate::{
-    control::{Control, Handle, Setup, messages::Snapshot, random_incarnation},
+    control::{Control, Handle, messages::Snapshot, random_incarnation},
     events::{Event, emit},
     metrics::Metrics,
     settings::Settings,
+    stop::{Gate, Signals, Stop},
+    tls::{Tls, TlsError},
+    upstream::Timing,
 };
 
 /// Runs an entry host of yuccawing. Memory grows with the inventory, about 1 KB an adapter.
@@ -51,7 +53,10 @@
     /// The settings have findings.
     #[error("{0}")]
     Settings(#[from] Findings),
-    /// A socket or a file.
+    /// A certificate or key cannot be used.
+    #[error("{0}")]
+    Tls(#[from] TlsError),
+    /// A socket or a signal handler.
     #[error("{0}")]
     Io(#[from] std::io::Error),
 }
@@ -82,57 +87,69 @@
 }
 
 async fn serve(settings: Arc<Settings>, log: Logger) -> Result<(), Error> {
-    let view = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
-    let stop = CancellationToken::new();
+    let mut signals = Signals::new()?;
+    let tls = settings.tls.as_ref().map(Tls::load).transpose()?;
+    let callers = TcpListener::bind(settings.listen.http)?;
     let peers = TcpListener::bind(settings.listen.peer)?;
     peers.set_nonblocking(true)?;
-    let setup = Setup {
-        settings: settings.clone(),
-        incarnation: random_incarnation(),
-        view: view.clone(),
-        metrics: Metrics::new(),
+    let view = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
+    let (metrics, gate, token) = (Metrics::new(), Gate::new(), CancellationToken::new());
+    let control = start_control(
+        control::Setup {
+            settings: settings.clone(),
+            incarnation: random_incarnation(),
+            view: view.clone(),
+            metrics: metrics.clone(),
+            log: log.clone(),
+            tls: tls.clone().filter(|_| !settings.plaintext.peers),
+            stop: token.clone(),
+        },
+        peers,
+    );
+    let handle = Handle::new(control.recipient(), view);
+    let tls_callers = match &tls {
+        Some(t) if !settings.plaintext.callers => Some(t.callers()?),
+        _ => None,
+    };
+    let edge = edge::Setup {
+        handle: handle.clone(),
+        metrics,
         log: log.clone(),
-        stop: stop.clone(),
+        gate: gate.clone(),
+        limits: settings.limits,
+        timing: Timing::default(),
+        admin: settings.admin.key.clone(),
+        stop: settings.stop.limit,
+        tls: tls_callers,
     };
-    let control = start_control(setup, peers);
-    let handle = Handle::new(control.recipient(), view);
-    let f = slog::b!("http" => settings.listen.http.to_string());
-    emit(&log, Event::Started, &f);
-    HttpServer::new(move || {
-        App::new()
-            .app_data(web::Data::new(handle.clone()))
-            .route("/readyz", web::get().to(ready))
-            .route("/admin/status", web::get().to(status))
-    })
-    .workers(2)
-    .bind(settings.listen.http)?
-    .run()
-    .await?;
-    stop.cancel();
-    Ok(())
-}
-
-async fn ready(h: web::Data<Handle>) -> HttpResponse {
-    if h.view().ready {
-        HttpResponse::Ok().finish()
-    } else {
-        HttpResponse::ServiceUnavailable().finish()
+    let server = edge::serve(edge, callers)?;
+    let stop = Stop {
+        handle,
+        server: server.handle(),
+        gate,
+        limit: settings.stop.limit,
+        log: log.clone(),
+    };
+    actix_rt::spawn(server);
+    if let Some(t) = tls {
+        actix_rt::spawn(t.watch(log.clone(), token.clone()));
     }
-}
-
-async fn status(h: web::Data<Handle>) -> HttpResponse {
-    HttpResponse::Ok().json(h.status().await.ok())
+    let http = settings.listen.http.to_string();
+    emit(&log, Event::Started, &slog::b!("http" => http));
+    stop::run(stop, &mut signals).await;
+    token.cancel();
+    Ok(())
 }
 
 /// Starts the control thread, which also serves the peers.
-fn start_control(setup: Setup, peers: TcpListener) -> actix::Addr<Control> {
+fn start_control(setup: control::Setup, peers: TcpListener) -> Addr<Control> {
     let arbiter = Arbiter::new();
     let (tx, rx) = mpsc::sync_channel(1);
     arbiter.spawn_fn(move || {
-        let stop = setup.stop.clone();
+        let (stop, tls) = (setup.stop.clone(), setup.tls.clone());
         let addr = Control::new(setup).start();
         let listener = tokio::net::TcpListener::from_std(peers).expect("the listener is valid");
-        actix_rt::spawn(mesh::serve(listener, addr.clone().recipient(), stop));
+        actix_rt::spawn(mesh::serve(listener, tls, addr.clone().recipient(), stop));
         let _ = tx.send(addr);
     });
     rx.recv().expect("the control thread has started")
--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -18,6 +18,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use super::{FRAME_LIMIT, MeshClient};
+use crate::tls::{self, PeerStream, Tls};
 
 /// Deadline of calls that are answered at once. Above the round trip between regions, and so far
 /// below the lease that a round can be repeated several times within it.
@@ -41,14 +42,15 @@
 #[derive(Clone)]
 pub struct Link {
     addr: SocketAddr,
+    tls: Option<Tls>,
     client: Rc<RefCell<Option<(u64, MeshClient)>>>,
     opened: Rc<RefCell<u64>>,
 }
 
 impl Link {
-    /// A link to `addr`.
-    pub fn new(addr: SocketAddr) -> Self {
-        Self { addr, client: Rc::default(), opened: Rc::default() }
+    /// A link to `addr`, by mutual TLS or plain text.
+    pub fn new(addr: SocketAddr, tls: Option<Tls>) -> Self {
+        Self { addr, tls, client: Rc::default(), opened: Rc::default() }
     }
 
     /// The peer's address.
@@ -85,11 +87,10 @@
         if let Some(c) = &*self.client.borrow() {
             return Ok(c.clone());
         }
-        let stream = timeout(limit, TcpStream::connect(self.addr))
+        let stream = timeout(limit, self.connect())
             .await
             .map_err(|_| LinkError::Timeout(self.addr, limit))?
             .map_err(|e| LinkError::Connect(self.addr, e))?;
-        stream.set_nodelay(true).map_err(|e| LinkError::Connect(self.addr, e))?;
         let framed =
             LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_framed(stream);
         let transport = serde_transport::new(framed, Bincode::default());
@@ -100,6 +101,12 @@
         Ok((id, client))
     }
 
+    async fn connect(&self) -> io::Result<PeerStream> {
+        let stream = TcpStream::connect(self.addr).await?;
+        stream.set_nodelay(true)?;
+        tls::connect(self.tls.as_ref(), self.addr, stream).await
+    }
+
     // Calls run at the same time: a late failure must not close the connection that replaced the
     // one it used.
     fn close(&self, id: u64) {
--- a/crates/daemon/src/mesh/server.rs
+++ b/crates/daemon/src/mesh/server.rs
@@ -1,6 +1,6 @@
 //! Server side: hands each call to the control thread.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use actix::{Message, Recipient};
 use arcstr::ArcStr;
@@ -26,6 +26,7 @@
 };
 
 use super::{FRAME_LIMIT, Mesh, Probe};
+use crate::tls::{self, Tls};
 
 /// Connections from peers at once: the group, its probers and reconnects, with room.
 const CONNECTION_LIMIT: usize = 64;
@@ -105,10 +106,15 @@
 }
 
 /// Serves peers on `listener` until `stop` is cancelled.
-pub async fn serve(listener: TcpListener, control: Recipient<PeerCall>, stop: CancellationToken) {
-    let slots = std::rc::Rc::new(std::cell::Cell::new(CONNECTION_LIMIT));
+pub async fn serve(
+    listener: TcpListener,
+    tls: Option<Tls>,
+    control: Recipient<PeerCall>,
+    stop: CancellationToken,
+) {
+    let slots = Rc::new(Cell::new(CONNECTION_LIMIT));
     loop {
-        let (stream, addr) = tokio::select! {
+        let (stream, _) = tokio::select! {
             () = stop.cancelled() => return,
             x = listener.accept() => match x {
                 Ok(x) => x,
@@ -123,24 +129,26 @@
             continue;
         }
         slots.set(slots.get() - 1);
-        let (slots, server, stop) =
-            (slots.clone(), Server { control: control.clone() }, stop.clone());
+        let (slots, stop, tls) = (slots.clone(), stop.clone(), tls.clone());
+        let server = Server { control: control.clone() };
         actix_rt::spawn(async move {
             tokio::select! {
                 () = stop.cancelled() => {}
-                () = connection(stream, addr, server) => {}
+                () = connection(stream, tls, server) => {}
             }
             slots.set(slots.get() + 1);
         });
     }
 }
 
-async fn connection(stream: TcpStream, _addr: SocketAddr, server: Server) {
+async fn connection(stream: TcpStream, tls: Option<Tls>, server: Server) {
     let _ = stream.set_nodelay(true);
+    // A caller that is not a host of the system ends here.
+    let Ok(stream) = tls::accept(tls.as_ref(), stream).await else { return };
     let framed = LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_framed(stream);
     let transport = serde_transport::new(framed, Bincode::default());
     let mut requests = BaseChannel::with_defaults(transport).requests();
-    let open = std::rc::Rc::new(std::cell::Cell::new(0usize));
+    let open = Rc::new(Cell::new(0usize));
     while let Ok(Some(Ok(request))) = timeout(IDLE_LIMIT, requests.next()).await {
         if open.get() >= CALLS_LIMIT {
             continue;
--- a/crates/daemon/src/mesh/tests.rs
+++ b/crates/daemon/src/mesh/tests.rs
@@ -5,7 +5,7 @@
 use tokio_util::sync::CancellationToken;
 use yuccawing_core::rules::Rules;
 
-use super::{CALL_LIMIT, Link, LinkError, PeerCall, serve};
+use super::{CALL_LIMIT, Link, PeerCall, link::LinkError, serve};
 
 struct Peer;
 
@@ -36,13 +36,13 @@
     // Guards against a link that keeps using a connection that has gone silent for good.
     a_silent_connection_is_replaced: {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let link = Link::new(listener.local_addr().unwrap());
+        let link = Link::new(listener.local_addr().unwrap(), None);
         let stop = CancellationToken::new();
         let peer = Peer.start();
         let token = stop.clone();
         actix_rt::spawn(async move {
             let silent = listener.accept().await;
-            serve(listener, peer.recipient(), token).await;
+            serve(listener, None, peer.recipient(), token).await;
             drop(silent);
         });
         let start = Instant::now();
@@ -54,7 +54,7 @@
     // Guards against a call that waits without end for a host that is gone.
     a_host_that_is_gone_is_an_error: {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let link = Link::new(listener.local_addr().unwrap());
+        let link = Link::new(listener.local_addr().unwrap(), None);
         drop(listener);
         let out = tokio::time::timeout(Duration::from_secs(10), head(&link)).await.unwrap();
         assert!(matches!(out, Err(LinkError::Connect(..))));
@@ -62,9 +62,9 @@
     // Guards against a call that the control thread never answers holding up the next one.
     calls_share_a_connection_independently: {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let link = Link::new(listener.local_addr().unwrap());
+        let link = Link::new(listener.local_addr().unwrap(), None);
         let stop = CancellationToken::new();
-        actix_rt::spawn(serve(listener, Peer.start().recipient(), stop.clone()));
+        actix_rt::spawn(serve(listener, None, Peer.start().recipient(), stop.clone()));
         let slow = link.call(CALL_LIMIT, |c, x| async move { c.part(x, "d".into()).await });
         let (slow, fast) = futures::join!(slow, head(&link));
         assert_eq!(fast.unwrap(), 3);
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -3,7 +3,7 @@
 //! They run on the control thread and only read. Each answer goes to the control thread as a
 //! [`PlatformCall`].
 
-use std::time::Duration;
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix::{Message, Recipient};
 use arcstr::ArcStr;
@@ -67,12 +67,14 @@
     config: ArcStr,
     list: ArcStr,
     control: Recipient<PlatformCall>,
+    // Keeps its connections until a call fails.
+    client: Rc<RefCell<Client>>,
 }
 
 impl Platform {
     /// A client of the services at `config` and `list`, `IP:PORT` each.
     pub fn new(config: ArcStr, list: ArcStr, control: Recipient<PlatformCall>) -> Self {
-        Self { config, list, control }
+        Self { config, list, control, client: Rc::new(RefCell::new(client())) }
     }
 
     /// Watches the head until `stop` is cancelled.
@@ -92,7 +94,7 @@
                 Err(e) => {
                     // A restarted or restored service may count from a lower revision.
                     revision = 0;
-                    self.control.do_send(PlatformCall::Failed("config", e.to_string()));
+                    self.failed("config", &e);
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
@@ -108,7 +110,7 @@
             };
             match out {
                 Ok(list) => self.control.do_send(PlatformCall::List(list)),
-                Err(e) => self.control.do_send(PlatformCall::Failed("list", e.to_string())),
+                Err(e) => self.failed("list", &e),
             }
             tokio::select! {
                 () = stop.cancelled() => return,
@@ -122,7 +124,7 @@
         match self.head().await {
             Ok(head) => self.control.do_send(PlatformCall::Head(Some(head))),
             Err(e) => {
-                self.control.do_send(PlatformCall::Failed("config", e.to_string()));
+                self.failed("config", &e);
                 self.control.do_send(PlatformCall::HeadFailed);
             }
         }
@@ -133,17 +135,27 @@
         let text = match self.part(&digest).await {
             Ok(text) => Some(text),
             Err(e) => {
-                self.control.do_send(PlatformCall::Failed("config", e.to_string()));
+                self.failed("config", &e);
                 None
             }
         };
         self.control.do_send(PlatformCall::Part(digest, text));
     }
 
+    fn client(&self) -> Client {
+        self.client.borrow().clone()
+    }
+
+    // A connection that was silent or broken must not serve the next call.
+    fn failed(&self, what: &'static str, e: &PlatformError) {
+        *self.client.borrow_mut() = client();
+        self.control.do_send(PlatformCall::Failed(what, e.to_string()));
+    }
+
     async fn next_head(&self, after: u64) -> Result<Option<(u64, Head)>, PlatformError> {
         let wait = WATCH_WAIT.as_millis();
         let url = format!("http://{}/v1/watch/head?after={after}&wait_ms={wait}", self.config);
-        let mut answer = client().get(url).timeout(WATCH_WAIT + WATCH_GRACE).send().await?;
+        let mut answer = self.client().get(url).timeout(WATCH_WAIT + WATCH_GRACE).send().await?;
         if answer.status() == StatusCode::NOT_MODIFIED {
             return Ok(None);
         }
@@ -174,7 +186,7 @@
 
     async fn value(&self, key: &str) -> Result<Bytes, PlatformError> {
         let url = format!("http://{}/v1/values/{key}", self.config);
-        let mut answer = client().get(url).timeout(READ_LIMIT).send().await?;
+        let mut answer = self.client().get(url).timeout(READ_LIMIT).send().await?;
         if answer.status() != StatusCode::OK {
             return Err(PlatformError::Status(answer.status()));
         }
@@ -183,7 +195,7 @@
 
     async fn read_list(&self) -> Result<List, PlatformError> {
         let url = format!("http://{}/v1/hosts", self.list);
-        let mut answer = client().get(url).timeout(READ_LIMIT).send().await?;
+        let mut answer = self.client().get(url).timeout(READ_LIMIT).send().await?;
         if answer.status() != StatusCode::OK {
             return Err(PlatformError::Status(answer.status()));
         }
@@ -192,8 +204,6 @@
     }
 }
 
-// A client per call: a pooled connection that has gone silent would fail the next read as well.
-// Reads are rare, at most a few a second.
 fn client() -> Client {
     Client::builder().disable_timeout().finish()
 }
