--- a/crates/daemon/src/edge/tests/http.rs
+++ b/crates/daemon/src/edge/tests/http.rs
@@ -12,7 +12,7 @@
 use yuccawing_core::rules::Class;
 
 use super::fake::{Answer, KEY, Upstream, World, ask, expected, snapshot};
-use crate::control::messages::{HostEntry, Hosts};
+use crate::control::messages::{Code, HostEntry, Hosts};
 
 macro_rules! cases {
     ($($name:ident: $body:block)*) => { $(#[actix_rt::test] async fn $name() $body)* };
@@ -213,6 +213,15 @@
         assert_eq!(a.status, StatusCode::OK);
         assert_eq!(w.up.lines().len(), 1);
     }
+    // Guards against a table of errors that lacks a code, or lists one that does not exist.
+    the_page_lists_exactly_the_codes: {
+        let page = include_str!("../../../../../docs/requests.md");
+        let table = page.split("| code | status |").nth(1).unwrap().trim_start();
+        let rows: Vec<&str> = table.lines().skip(1).take_while(|l| l.starts_with('|')).collect();
+        let want: Vec<String> =
+            Code::ALL.iter().map(|c| format!("| `{}` | {} |", c.name(), c.status())).collect();
+        assert_eq!(rows, want);
+    }
     // Guards against streams that work with HTTP/1.1 only.
     http_2_serves_streams: {
         let w = World::start();
