--- a/crates/daemon/src/edge/body.rs
+++ b/crates/daemon/src/edge/body.rs
@@ -1,19 +1,58 @@
-//! Bodies of requests, bounded in size and time.
+//! Bodies of requests, bounded in size and time, and bodies of whole answers.
 
-use std::time::{Duration, Instant};
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{self, Poll},
+    time::{Duration, Instant},
+};
 
 use actix_web::{
     HttpRequest,
+    body::{BodySize, MessageBody},
     http::header::CONTENT_LENGTH,
     web::{Bytes, BytesMut, Payload},
 };
 use futures::StreamExt;
 
+use super::context::Context;
 use crate::control::messages::{Code, Refusal};
 
 /// Longest wait for a whole body. It keeps slow senders from holding memory and connections.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
 
+/// Part of an answer that is handed to a connection at once, in bytes.
+const PART: usize = 16 * 1024;
+
+/// A whole answer. It is handed over in parts and keeps the gate's pass until the last one, so that
+/// a shutdown waits for a caller that reads a large answer slowly.
+pub(super) struct Whole {
+    rest: Bytes,
+    _context: Context,
+}
+
+impl Whole {
+    pub(super) fn new(bytes: Bytes, context: Context) -> Self {
+        Self { rest: bytes, _context: context }
+    }
+}
+
+impl MessageBody for Whole {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.rest.len() as u64)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Infallible>>> {
+        let n = self.rest.len().min(PART);
+        Poll::Ready((n > 0).then(|| Ok(self.rest.split_to(n))))
+    }
+}
+
 /// Reads a body of at most `max` bytes.
 pub(super) async fn read(
     req: &HttpRequest,
--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -64,7 +64,8 @@
     match run(&req, payload, shape, &context, &shared, &mut record).await {
         Ok(Started::Whole(value)) => {
             record.done();
-            Ok(HttpResponse::Ok().content_type("application/json").body(value.to_string()))
+            let body = body::Whole::new(value.to_string().into(), context);
+            Ok(HttpResponse::Ok().content_type("application/json").body(body))
         }
         Ok(Started::Stream(job)) => {
             let body = stream_body(context, job, record);
--- a/crates/daemon/src/edge/plain.rs
+++ b/crates/daemon/src/edge/plain.rs
@@ -35,7 +35,7 @@
             if let Some(v) = reply.content {
                 res.insert_header((CONTENT_TYPE, v));
             }
-            Ok(res.body(reply.body))
+            Ok(res.body(body::Whole::new(reply.body, context)))
         }
         Err(r) => Err(record.failed(r).into()),
     }
--- a/crates/daemon/src/edge/tests/fake.rs
+++ b/crates/daemon/src/edge/tests/fake.rs
@@ -69,6 +69,8 @@
     Short,
     /// Closes between two chunks of a body without a length.
     Chunks,
+    /// Answers a body of this many bytes.
+    Big(usize),
 }
 
 /// A request as an upstream saw it.
@@ -243,6 +245,11 @@
             socket.write_all((head + &body[..6]).as_bytes()).await?;
             Err(io::ErrorKind::Other.into())
         }
+        Fault::Big(n) => {
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {n}\r\n\r\n");
+            socket.write_all(head.as_bytes()).await?;
+            socket.write_all(&vec![b'x'; n]).await
+        }
         Fault::Chunks => {
             let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
             socket.write_all(head.as_bytes()).await?;
@@ -412,6 +419,7 @@
     pub(super) lines: Lines,
     pub(super) logger: Logger,
     pub(super) client: Client,
+    pub(super) setup: Setup,
 }
 
 /// Waits that are short enough for tests.
@@ -489,7 +497,7 @@
         };
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
-        let server = serve(setup, listener).unwrap();
+        let server = serve(setup.clone(), listener).unwrap();
         let handle_of_server = server.handle();
         actix_rt::spawn(server);
         Self {
@@ -504,6 +512,7 @@
             lines,
             logger,
             client: Client::builder().timeout(Duration::from_secs(20)).finish(),
+            setup,
         }
     }
 
--- a/crates/daemon/src/edge/tests/http.rs
+++ b/crates/daemon/src/edge/tests/http.rs
@@ -1,18 +1,59 @@
 //! Keys, paths, methods, bodies and HTTP/2.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use awc::http::StatusCode;
 use bytes::Bytes;
+use h2::RecvStream;
 use serde_json::json;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     net::TcpStream,
 };
 use yuccawing_core::rules::Class;
 
 use super::fake::{Answer, KEY, Upstream, World, ask, expected, snapshot};
-use crate::control::messages::{Code, HostEntry, Hosts};
+use crate::{
+    control::messages::{Code, HostEntry, Hosts, Outcome},
+    edge::{Setup, serve},
+};
+
+/// Sends a completion for `n` tokens; the connection lives as long as the returned sender.
+async fn h2_call<S>(socket: S, addr: SocketAddr, n: u64) -> (http::Response<RecvStream>, H2)
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
+    let (client, connection) = h2::client::handshake(socket).await.unwrap();
+    actix_rt::spawn(async move {
+        let _ = connection.await;
+    });
+    let mut client: H2 = client.ready().await.unwrap();
+    let request = http::Request::post(format!("http://{addr}/v1/completions"))
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(())
+        .unwrap();
+    let (response, mut body) = client.send_request(request, false).unwrap();
+    body.send_data(ask(n, true).to_string().into(), true).unwrap();
+    let response = response.await.unwrap();
+    assert_eq!(response.status(), 200);
+    (response, client)
+}
+
+async fn h2_stream<S>(socket: S, addr: SocketAddr, n: u64) -> String
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
+    let (response, _client) = h2_call(socket, addr, n).await;
+    let (mut body, mut out) = (response.into_body(), Vec::new());
+    while let Some(part) = body.data().await {
+        let part = part.unwrap();
+        let _ = body.flow_control().release_capacity(part.len());
+        out.extend_from_slice(&part);
+    }
+    String::from_utf8(out).unwrap()
+}
+
+type H2 = h2::client::SendRequest<Bytes>;
 
 macro_rules! cases {
     ($($name:ident: $body:block)*) => { $(#[actix_rt::test] async fn $name() $body)* };
@@ -225,22 +266,40 @@
     // Guards against streams that work with HTTP/1.1 only.
     http_2_serves_streams: {
         let w = World::start();
-        let socket = TcpStream::connect(w.addr).await.unwrap();
-        let (client, connection) = h2::client::handshake(socket).await.unwrap();
-        actix_rt::spawn(connection);
-        let mut client = client.ready().await.unwrap();
-        let request = http::Request::post(format!("http://{}/v1/completions", w.addr))
-            .header("authorization", format!("Bearer {KEY}")).body(()).unwrap();
-        let (response, mut body) = client.send_request(request, false).unwrap();
-        body.send_data(ask(5, true).to_string().into(), true).unwrap();
-        let response = response.await.unwrap();
-        assert_eq!(response.status(), 200);
-        let (mut body, mut out) = (response.into_body(), Vec::new());
-        while let Some(part) = body.data().await {
-            out.extend_from_slice(&part.unwrap());
-        }
-        let out = String::from_utf8(out).unwrap();
+        let out = h2_stream(TcpStream::connect(w.addr).await.unwrap(), w.addr, 5).await;
         assert!(out.ends_with("data: [DONE]\n\n"), "{out}");
         assert!((0..5).all(|i| out.contains(&format!("\"deck:2#{i} \""))));
     }
+    // Guards against callers with TLS that get HTTP/1.1 only, or plain text.
+    tls_offers_http_2: {
+        let w = World::start();
+        let (_dir, files, ca) = crate::tls::tests::host();
+        let tls = crate::tls::Tls::load(&files).unwrap().callers().unwrap();
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let setup = Setup { tls: Some(tls), ..w.setup.clone() };
+        actix_rt::spawn(serve(setup, listener).unwrap());
+        let mut config = crate::tls::tests::caller(&ca);
+        config.alpn_protocols = vec![b"h2".to_vec()];
+        let connector = tokio_rustls::TlsConnector::from(Arc::new(config));
+        let name = rustls::pki_types::ServerName::IpAddress(addr.ip().into());
+        let socket = TcpStream::connect(addr).await.unwrap();
+        let socket = connector.connect(name, socket).await.unwrap();
+        assert!(h2_stream(socket, addr, 3).await.ends_with("data: [DONE]\n\n"));
+        let plain = w.client.get(format!("http://{addr}/healthz")).send().await;
+        assert!(plain.is_err());
+    }
+    // Guards against an engine that works for an HTTP/2 caller who reset its stream.
+    a_reset_http_2_stream_cancels_its_request: {
+        let up = Upstream::start(20);
+        let addrs = vec![up.addr];
+        let w = World::with(up, addrs, 1000);
+        let socket = TcpStream::connect(w.addr).await.unwrap();
+        let (response, _client) = h2_call(socket, w.addr, 400).await;
+        let mut body = response.into_body();
+        assert!(body.data().await.is_some());
+        drop(body);
+        w.wait(|| w.up.count("DELETE") == 1).await;
+        assert_eq!(w.dones(1).await[0].outcome, Outcome::Cancelled);
+    }
 }
--- a/crates/daemon/src/edge/tests/stopping.rs
+++ b/crates/daemon/src/edge/tests/stopping.rs
@@ -4,9 +4,12 @@
 
 use awc::http::StatusCode;
 use serde_json::json;
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpSocket, TcpStream},
+};
 
-use super::fake::{Upstream, World, ask, expected};
+use super::fake::{Fault, KEY, Upstream, World, ask, expected};
 use crate::stop::{Stop, shut_down};
 
 fn stop(w: &World) -> Stop {
@@ -62,4 +65,39 @@
         let took = start.elapsed();
         assert!(took >= Duration::from_secs(3) && took < Duration::from_secs(6), "{took:?}");
     }
+    // Guards against a host that waits for a caller's idle HTTP/2 connection until it is killed.
+    an_idle_http_2_connection_does_not_hold_the_shutdown: {
+        let w = World::start();
+        let socket = TcpStream::connect(w.addr).await.unwrap();
+        let (client, connection) = h2::client::handshake(socket).await.unwrap();
+        actix_rt::spawn(connection);
+        let client: h2::client::SendRequest<bytes::Bytes> = client.ready().await.unwrap();
+        let start = Instant::now();
+        shut_down(&stop(&w)).await;
+        assert!(start.elapsed() < Duration::from_secs(10), "{:?}", start.elapsed());
+        drop(client);
+    }
+    // Guards against a whole answer that is cut because its caller reads it slowly.
+    a_shutdown_waits_for_a_slow_reader: {
+        // More than the socket buffers of both sides hold together.
+        const SIZE: usize = 7 << 20;
+        let w = World::start();
+        w.faults(&[Fault::Big(SIZE)]);
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(16 * 1024).unwrap();
+        let mut socket = socket.connect(w.addr).await.unwrap();
+        let head = format!("GET /catalogue HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\r\n");
+        socket.write_all(head.as_bytes()).await.unwrap();
+        w.dones(1).await;
+        let stopping = stop(&w);
+        let ((), read) = futures::join!(shut_down(&stopping), async {
+            tokio::time::sleep(Duration::from_secs(4)).await;
+            assert_eq!(w.gate.count(), 1, "the answer fits into the buffers");
+            let mut out = Vec::new();
+            socket.read_to_end(&mut out).await.unwrap();
+            out
+        });
+        let body = read.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
+        assert_eq!(read.len() - body, SIZE);
+    }
 }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -139,10 +139,12 @@
 
 fn spawn<D>(drain: D, level: Level, host: &str) -> (Logger, slog_async::AsyncGuard)
 where
-    D: Drain + Send + 'static,
+    D: Drain<Ok = ()> + Send + 'static,
     D::Err: std::fmt::Debug,
 {
-    let drain = LevelFilter::new(drain, level).ignore_res();
-    let (drain, guard) = slog_async::Async::new(drain).chan_size(QUEUE_RECORDS).build_with_guard();
+    let (drain, guard) =
+        slog_async::Async::new(drain.ignore_res()).chan_size(QUEUE_RECORDS).build_with_guard();
+    // Filtered before the queue: records below the level must not take the place of others.
+    let drain = LevelFilter::new(drain, level);
     (Logger::root(drain.fuse(), o!("host" => host.to_owned())), guard)
 }
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -33,6 +33,10 @@
 /// Time after the address TTL in which callers that looked up last still connect.
 const CONNECT_GRACE: Duration = Duration::from_secs(1);
 
+/// Longest wait for connections after the last request. By then only buffered ends of answers are
+/// left to write; a caller may keep an idle HTTP/2 connection open for much longer.
+const FLUSH_LIMIT: Duration = Duration::from_secs(5);
+
 /// How the host treats requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -183,10 +187,10 @@
     let _ = stop.handle.leave().await;
     tokio::time::sleep(ADDRESS_TTL + CONNECT_GRACE).await;
     stop.gate.advance(Phase::Closed);
-    // Refuses connections at once; the future ends when the connections have written all answers.
+    // Refuses connections at once; the future ends when the connections have ended.
     let server = stop.server.stop(true);
     stop.gate.idle().await;
-    server.await;
+    let _ = tokio::time::timeout(FLUSH_LIMIT, server).await;
     emit(&stop.log, Event::StopDrained, &kv!("requests" => stop.gate.count()));
     // Without an answer the lease ends by itself.
     let _ = stop.handle.release().await;
--- a/crates/daemon/src/tls.rs
+++ b/crates/daemon/src/tls.rs
@@ -1,7 +1,7 @@
 //! TLS towards callers and mutual TLS between hosts. Changed files are used without a restart.
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use std::{
     fs, io,
--- a/crates/daemon/src/tls/tests.rs
+++ b/crates/daemon/src/tls/tests.rs
@@ -71,18 +71,29 @@
     got
 }
 
-/// Certificate that a caller sees.
-async fn seen(addr: SocketAddr, ca: &str) -> Result<Vec<u8>, io::Error> {
+/// Files of a host and the certificate of its authority.
+pub(crate) fn host() -> (TempDir, settings::Tls, String) {
+    let ca = Authority::new();
+    let (dir, files) = ca.host();
+    (dir, files, ca.pem)
+}
+
+/// Configuration of a caller that trusts `ca`.
+pub(crate) fn caller(ca: &str) -> ClientConfig {
     let mut roots = RootCertStore::empty();
     for c in rustls_pemfile::certs(&mut ca.as_bytes()) {
-        roots.add(c?).map_err(io::Error::other)?;
+        roots.add(c.unwrap()).unwrap();
     }
-    let config = ClientConfig::builder_with_provider(provider())
+    ClientConfig::builder_with_provider(provider())
         .with_safe_default_protocol_versions()
         .unwrap()
         .with_root_certificates(roots)
-        .with_no_client_auth();
-    let connector = tokio_rustls::TlsConnector::from(Arc::new(config));
+        .with_no_client_auth()
+}
+
+/// Certificate that a caller sees.
+async fn seen(addr: SocketAddr, ca: &str) -> Result<Vec<u8>, io::Error> {
+    let connector = tokio_rustls::TlsConnector::from(Arc::new(caller(ca)));
     let name = rustls::pki_types::ServerName::IpAddress(addr.ip().into());
     let s = connector.connect(name, TcpStream::connect(addr).await?).await?;
     Ok(s.get_ref().1.peer_certificates().unwrap()[0].to_vec())
