--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -74,6 +74,7 @@
 struct Shared {
     setup: Setup,
     requests: AtomicU64,
+    held: Arc<body::Account>,
 }
 
 /// Starts the traffic threads. The server runs until its handle stops it.
@@ -82,7 +83,11 @@
 ///
 /// The listener cannot be used.
 pub fn serve(setup: Setup, listener: TcpListener) -> io::Result<Server> {
-    let shared = web::Data::new(Shared { setup: setup.clone(), requests: AtomicU64::new(1) });
+    let shared = web::Data::new(Shared {
+        setup: setup.clone(),
+        requests: AtomicU64::new(1),
+        held: Arc::default(),
+    });
     let server = HttpServer::new(move || {
         let upstreams = Upstreams::new(shared.setup.timing, shared.setup.log.clone());
         App::new()
--- a/crates/daemon/src/edge/body.rs
+++ b/crates/daemon/src/edge/body.rs
@@ -3,6 +3,10 @@
 use std::{
     convert::Infallible,
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     task::{self, Poll},
     time::{Duration, Instant},
 };
@@ -15,7 +19,7 @@
 };
 use futures::StreamExt;
 
-use super::context::Context;
+use super::{Shared, context::Context};
 use crate::control::messages::{Code, Refusal};
 
 /// Longest wait for a whole body. It keeps slow senders from holding memory and connections.
@@ -53,29 +57,67 @@
     }
 }
 
-/// Reads a body of at most `max` bytes.
+/// Memory that is set aside for a body of a stated length before it arrives, in bytes.
+const SET_ASIDE: usize = 16 * 1024;
+
+/// Retry-After while too many bytes of bodies are held.
+const HELD_RETRY: Duration = Duration::from_secs(1);
+
+/// Bytes of request bodies that this host holds. Requests may wait for a minute, so a limit per
+/// body and one on connections do not bound their memory together.
+#[derive(Debug, Default)]
+pub(super) struct Account(AtomicUsize);
+
+/// A part of the account, until it is dropped.
+pub(super) struct Held {
+    account: Arc<Account>,
+    bytes: usize,
+}
+
+impl Held {
+    fn add(&mut self, bytes: usize, max: usize) -> Result<(), Refusal> {
+        let before = self.account.0.fetch_add(bytes, Ordering::Relaxed);
+        self.bytes += bytes;
+        if before + bytes <= max {
+            return Ok(());
+        }
+        let refusal = Refusal::not_run(Code::Overloaded, "this host holds too many bodies");
+        Err(refusal.retry(HELD_RETRY))
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.account.0.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// Reads a body within the limits.
 pub(super) async fn read(
     req: &HttpRequest,
     mut payload: Payload,
-    max: usize,
+    shared: &Shared,
     deadline: Instant,
-) -> Result<Bytes, Refusal> {
+) -> Result<(Bytes, Held), Refusal> {
+    let (max, max_held) = (shared.setup.limits.body, shared.setup.limits.held);
+    let mut held = Held { account: shared.held.clone(), bytes: 0 };
     let length = req.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
     if length.is_some_and(|n: usize| n > max) {
         return Err(too_large(max));
     }
     let limit = deadline.min(Instant::now() + BODY_LIMIT);
     let whole = async {
-        let mut body = BytesMut::with_capacity(length.unwrap_or(0));
+        let mut body = BytesMut::with_capacity(length.unwrap_or(0).min(SET_ASIDE));
         while let Some(part) = payload.next().await {
             let part =
                 part.map_err(|_| Refusal::not_run(Code::BadRequest, "the body cannot be read"))?;
             if body.len() + part.len() > max {
                 return Err(too_large(max));
             }
+            held.add(part.len(), max_held)?;
             body.extend_from_slice(&part);
         }
-        Ok(body.freeze())
+        Ok((body.freeze(), held))
     };
     match tokio::time::timeout_at(limit.into(), whole).await {
         Ok(body) => body,
--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -104,7 +104,8 @@
     let deadline = context.deadline(req)?;
     let account = auth::account(&setup.handle.view(), req)?;
     record.set(account.clone(), Class::default());
-    let bytes = body::read(req, payload, setup.limits.body, deadline).await?;
+    // Counted until the first token; the prompt is not needed after it.
+    let (bytes, _held) = body::read(req, payload, shared, deadline).await?;
     let ask = CompletionBody::read(shape, &bytes)
         .map_err(|e| Refusal::not_run(Code::BadRequest, e.to_string()))?;
     drop(bytes);
--- a/crates/daemon/src/edge/plain.rs
+++ b/crates/daemon/src/edge/plain.rs
@@ -68,7 +68,7 @@
     }
     let deadline = context.deadline(req)?;
     let ticket = ticket(req, &route)?;
-    let body = body::read(req, payload, setup.limits.body, deadline).await?;
+    let (body, _held) = body::read(req, payload, shared, deadline).await?;
     let call = Call {
         method: req.method().clone(),
         target: req.uri().path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string),
--- a/crates/daemon/src/edge/tests/fake.rs
+++ b/crates/daemon/src/edge/tests/fake.rs
@@ -489,7 +489,7 @@
             metrics: metrics.clone(),
             log: logger.clone(),
             gate: gate.clone(),
-            limits: Limits { body, connections: 100, workers: 1 },
+            limits: Limits { body, held: 4 * body, connections: 100, workers: 1 },
             timing: timing(),
             admin: None,
             stop: Duration::from_secs(5),
--- a/crates/daemon/src/edge/tests/http.rs
+++ b/crates/daemon/src/edge/tests/http.rs
@@ -12,7 +12,7 @@
 };
 use yuccawing_core::rules::Class;
 
-use super::fake::{Answer, KEY, Upstream, World, ask, expected, snapshot};
+use super::fake::{Answer, Fault, KEY, Upstream, World, ask, expected, snapshot};
 use crate::{
     control::messages::{Code, HostEntry, Hosts, Outcome},
     edge::{Setup, serve},
@@ -224,6 +224,21 @@
         assert_eq!(a.error(), (413, "too_large".into(), "not_run".into()));
         assert!(w.log.lock().unwrap().admits.is_empty());
     }
+    // Guards against waiting requests whose bodies fill the memory together.
+    bodies_that_are_held_have_a_limit: {
+        let up = Upstream::start(0);
+        let addrs = vec![up.addr];
+        let w = World::with(up, addrs, 1000);
+        w.up.faults.borrow_mut().extend([Fault::Late(250); 4]);
+        let mut body = ask(1, false);
+        body["prompt"] = json!("x".repeat(900));
+        let calls = (0..5).map(|_| w.post("/v1/completions", &body));
+        let answers = futures::future::join_all(calls).await;
+        let refused: Vec<&Answer> = answers.iter().filter(|a| a.status != StatusCode::OK).collect();
+        assert_eq!(refused.len(), 1);
+        assert_eq!(refused[0].error(), (503, "overloaded".into(), "not_run".into()));
+        assert_eq!(w.post("/v1/completions", &body).await.status, StatusCode::OK);
+    }
     // Guards against senders that hold a request open by sending slowly.
     a_slow_body_is_refused_at_its_deadline: {
         let w = World::start();
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -28,6 +28,9 @@
 /// Largest `limits.body_kib`.
 const MAX_BODY_KIB: u64 = 64 * 1024;
 
+/// Largest `limits.held_mib`.
+const MAX_HELD_MIB: u64 = 64 * 1024;
+
 /// Settings of a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -134,6 +137,8 @@
 pub struct Limits {
     /// Largest request body, in bytes.
     pub body: usize,
+    /// Bytes of request bodies that are held at once, over all traffic threads.
+    pub held: usize,
     /// Connections from callers per traffic thread.
     pub connections: usize,
     /// Traffic threads.
@@ -194,6 +199,7 @@
         let limit = Duration::from_secs(r.range("stop", "limit_s", 150, MIN_STOP_S..=MAX_STOP_S));
         let limits = Limits {
             body: to_usize(r.range("limits", "body_kib", 1024, 1..=MAX_BODY_KIB) * 1024),
+            held: to_usize(r.range("limits", "held_mib", 256, 1..=MAX_HELD_MIB) * 1024 * 1024),
             connections: to_usize(r.range("limits", "connections", 10_000, 1..=100_000)),
             workers: to_usize(r.range("limits", "workers", 2, 1..=64)),
         };
@@ -227,6 +233,9 @@
         if self.listen.http == self.listen.peer && self.listen.http.port() != 0 {
             r.find("listen", "peer", "listen.http and listen.peer are the same address");
         }
+        if self.limits.held < self.limits.body {
+            r.find("limits", "held_mib", "limits.held_mib is less than one request body");
+        }
         match &self.tls {
             None if !self.plaintext.callers => {
                 r.find(
--- a/crates/daemon/src/upstream/engine.rs
+++ b/crates/daemon/src/upstream/engine.rs
@@ -266,6 +266,8 @@
             };
             match self.stream.accept(&chunk.id, chunk.offset, chunk.part) {
                 Verdict::Deliver => {
+                    // No attempt follows a delivered token.
+                    self.ask.prompt = String::new();
                     self.note(Outcome::Cancelled);
                     return Ok(Some(Piece::Token(chunk.text.into_owned())));
                 }
