--- a/crates/bench/src/cmd/capacity.rs
+++ b/crates/bench/src/cmd/capacity.rs
@@ -94,6 +94,8 @@
     residual: f64,
 }
 
+type Column = fn(&Cost) -> f64;
+
 #[derive(Debug, Serialize)]
 struct Fit {
     points: Vec<Cost>,
@@ -241,7 +243,7 @@
 }
 
 fn fit(points: Vec<Cost>) -> Fit {
-    let columns: [(&'static str, fn(&Cost) -> f64); 5] = [
+    let columns: [(_, Column); 5] = [
         ("cpu_percent", |c| c.cpu),
         ("memory_mb", |c| c.memory),
         ("peers_bytes_per_s", |c| c.peers),
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -213,10 +213,6 @@
         pub enum Code { $($(#[$doc])* $name,)* }
 
         impl Code {
-            /// All codes.
-            #[cfg(test)]
-            pub const ALL: &[Self] = &[$(Self::$name),*];
-
             /// Name in error answers and metrics.
             pub fn name(self) -> &'static str {
                 match self { $(Self::$name => $text,)* }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -118,7 +118,7 @@
         gate: gate.clone(),
         limits: settings.limits,
         timing: Timing::default(),
-        admin: settings.admin.key.clone(),
+        admin: settings.admin.key,
         stop: settings.stop.limit,
         tls: tls_callers,
     };
