--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,156 @@
-//! Binary.
-fn main() {}
+//! Daemon of a yuccawing entry host.
+
+mod control;
+mod edge;
+mod events;
+mod mesh;
+mod metrics;
+mod settings;
+mod stop;
+mod tls;
+mod upstream;
+mod watch;
+
+use std::{
+    net::TcpListener,
+    path::PathBuf,
+    process::ExitCode,
+    sync::{Arc, mpsc},
+};
+
+use actix::{Actor, Addr};
+use actix_rt::Arbiter;
+use arc_swap::ArcSwap;
+use argh::FromArgs;
+use slog::Logger;
+use tokio_util::sync::CancellationToken;
+use yuccawing_core::rules::Findings;
+
+use crate::{
+    control::{Control, Handle, messages::Snapshot, random_incarnation},
+    events::{Event, emit},
+    metrics::Metrics,
+    settings::Settings,
+    stop::{Gate, Signals, Stop},
+    tls::{Tls, TlsError},
+    upstream::Timing,
+};
+
+/// Runs an entry host of yuccawing. Memory grows with the inventory, about 1 KB an adapter.
+#[derive(FromArgs)]
+struct Args {
+    /// settings file (TOML)
+    #[argh(option)]
+    settings: PathBuf,
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+/// Why the daemon ended.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    /// The settings have findings.
+    #[error("{0}")]
+    Settings(#[from] Findings),
+    /// A certificate or key cannot be used.
+    #[error("{0}")]
+    Tls(#[from] TlsError),
+    /// A socket or a signal handler.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("yuccawingd: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &Args) -> Result<(), Error> {
+    let settings = Arc::new(Settings::load(&args.settings)?);
+    if args.check {
+        return Ok(());
+    }
+    let (log, _guard) = events::logger(settings.log, &settings.name);
+    let out = actix_rt::System::new().block_on(serve(settings, log.clone()));
+    if let Err(e) = &out {
+        emit(&log, Event::StartFailed, &slog::b!("error" => e.to_string()));
+    }
+    emit(&log, Event::Stopped, &slog::b!());
+    out
+}
+
+async fn serve(settings: Arc<Settings>, log: Logger) -> Result<(), Error> {
+    let mut signals = Signals::new()?;
+    let tls = settings.tls.as_ref().map(Tls::load).transpose()?;
+    let callers = TcpListener::bind(settings.listen.http)?;
+    let peers = TcpListener::bind(settings.listen.peer)?;
+    peers.set_nonblocking(true)?;
+    let view = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
+    let (metrics, gate, token) = (Metrics::new(), Gate::new(), CancellationToken::new());
+    let control = start_control(
+        control::Setup {
+            settings: settings.clone(),
+            incarnation: random_incarnation(),
+            view: view.clone(),
+            metrics: metrics.clone(),
+            log: log.clone(),
+            tls: tls.clone().filter(|_| !settings.plaintext.peers),
+            stop: token.clone(),
+        },
+        peers,
+    );
+    let handle = Handle::new(control.recipient(), view);
+    let tls_callers = match &tls {
+        Some(t) if !settings.plaintext.callers => Some(t.callers()?),
+        _ => None,
+    };
+    let edge = edge::Setup {
+        handle: handle.clone(),
+        metrics,
+        log: log.clone(),
+        gate: gate.clone(),
+        limits: settings.limits,
+        timing: Timing::default(),
+        admin: settings.admin.key.clone(),
+        stop: settings.stop.limit,
+        tls: tls_callers,
+    };
+    let server = edge::serve(edge, callers)?;
+    let stop = Stop {
+        handle,
+        server: server.handle(),
+        gate,
+        limit: settings.stop.limit,
+        log: log.clone(),
+    };
+    actix_rt::spawn(server);
+    if let Some(t) = tls {
+        actix_rt::spawn(t.watch(log.clone(), token.clone()));
+    }
+    let http = settings.listen.http.to_string();
+    emit(&log, Event::Started, &slog::b!("http" => http));
+    stop::run(stop, &mut signals).await;
+    token.cancel();
+    Ok(())
+}
+
+/// Starts the control thread, which also serves the peers.
+fn start_control(setup: control::Setup, peers: TcpListener) -> Addr<Control> {
+    let arbiter = Arbiter::new();
+    let (tx, rx) = mpsc::sync_channel(1);
+    arbiter.spawn_fn(move || {
+        let (stop, tls) = (setup.stop.clone(), setup.tls.clone());
+        let addr = Control::new(setup).start();
+        let listener = tokio::net::TcpListener::from_std(peers).expect("the listener is valid");
+        actix_rt::spawn(mesh::serve(listener, tls, addr.clone().recipient(), stop));
+        let _ = tx.send(addr);
+    });
+    rx.recv().expect("the control thread has started")
+}
