Fit the tool to the daemon's answers: refusal codes, operators' key, hosts without domain

Cause: the daemon's refusal reasons are its error codes; /admin asks for the operators' key beyond loopback; its address look-up names no domain.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -1,6 +1,12 @@
 //! Calls to hosts.
 
-use std::{fs, io::BufReader, path::Path, sync::Arc, time::Duration};
+use std::{
+    fs,
+    io::BufReader,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 
 use awc::{Client, Connector};
 use rustls::{ClientConfig, RootCertStore};
@@ -13,47 +19,70 @@
 /// Largest answer, in bytes. The metrics of a host with 1,000 accounts are below 10 MB.
 const MAX_ANSWER: usize = 64_000_000;
 
-/// Reads `path` from each host, all at the same time.
-///
-/// # Errors
-///
-/// The CA file cannot be used. An error of a host is in its place of the result.
-pub fn get(addrs: &[String], path: &str, ca: Option<&Path>) -> CliResult<Vec<CliResult<Vec<u8>>>> {
-    let config = ca.map(tls).transpose()?;
-    let scheme = if ca.is_some() { "https" } else { "http" };
-    Ok(actix_rt::System::new().block_on(async {
-        let builder = Client::builder().timeout(LIMIT);
-        let client = match config {
-            Some(c) => builder.connector(Connector::new().rustls_0_23(Arc::new(c))).finish(),
-            None => builder.finish(),
-        };
-        let calls: Vec<_> = addrs
-            .iter()
-            .map(|a| {
-                let base = if a.contains("://") { a.clone() } else { format!("{scheme}://{a}") };
-                let url = format!("{}{path}", base.trim_end_matches('/'));
-                let (client, addr) = (client.clone(), a.clone());
-                actix_rt::spawn(async move { call(&client, &url).await.map_err(|e| (addr, e)) })
-            })
-            .collect();
-        let mut out = Vec::new();
-        for (call, addr) in calls.into_iter().zip(addrs) {
-            let answer = call.await.unwrap_or_else(|e| Err((addr.clone(), e.to_string())));
-            out.push(answer.map_err(|(addr, e)| CliError::Host(addr, e)));
-        }
-        out
-    }))
+/// How hosts are called. The default is plain text without a key.
+#[derive(Clone, Debug, Default)]
+pub struct Access {
+    ca: Option<PathBuf>,
+    key: Option<PathBuf>,
 }
 
-/// Reads `path` from one host.
-///
-/// # Errors
-///
-/// The host does not answer with success.
-pub fn get_one(addr: &str, path: &str, ca: Option<&Path>) -> CliResult<Vec<u8>> {
-    get(&[addr.to_owned()], path, ca)?
-        .pop()
-        .unwrap_or_else(|| Err(CliError::Host(addr.into(), "no answer".into())))
+impl Access {
+    /// Uses TLS with this PEM file of the CA of the hosts' certificates.
+    pub fn ca(mut self, file: Option<PathBuf>) -> Self {
+        self.ca = file;
+        self
+    }
+
+    /// Sends the operators' key from this file. An argument would show it in the process list.
+    pub fn key(mut self, file: Option<PathBuf>) -> Self {
+        self.key = file;
+        self
+    }
+
+    /// Reads `path` from each host, all at the same time.
+    ///
+    /// # Errors
+    ///
+    /// The CA or key file cannot be used. An error of a host is in its place of the result.
+    pub fn get(&self, addrs: &[String], path: &str) -> CliResult<Vec<CliResult<Vec<u8>>>> {
+        let config = self.ca.as_deref().map(tls).transpose()?;
+        let key = self.key.as_deref().map(read_key).transpose()?;
+        let scheme = if self.ca.is_some() { "https" } else { "http" };
+        Ok(actix_rt::System::new().block_on(async {
+            let mut builder = Client::builder().timeout(LIMIT);
+            if let Some(k) = key {
+                builder = builder.bearer_auth(k);
+            }
+            let client = match config {
+                Some(c) => builder.connector(Connector::new().rustls_0_23(Arc::new(c))).finish(),
+                None => builder.finish(),
+            };
+            let spawn = |addr: &String| {
+                let full = addr.contains("://");
+                let base = if full { addr.clone() } else { format!("{scheme}://{addr}") };
+                let url = format!("{}{path}", base.trim_end_matches('/'));
+                let client = client.clone();
+                actix_rt::spawn(async move { call(&client, &url).await })
+            };
+            let calls: Vec<_> = addrs.iter().map(spawn).collect();
+            let mut out = Vec::new();
+            for (call, addr) in calls.into_iter().zip(addrs) {
+                let answer = call.await.unwrap_or_else(|e| Err(e.to_string()));
+                out.push(answer.map_err(|e| CliError::Host(addr.clone(), e)));
+            }
+            out
+        }))
+    }
+
+    /// Reads `path` from one host.
+    ///
+    /// # Errors
+    ///
+    /// The host does not answer with success.
+    pub fn get_one(&self, addr: &str, path: &str) -> CliResult<Vec<u8>> {
+        let none = || Err(CliError::Host(addr.into(), "no answer".into()));
+        self.get(&[addr.to_owned()], path)?.pop().unwrap_or_else(none)
+    }
 }
 
 /// Escapes a value for the query of a path.
@@ -81,6 +110,11 @@
     }
 }
 
+fn read_key(file: &Path) -> CliResult<String> {
+    let text = fs::read_to_string(file).map_err(|e| CliError::File(file.into(), e))?;
+    Ok(text.trim().to_owned())
+}
+
 fn tls(ca: &Path) -> CliResult<ClientConfig> {
     let error = |e| CliError::File(ca.into(), e);
     let mut roots = RootCertStore::empty();
--- a/crates/cli/src/cmd/burn.rs
+++ b/crates/cli/src/cmd/burn.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    client,
+    client::Access,
     error::{CliError, CliResult},
     files, out,
 };
@@ -130,7 +130,7 @@
     }
     let mut text = String::new();
     let mut last = None;
-    let answers = client::get(&args.addrs, "/metrics", args.ca.as_deref())?;
+    let answers = Access::default().ca(args.ca.clone()).get(&args.addrs, "/metrics")?;
     for (addr, answer) in args.addrs.iter().zip(answers) {
         match answer {
             Ok(bytes) => {
--- a/crates/cli/src/cmd/explain.rs
+++ b/crates/cli/src/cmd/explain.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use crate::{
-    client::escape,
+    client::{Access, escape},
     cmd::status,
     error::{CliError, CliResult},
 };
@@ -25,6 +25,9 @@
     /// PEM file of the CA of the hosts' certificates; with it the call uses TLS
     #[argh(option, arg_name = "FILE")]
     ca: Option<PathBuf>,
+    /// file with the operators' key, which hosts ask for unless the call comes from loopback
+    #[argh(option, arg_name = "FILE")]
+    key: Option<PathBuf>,
     /// IP address and port of the host
     #[argh(positional, arg_name = "ADDR")]
     addr: String,
@@ -36,6 +39,7 @@
         (None, Some(r)) => format!("request={}", escape(r)),
         _ => return Err(CliError::Usage("give either --adapter or --request".into())),
     };
-    status::print(&args.addr, &format!("/admin/explain?{query}"), args.ca.as_ref())?;
+    let access = Access::default().ca(args.ca.clone()).key(args.key.clone());
+    status::print(&args.addr, &format!("/admin/explain?{query}"), &access)?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/cmd/hosts.rs
+++ b/crates/cli/src/cmd/hosts.rs
@@ -5,7 +5,7 @@
 use yuccawing_core::membership::{Address, Addresses};
 
 use crate::{
-    client,
+    client::Access,
     error::{CliError, CliResult},
     out,
 };
@@ -26,7 +26,7 @@
 }
 
 pub fn run(args: &Args) -> CliResult<ExitCode> {
-    let bytes = client::get_one(&args.addr, "/v1/hosts", args.ca.as_deref())?;
+    let bytes = Access::default().ca(args.ca.clone()).get_one(&args.addr, "/v1/hosts")?;
     let answer: Addresses = serde_json::from_slice(&bytes)
         .map_err(|e| CliError::Host(args.addr.clone(), e.to_string()))?;
     if args.json {
@@ -44,7 +44,7 @@
     vec![
         a.name.to_string(),
         a.http.to_string(),
-        a.domain.to_string(),
+        if a.domain.is_empty() { "-".into() } else { a.domain.to_string() },
         a.incarnation.clone(),
         a.weight.to_string(),
     ]
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 
 use crate::{
-    client,
+    client::Access,
     error::{CliError, CliResult},
     out,
 };
@@ -17,13 +17,17 @@
     /// PEM file of the CA of the hosts' certificates; with it the call uses TLS
     #[argh(option, arg_name = "FILE")]
     ca: Option<PathBuf>,
+    /// file with the operators' key, which hosts ask for unless the call comes from loopback
+    #[argh(option, arg_name = "FILE")]
+    key: Option<PathBuf>,
     /// IP address and port of the host
     #[argh(positional, arg_name = "ADDR")]
     addr: String,
 }
 
 pub fn run(args: &Args) -> CliResult<ExitCode> {
-    print(&args.addr, "/admin/status", args.ca.as_ref())?;
+    let access = Access::default().ca(args.ca.clone()).key(args.key.clone());
+    print(&args.addr, "/admin/status", &access)?;
     Ok(ExitCode::SUCCESS)
 }
 
@@ -32,8 +36,8 @@
 /// # Errors
 ///
 /// The host does not answer with JSON.
-pub fn print(addr: &str, path: &str, ca: Option<&PathBuf>) -> CliResult<()> {
-    let bytes = client::get_one(addr, path, ca.map(PathBuf::as_path))?;
+pub fn print(addr: &str, path: &str, access: &Access) -> CliResult<()> {
+    let bytes = access.get_one(addr, path)?;
     let value: Value =
         serde_json::from_slice(&bytes).map_err(|e| CliError::Host(addr.into(), e.to_string()))?;
     out::line(serde_json::to_string_pretty(&value)?)
--- a/crates/cli/tests/cli/burn.rs
+++ b/crates/cli/tests/cli/burn.rs
@@ -3,7 +3,7 @@
 fn metrics(requests: u32, refused: u32) -> String {
     format!(
         "yuccawing_requests_total{{account=\"a\",class=\"status\",outcome=\"ok\"}} {requests}\n\
-         yuccawing_refusals_total{{account=\"a\",reason=\"queue\"}} {refused}\n"
+         yuccawing_refusals_total{{account=\"a\",reason=\"overloaded\"}} {refused}\n"
     )
 }
 
--- a/crates/cli/tests/cli/remote.rs
+++ b/crates/cli/tests/cli/remote.rs
@@ -27,6 +27,16 @@
     assert_eq!(asked("explain --request 7-1 ADDR"), "\"GET /admin/explain?request=7-1 HTTP/1.1\"");
 }
 
+// Guards against an operators' key that is not sent, or sent with the line end of its file.
+#[test]
+fn the_operators_key_comes_from_a_file() {
+    let addr = host(&[(200, r#"["KEY"]"#); 2]);
+    let w = Workdir::new();
+    w.write("key", "s3cret\n");
+    assert!(w.ok(&format!("status --key key {addr}")).contains("\"s3cret\""));
+    assert!(w.ok(&format!("status {addr}")).contains("\"\""));
+}
+
 // Guards against an error of a host that looks like an answer.
 #[test]
 fn errors_of_hosts_are_reported() {
--- a/crates/cli/tests/cli/workdir.rs
+++ b/crates/cli/tests/cli/workdir.rs
@@ -82,7 +82,7 @@
 }
 
 /// A host that gives these answers (status and body) to one call each. `REQUEST` in a body stands
-/// for the request line.
+/// for the request line, `KEY` for the bearer token.
 pub fn host(answers: &[(u16, &str)]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
@@ -95,8 +95,10 @@
             while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|n| n == 1) {
                 head.push(byte[0]);
             }
-            let line = String::from_utf8_lossy(&head).lines().next().unwrap_or("").to_owned();
-            let body = body.replace("REQUEST", &line);
+            let head = String::from_utf8_lossy(&head).into_owned();
+            let key = head.lines().find_map(|l| l.split_once("Bearer ")).map_or("", |(_, k)| k);
+            let body = body.replace("REQUEST", head.lines().next().unwrap_or(""));
+            let body = body.replace("KEY", key);
             let length = body.len();
             let _ = write!(
                 stream,
--- a/crates/core/src/burn.rs
+++ b/crates/core/src/burn.rs
@@ -32,8 +32,20 @@
 /// account would.
 pub const MIN_BAD: f64 = 10.0;
 
-/// Reasons of refusals that are the caller's own: its allowance, its key or its request.
-pub const CALLER_REASONS: [&str; 4] = ["allowance", "key", "adapter", "request"];
+/// Reasons of refusals that are the caller's own: its request, its key, its allowance or its ticket.
+pub const CALLER_REASONS: [&str; 11] = [
+    "bad_key",
+    "bad_method",
+    "bad_request",
+    "not_found",
+    "over_burst",
+    "rate_limited",
+    "slow_body",
+    "ticket_needed",
+    "ticket_spent",
+    "ticket_unknown",
+    "too_large",
+];
 
 const REQUESTS: &str = "yuccawing_requests_total";
 const REFUSALS: &str = "yuccawing_refusals_total";
--- a/crates/core/src/burn/tests.rs
+++ b/crates/core/src/burn/tests.rs
@@ -9,8 +9,8 @@
     format!(
         "# host {host}\n# TYPE yuccawing_requests_total counter\n\
          yuccawing_requests_total{{account=\"a\",class=\"status\",outcome=\"ok\"}} {all}\n\
-         yuccawing_refusals_total{{account=\"a\",reason=\"queue\"}} {refused}\n\
-         yuccawing_refusals_total{{account=\"a\",reason=\"allowance\"}} {all}\n\
+         yuccawing_refusals_total{{account=\"a\",reason=\"overloaded\"}} {refused}\n\
+         yuccawing_refusals_total{{account=\"a\",reason=\"rate_limited\"}} {all}\n\
          yuccawing_load_stalls_total{{account=\"a\"}} {stalls}\n\
          yuccawing_first_token_seconds_bucket{{account=\"a\",le=\"0.25\"}} 0\n\
          yuccawing_first_token_seconds_bucket{{account=\"a\",le=\"0.49\"}} {}\n\
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -171,7 +171,8 @@
     pub name: ArcStr,
     /// IP address and port.
     pub http: ArcStr,
-    /// Failure domain.
+    /// Failure domain, empty if the answer does not name it.
+    #[serde(default)]
     pub domain: ArcStr,
     /// The process, as 16 hexadecimal digits: JSON numbers lose the low bits.
     pub incarnation: String,
