--- a/crates/cli/tests/cli/check.rs
+++ b/crates/cli/tests/cli/check.rs
@@ -34,3 +34,10 @@
     assert!(w.fail("check empty").contains("no TOML files"));
     assert!(w.fail("check").contains("hosts is missing"));
 }
+
+// Guards against examples that no longer pass the checks.
+#[test]
+fn the_examples_pass() {
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/rules");
+    assert!(Workdir::new().ok(&format!("check {examples}")).contains("3 adapters, 2 accounts"));
+}
