Confirm a version only by a service that knows it

Cause: a stale service that answered "no change" for an older head confirmed the newer version in force, so a host on its own with that service never became stale.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -223,7 +223,10 @@
     answers: BTreeMap<Ordinal, Option<Stamp>>,
     // Peers that answered before they were ready themselves; they count only at a first start.
     starting: BTreeMap<Ordinal, Option<Stamp>>,
+    // First head of the service, an answer at the start.
     service: Option<Stamp>,
+    // Version that the service offered last.
+    served: u64,
     confirmed: Option<Tick>,
     ready: bool,
 }
@@ -261,6 +264,7 @@
             answers: BTreeMap::new(),
             starting: BTreeMap::new(),
             service: None,
+            served: 0,
             confirmed: None,
             ready: false,
         }
@@ -317,6 +321,8 @@
             Event::Part { from, digest, bytes } => self.arrived(from, digest, &bytes, out),
             Event::Failed { from, want } => self.fetches.failed(&from, &want),
             Event::Majority => self.confirmed = Some(now),
+            // A service that is stale confirms an older version than the one in force.
+            Event::Unchanged if self.served < self.version() => {}
             Event::Unchanged => self.confirm(now),
             Event::Tick => self.expire(now, out),
         }
@@ -327,6 +333,9 @@
 
     fn offered(&mut self, now: Tick, from: Source, head: Head, out: &mut Vec<Effect>) {
         self.fetches.failed(&from, &Want::Head);
+        if from == Source::Service {
+            self.served = head.version;
+        }
         if head.version < self.version() {
             return;
         }
--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -203,6 +203,18 @@
         net.send(Event::Majority);
         assert!(!net.config.is_stale(Tick(19_000_000)));
     }
+    // Guards against a stale service that confirms a version it does not know.
+    a_stale_service_confirms_nothing: {
+        let mut net = Net::new(false);
+        net.offer(&rendered(1, 1), Source::Service);
+        net.now = Tick(1_000_000);
+        net.offer(&rendered(2, 1), peer("h1"));
+        net.now = Tick(10_000_000);
+        net.send(Event::Unchanged);
+        assert!(net.config.is_stale(net.now));
+        net.offer(&rendered(2, 1), Source::Service);
+        assert!(!net.config.is_stale(net.now));
+    }
     // Guards against a replacement that starts with an old version: in a group of 3 only both
     // peers together are certain to include one that runs the newest version.
     a_replacement_waits_for_a_majority_and_its_highest_version: {
