--- a/crates/bench/src/client.rs
+++ b/crates/bench/src/client.rs
@@ -74,6 +74,8 @@
 /// What became of a request.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Outcome {
+    /// Mark of the request.
+    pub mark: String,
     /// When it was sent, in microseconds since the epoch.
     pub sent_us: u64,
     /// When the first token came.
@@ -186,7 +188,8 @@
 impl Http {
     /// Asks `host` for a completion and reads the whole answer.
     pub async fn ask(&self, host: SocketAddr, a: &Ask) -> Outcome {
-        let mut out = Outcome { sent_us: now_us(), ..Outcome::default() };
+        let mark = a.mark.clone();
+        let mut out = Outcome { mark, sent_us: now_us(), ..Outcome::default() };
         if timeout(a.deadline + GRACE, self.run_ask(host, a, &mut out)).await.is_err() {
             out.fail("no end of the answer in time");
         }
@@ -259,7 +262,8 @@
 
     /// Calls a route to a plain service.
     pub async fn call(&self, host: SocketAddr, c: &Call) -> Outcome {
-        let mut out = Outcome { sent_us: now_us(), ..Outcome::default() };
+        let mark = c.mark.clone();
+        let mut out = Outcome { mark, sent_us: now_us(), ..Outcome::default() };
         if timeout(CONTROL, self.run_call(host, c, &mut out)).await.is_err() {
             out.fail("no answer in time");
         }
--- a/crates/bench/src/cmd.rs
+++ b/crates/bench/src/cmd.rs
@@ -1,3 +1,5 @@
 //! Commands of `yuccabench`.
 
 pub mod demo;
+pub mod report;
+pub mod run;
--- a/crates/bench/src/driver.rs
+++ b/crates/bench/src/driver.rs
@@ -110,6 +110,12 @@
         outcomes
     }
 
+    /// Key of an account, also if it is revoked.
+    pub fn account_key(&self, account: &str) -> Option<String> {
+        let seen = self.seen.borrow();
+        seen.keys.iter().find(|k| k.account == account).map(|k| k.key.clone())
+    }
+
     /// Notes that a key was published now.
     pub fn key_added(&self, key: &str, account: &str) {
         let (key, account) = (key.to_owned(), account.to_owned());
--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -41,6 +41,9 @@
     /// No such host, engine or account in the fleet.
     #[error("unknown name {0}")]
     Unknown(String),
+    /// Guarantees were violated; the result shows which.
+    #[error("guarantees were violated: {0:?}")]
+    Violated(std::collections::BTreeMap<String, usize>),
     /// Plots.
     #[error("plot: {0}")]
     Plot(String),
--- /dev/null
+++ b/crates/bench/src/experiment/faults.rs
@@ -0,0 +1,186 @@
+//! Faults of a scenario at their times.
+
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::{Instant, sleep_until};
+
+use super::Shared;
+use crate::{
+    Error, Result,
+    checker::EFFECT_US,
+    driver::Driver,
+    fleet::Fleet,
+    now_us,
+    plan::{key, key_hash},
+    scenario::{Fault, Scenario},
+};
+
+/// Longest graceful shutdown that is waited for.
+const STOP: Duration = Duration::from_secs(45);
+
+/// Carries out all faults; the result names them with their times.
+pub async fn run(
+    s: &Scenario,
+    begin: Instant,
+    fleet: &mut Fleet,
+    driver: &Driver,
+    shared: &Shared,
+) -> Result<Vec<(f64, String)>> {
+    let mut steps: Vec<(f64, bool, &Fault)> = Vec::new();
+    for t in &s.faults {
+        steps.push((t.at_s, true, &t.fault));
+        if t.for_s > 0.0 {
+            steps.push((t.at_s + t.for_s, false, &t.fault));
+        }
+    }
+    steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut done = Vec::new();
+    for (at, on, fault) in steps {
+        sleep_until(begin + Duration::from_secs_f64(at)).await;
+        let mut f = Step { fleet, driver, on };
+        f.carry_out(fault).await?;
+        shared.refresh(fleet);
+        let after = Instant::now().saturating_duration_since(begin).as_secs_f64();
+        done.push((after, format!("{fault:?} {}", if on { "begins" } else { "ends" })));
+    }
+    Ok(done)
+}
+
+struct Step<'a> {
+    fleet: &'a mut Fleet,
+    driver: &'a Driver,
+    on: bool,
+}
+
+impl Step<'_> {
+    async fn carry_out(&mut self, fault: &Fault) -> Result<()> {
+        let on = self.on;
+        match fault {
+            Fault::KillHost(i) if on => {
+                let name = self.host(*i)?;
+                self.driver.killed(&name);
+                self.fleet.kill_host(&name)
+            }
+            Fault::KillHost(i) => self.replace(*i).await,
+            Fault::PauseHost(i) if on => self.fleet.pause_host(&self.host(*i)?),
+            Fault::PauseHost(i) => self.fleet.resume_host(&self.host(*i)?),
+            Fault::StopHost(i) if on => {
+                let name = self.host(*i)?;
+                self.driver.stopped(&name);
+                self.fleet.stop_host(&name)
+            }
+            Fault::StopHost(i) => {
+                let name = self.host(*i)?;
+                self.fleet.host_end(&name, STOP).await?;
+                self.replace(*i).await
+            }
+            Fault::Partition(domains) => self.partition(domains),
+            Fault::SilenceHost(i) if on => {
+                let host = self.host(*i)?;
+                let all = self.names();
+                let others: Vec<_> =
+                    all.iter().map(String::as_str).filter(|n| *n != host).collect();
+                self.fleet.silence(&[&host], &others)?;
+                self.fleet.silence(&others, &[&host])
+            }
+            Fault::ConfigDown => self.config(json!({"down": on})).await,
+            Fault::ConfigStale => self.config(json!({"stale": on})).await,
+            Fault::ListLag(ms) => {
+                let ms = if on { *ms } else { 0 };
+                self.fleet.faults("list", json!({"lag_ms": ms})).await
+            }
+            Fault::RestartEngine(i) if on => self.fleet.restart_engine(&format!("e{i}")).await,
+            Fault::LoadFail(ppm) => {
+                self.engines(json!({"load_fail_ppm": if on { *ppm } else { 0 }})).await
+            }
+            Fault::CutStreams(n) => {
+                self.engines(json!({"cut_after": if on { *n } else { 0 }})).await
+            }
+            Fault::SilenceStreams => self.engines(json!({"silent": on})).await,
+            Fault::RevokeKey(account) => self.revoke(account).await,
+            Fault::LeaveEngine(i) => {
+                let name = format!("e{i}");
+                self.driver.leaving(&name, on);
+                self.fleet.set_leaving(&name, on).await
+            }
+            Fault::CutCalls => {
+                let names: Vec<_> = self.fleet.plan.plain.iter().map(|p| p.name.clone()).collect();
+                for n in names {
+                    self.fleet.faults(&n, json!({"cut": on})).await?;
+                }
+                Ok(())
+            }
+            Fault::SilenceHost(_) | Fault::RestartEngine(_) => Ok(()),
+        }
+    }
+
+    /// Name of the host that has an ordinal now.
+    fn host(&self, ordinal: usize) -> Result<String> {
+        let found = self.fleet.hosts().find(|h| h.ordinal == ordinal);
+        found.map(|h| h.name.clone()).ok_or_else(|| Error::Unknown(format!("ordinal {ordinal}")))
+    }
+
+    async fn replace(&mut self, ordinal: usize) -> Result<()> {
+        let name = self.host(ordinal)?;
+        self.fleet.replace_host(&name).await.map(drop)
+    }
+
+    /// Names of all hosts, upstreams and platform services in the proxy.
+    fn names(&self) -> Vec<String> {
+        let f = &self.fleet;
+        let hosts = f.hosts().map(|h| h.name.clone());
+        let engines = f.plan.engines.iter().map(|e| e.name.to_string());
+        let plain = f.plan.plain.iter().map(|p| p.name.to_string());
+        let platform = ["config", "list"].map(str::to_owned);
+        hosts.chain(engines).chain(plain).chain(platform).collect()
+    }
+
+    fn partition(&self, domains: &[arcstr::ArcStr]) -> Result<()> {
+        let f = &self.fleet;
+        let cut = |d: &arcstr::ArcStr| domains.contains(d);
+        let hosts = f.hosts().filter(|h| cut(&f.plan.hosts[h.ordinal])).map(|h| h.name.clone());
+        let engines = f.plan.engines.iter().filter(|e| cut(&e.domain)).map(|e| e.name.to_string());
+        let plain = f.plan.plain.iter().filter(|p| cut(&p.domain)).map(|p| p.name.to_string());
+        let inside: Vec<_> = hosts.chain(engines).chain(plain).collect();
+        let all = self.names();
+        let outside: Vec<_> = all.iter().filter(|n| !inside.contains(n)).collect();
+        let a: Vec<_> = inside.iter().map(String::as_str).collect();
+        let b: Vec<_> = outside.iter().map(|n| n.as_str()).collect();
+        f.links(&a, &b, |l| l.drop = self.on)
+    }
+
+    async fn config(&self, faults: serde_json::Value) -> Result<()> {
+        if !self.on {
+            // What was published in the meantime may be late by as much as any other change.
+            self.driver.blind(0, now_us() + EFFECT_US);
+        }
+        self.fleet.faults("config", faults).await
+    }
+
+    async fn engines(&self, faults: serde_json::Value) -> Result<()> {
+        for e in &self.fleet.plan.engines {
+            self.fleet.faults(&e.name, faults.clone()).await?;
+        }
+        Ok(())
+    }
+
+    async fn revoke(&mut self, account: &str) -> Result<()> {
+        let (on, k) = (self.on, key(account));
+        let hash = key_hash(&k);
+        self.fleet
+            .publish(|r| {
+                if let Some(a) = r.accounts.get_mut(account) {
+                    a.keys.retain(|h| *h != hash);
+                    a.keys.extend((!on).then_some(hash));
+                }
+            })
+            .await?;
+        if on {
+            self.driver.key_revoked(&k);
+        } else {
+            self.driver.key_added(&k, account);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiment/summary.rs
@@ -0,0 +1,131 @@
+//! From the record of a run to its result.
+
+use std::collections::BTreeMap;
+
+use yuccawing_core::rules::Class;
+
+use super::Record;
+use crate::{
+    baseline::{self, Slots},
+    checker::Limits,
+    metrics::{self, Decision, Sample},
+    results::{Baselines, Counts, Metrics, Refusals, Results},
+    scenario::Scenario,
+};
+
+/// Violations that a result shows in full.
+const EXAMPLES: usize = 20;
+
+/// Computes the result of a run.
+pub fn summarise(name: &str, s: &Scenario, r: Record) -> Results {
+    let Record { samples, dropped, span, start_us, faults, usage, evidence } = r;
+    let measured: Vec<Sample> =
+        samples.iter().filter(|x| x.outcome.sent_us >= span.0).cloned().collect();
+    let completions = || measured.iter().filter(|x| x.arrival.plain.is_none());
+    let names: Vec<(String, Limits)> = s
+        .accounts
+        .iter()
+        .map(|a| (a.name.to_string(), Limits { rate: a.rate, burst: a.burst }))
+        .collect();
+    let slots: u64 = s.engines.iter().map(|e| e.count as u64 * u64::from(e.batch)).sum();
+    let mut accounts = metrics::accounts(&measured, &names, s.duration_s as f64);
+    let mut refusals = Refusals::default();
+    for (i, (account, limits)) in names.iter().enumerate() {
+        // The reference starts with the fleet's own empty buckets, before the warm-up.
+        let decisions = decisions(&samples, i);
+        let mut found = metrics::reference(&decisions, *limits, start_us);
+        found.requests = decisions.len() as u64;
+        add(&mut refusals, &found);
+        if let Some(a) = accounts.get_mut(account) {
+            a.refusals = found;
+        }
+    }
+    let violations = evidence.check();
+    let mut count = BTreeMap::new();
+    for v in &violations {
+        *count.entry(format!("{:?}", v.guarantee)).or_default() += 1;
+    }
+    let example = |v: &crate::checker::Violation| {
+        let at = (v.at_us as f64 - span.0 as f64) / 1e6;
+        format!("{:?} at {at:.3} s: {}", v.guarantee, v.what)
+    };
+    Results {
+        scenario: name.into(),
+        note: s.note.clone(),
+        seed: s.seed,
+        debug_build: cfg!(debug_assertions),
+        duration_s: s.duration_s,
+        requests: Counts { dropped, ..metrics::counts(completions()) },
+        calls: metrics::counts(measured.iter().filter(|x| x.arrival.plain.is_some())),
+        metrics: Metrics {
+            stalls: metrics::stalls(&measured, &evidence.engines),
+            batch: metrics::batch(&measured, &evidence.engines, slots, span),
+            worst: metrics::worst(&accounts),
+            refusals,
+        },
+        accounts,
+        latency: [Class::Status, Class::Interactive, Class::Drafting]
+            .into_iter()
+            .map(|c| {
+                let of = completions().filter(|x| x.arrival.class == c);
+                (format!("{c:?}").to_lowercase(), metrics::latency(of))
+            })
+            .filter(|(_, l)| l.count > 0)
+            .collect(),
+        baselines: baselines(s, &samples, &names, start_us, span.0),
+        timeline: metrics::timeline(&measured, span),
+        faults,
+        violations: count,
+        examples: violations.iter().take(EXAMPLES).map(example).collect(),
+        codes: metrics::codes(&measured),
+        usage,
+    }
+}
+
+fn decisions(samples: &[Sample], account: usize) -> Vec<Decision> {
+    let own = samples.iter().filter(|x| x.arrival.account == account && x.arrival.plain.is_none());
+    own.map(|x| Decision {
+        at_us: x.outcome.sent_us,
+        end_us: x.outcome.end_us,
+        reserved: x.reserved(),
+        used: if x.outcome.is_ok() { x.used() } else { 0 },
+        limited: x.is_limited(),
+    })
+    .collect()
+}
+
+fn baselines(
+    s: &Scenario,
+    samples: &[Sample],
+    names: &[(String, Limits)],
+    start_us: u64,
+    from_us: u64,
+) -> Baselines {
+    let mut out = Baselines::default();
+    let hosts = s.hosts.len() as u64;
+    for (i, (_, limits)) in names.iter().enumerate() {
+        let own = || samples.iter().filter(|x| x.arrival.account == i && x.arrival.plain.is_none());
+        let split = baseline::refusals(own(), *limits, start_us, hosts, |x| x.host);
+        let home = baseline::refusals(own(), *limits, start_us, 1, |_| 0);
+        add(&mut out.equal_split, &split);
+        add(&mut out.home_host, &home);
+    }
+    let engines: usize = s.engines.iter().map(|e| e.count).sum();
+    let slots: usize = s.engines.iter().map(|e| e.count * e.slots as usize).sum();
+    let z = Slots {
+        engines,
+        slots: slots / engines.max(1),
+        rate: s.store.rate,
+        load_us: s.store.load_ms * 1000,
+    };
+    out.lru = baseline::lru(samples, z, from_us);
+    out.clairvoyant_loads = baseline::clairvoyant(samples, z, from_us);
+    out
+}
+
+fn add(sum: &mut Refusals, x: &Refusals) {
+    sum.requests += x.requests;
+    sum.refused += x.refused;
+    sum.wrongful += x.wrongful;
+    sum.share = sum.wrongful as f64 / sum.requests.max(1) as f64;
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,14 +1,21 @@
 //! Experiments with yuccawing: a fleet of real processes on this machine, a fault-injecting proxy
 //! between them, open-loop load, and a checker of the guarantees.
 
+pub mod baseline;
 pub mod checker;
 pub mod client;
 pub mod cmd;
 pub mod driver;
+pub mod experiment;
 pub mod fleet;
+pub mod metrics;
 pub mod plan;
 pub mod process;
 pub mod proxy;
+pub mod results;
+pub mod scenario;
+pub mod trace;
+pub mod usage;
 
 mod error;
 
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -16,6 +16,8 @@
 #[argh(subcommand)]
 enum Command {
     Demo(cmd::demo::Args),
+    Run(cmd::run::Args),
+    Report(cmd::report::Args),
 }
 
 fn main() -> ExitCode {
@@ -32,5 +34,7 @@
 async fn run(command: Command) -> Result<()> {
     match command {
         Command::Demo(a) => cmd::demo::run(a).await,
+        Command::Run(a) => cmd::run::run(a).await,
+        Command::Report(a) => cmd::report::run(&a),
     }
 }
--- /dev/null
+++ b/crates/bench/src/metrics.rs
@@ -0,0 +1,272 @@
+//! The four metrics, from the driver's samples and the stand-ins' journals.
+
+mod bucket;
+mod latency;
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+pub use self::{
+    bucket::{Decision, reference},
+    latency::{latency, percentile},
+};
+use crate::{
+    checker::Limits,
+    client::{Outcome, Run},
+    fleet::Entry,
+    results::{AccountResult, Batch, Counts, Refusals, Second, Stalls, Worst},
+    trace::Arrival,
+};
+
+/// A request is waiting from this long after it was sent: below it is the way to an engine.
+const WAY_US: u64 = 10_000;
+
+/// Code of a refusal for a limit.
+const LIMITED: &str = "rate_limited";
+
+/// A request of the trace and what became of it.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// Arrival.
+    pub arrival: Arrival,
+    /// Ordinal of the host it was sent to.
+    pub host: usize,
+    /// Bytes of the whole prompt.
+    pub prompt: usize,
+    /// What became of it.
+    pub outcome: Outcome,
+}
+
+/// Journals by engine.
+pub type Journals = BTreeMap<String, Vec<Entry>>;
+
+impl Sample {
+    /// Tokens of the prompt, by the rule of the engines.
+    pub fn prompt_tokens(&self) -> u64 {
+        (self.prompt as u64).div_ceil(4).max(1)
+    }
+
+    /// Tokens that the request can use at most.
+    pub fn reserved(&self) -> u64 {
+        self.prompt_tokens() + self.arrival.max_tokens
+    }
+
+    /// Tokens that the complete answer uses.
+    pub fn used(&self) -> u64 {
+        self.prompt_tokens() + self.arrival.tokens
+    }
+
+    /// Whether it was refused for a limit.
+    pub fn is_limited(&self) -> bool {
+        self.outcome.code.as_deref() == Some(LIMITED)
+    }
+
+    fn is_completion(&self) -> bool {
+        self.arrival.plain.is_none()
+    }
+}
+
+/// Counts by end.
+pub fn counts<'a>(samples: impl Iterator<Item = &'a Sample>) -> Counts {
+    let mut c = Counts::default();
+    for s in samples {
+        c.sent += 1;
+        match (s.outcome.is_ok(), s.outcome.run) {
+            (true, _) => c.served += 1,
+            (false, Some(Run::NotRun)) => c.refused += 1,
+            _ => c.failed += 1,
+        }
+    }
+    c
+}
+
+/// Codes of refusals and failures.
+pub fn codes(samples: &[Sample]) -> BTreeMap<String, u64> {
+    let mut out = BTreeMap::new();
+    for o in samples.iter().map(|s| &s.outcome).filter(|o| !o.is_ok()) {
+        let code = match (&o.code, o.status) {
+            (Some(c), _) => c.clone(),
+            (None, Some(s)) => format!("status {s}"),
+            (None, None) => "no connection".into(),
+        };
+        *out.entry(code).or_default() += 1;
+    }
+    out
+}
+
+/// Load stalls: a request waited if the engine that ran it finished loading its instance after the
+/// request was sent; the wait is the time between the two.
+pub fn stalls(samples: &[Sample], engines: &Journals) -> Stalls {
+    let sent: HashMap<&str, u64> =
+        samples.iter().map(|s| (s.outcome.mark.as_str(), s.outcome.sent_us)).collect();
+    let mut waits = Vec::new();
+    let mut loads = 0;
+    for journal in engines.values() {
+        let mut loading = HashSet::new();
+        let mut loaded: HashMap<&str, u64> = HashMap::new();
+        for e in journal {
+            match (e.kind.as_str(), &e.code) {
+                ("load_begin", _) => {
+                    loads += 1;
+                    loading.insert(e.instance.as_str());
+                }
+                ("load", None) if loading.remove(e.instance.as_str()) => {
+                    loaded.insert(&e.instance, e.at_us);
+                }
+                ("request", None) => {
+                    let Some(sent) = sent.get(e.mark()) else { continue };
+                    let at = loaded.get(e.instance.as_str()).copied().unwrap_or(0);
+                    if at > *sent {
+                        waits.push(at - sent);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    let served = samples.iter().filter(|s| s.is_completion() && s.outcome.is_ok()).count();
+    stalls_of(waits, served as u64, loads)
+}
+
+/// Summary of waits in microseconds.
+pub fn stalls_of(mut waits: Vec<u64>, served: u64, loads: u64) -> Stalls {
+    waits.sort_unstable();
+    let sum: u64 = waits.iter().sum();
+    Stalls {
+        count: waits.len() as u64,
+        p50_ms: percentile(&waits, 50.0) / 1000.0,
+        p99_ms: percentile(&waits, 99.0) / 1000.0,
+        seconds_per_1000: sum as f64 / 1e6 / served.max(1) as f64 * 1000.0,
+        loads,
+    }
+}
+
+/// Batch efficiency over the times in which a request waits that is not in a batch yet.
+pub fn batch(
+    samples: &[Sample],
+    engines: &Journals,
+    slots: u64,
+    span: (u64, u64),
+) -> Option<Batch> {
+    // Steps in time: change of slots used and change of requests waiting.
+    let mut steps: Vec<(u64, i64, i64)> = Vec::new();
+    let mut begun: HashMap<&str, u64> = HashMap::new();
+    for journal in engines.values() {
+        let mut marks: HashMap<&str, &str> = HashMap::new();
+        let mut running = HashSet::new();
+        for e in journal {
+            let id = e.request_id.as_deref().unwrap_or("");
+            match e.kind.as_str() {
+                "request" => drop(marks.insert(id, e.mark())),
+                "begin" => {
+                    running.insert(id);
+                    steps.push((e.at_us, 1, 0));
+                    if let Some(m) = marks.get(id) {
+                        begun.entry(m).or_insert(e.at_us);
+                    }
+                }
+                "end" if running.remove(id) => steps.push((e.at_us, -1, 0)),
+                _ => {}
+            }
+        }
+    }
+    for s in samples.iter().filter(|s| s.is_completion()) {
+        let o = &s.outcome;
+        let end = begun.get(o.mark.as_str()).copied().unwrap_or(o.end_us);
+        let start = o.sent_us + WAY_US;
+        if end > start {
+            steps.push((start, 0, 1));
+            steps.push((end, 0, -1));
+        }
+    }
+    steps.sort_unstable();
+    let (mut used, mut waiting, mut last) = (0i64, 0i64, span.0);
+    let (mut area, mut time) = (0u128, 0u64);
+    for (at, u, w) in steps {
+        let now = at.clamp(span.0, span.1);
+        if waiting > 0 {
+            let d = now.saturating_sub(last);
+            time += d;
+            area += u128::from(d) * used.max(0) as u128;
+        }
+        last = last.max(now);
+        used += u;
+        waiting += w;
+    }
+    (time > 0).then(|| Batch {
+        efficiency: area as f64 / (time as f64 * slots as f64),
+        waiting_s: time as f64 / 1e6,
+    })
+}
+
+/// What each account received.
+pub fn accounts(
+    samples: &[Sample],
+    names: &[(String, Limits)],
+    seconds: f64,
+) -> BTreeMap<String, AccountResult> {
+    let one = |(i, (name, l)): (usize, &(String, Limits))| {
+        let own: Vec<_> =
+            samples.iter().filter(|s| s.arrival.account == i && s.is_completion()).collect();
+        let served = || own.iter().filter(|s| s.outcome.is_ok());
+        let sum = |s: &mut dyn Iterator<Item = u64>| s.sum::<u64>();
+        let offered = sum(&mut own.iter().map(|s| s.used()));
+        let received = sum(&mut served().map(|s| s.used()));
+        let allowed = (l.rate as f64 * seconds) as u64 + l.burst;
+        let mut first: Vec<u64> =
+            served().filter_map(|s| Some(s.outcome.first_us? - s.outcome.sent_us)).collect();
+        first.sort_unstable();
+        let r = AccountResult {
+            sent: own.len() as u64,
+            served: served().count() as u64,
+            offered,
+            allowed,
+            received,
+            ratio: received as f64 / offered.min(allowed).max(1) as f64,
+            first_p99_ms: percentile(&first, 99.0) / 1000.0,
+            refusals: Refusals::default(),
+        };
+        (name.clone(), r)
+    };
+    names.iter().enumerate().map(one).collect()
+}
+
+/// The account with the lowest ratio of received to due tokens, among those that sent anything.
+pub fn worst(accounts: &BTreeMap<String, AccountResult>) -> Option<Worst> {
+    let active = || accounts.iter().filter(|(_, a)| a.sent > 0);
+    let (name, w) = active().min_by(|a, b| a.1.ratio.total_cmp(&b.1.ratio))?;
+    let mut p99: Vec<f64> = active().map(|(_, a)| a.first_p99_ms).filter(|p| *p > 0.0).collect();
+    p99.sort_by(f64::total_cmp);
+    let median = p99.get(p99.len() / 2).copied().unwrap_or(0.0);
+    Some(Worst {
+        account: name.clone(),
+        served: w.ratio,
+        first_p99: if median > 0.0 { w.first_p99_ms / median } else { 0.0 },
+    })
+}
+
+/// What happened in each second after `from_us`.
+pub fn timeline(samples: &[Sample], (from_us, until_us): (u64, u64)) -> Vec<Second> {
+    let n = (until_us.saturating_sub(from_us) / 1_000_000) as usize;
+    let mut out = vec![Second::default(); n];
+    let second = |at: u64| at.checked_sub(from_us).map(|d| (d / 1_000_000) as usize);
+    for s in samples {
+        let o = &s.outcome;
+        if let Some(x) = second(o.sent_us).and_then(|i| out.get_mut(i)) {
+            x.sent += 1;
+        }
+        let Some(x) = second(o.end_us).and_then(|i| out.get_mut(i)) else { continue };
+        if o.is_ok() {
+            x.served += 1;
+            x.tokens += s.arrival.tokens;
+        } else if s.is_limited() {
+            x.limited += 1;
+        } else if o.run == Some(Run::NotRun) {
+            x.refused += 1;
+        } else {
+            x.failed += 1;
+        }
+    }
+    out
+}
--- /dev/null
+++ b/crates/bench/src/metrics/tests.rs
@@ -0,0 +1,91 @@
+use std::time::Duration;
+
+use yuccawing_core::rules::Class;
+
+use super::{Decision, Sample, batch, reference, stalls};
+use crate::{checker::Limits, client::Outcome, fleet::Entry, trace::Arrival};
+
+fn sample(mark: &str, sent_us: u64, end_us: u64) -> Sample {
+    let arrival = Arrival {
+        at: Duration::ZERO,
+        account: 0,
+        host: 0,
+        class: Class::Interactive,
+        adapter: 0,
+        version: 0,
+        prompt: 10,
+        tokens: 10,
+        max_tokens: 20,
+        deadline: Duration::ZERO,
+        plain: None,
+    };
+    let outcome = Outcome {
+        mark: mark.into(),
+        sent_us,
+        end_us,
+        status: Some(200),
+        complete: true,
+        ..Outcome::default()
+    };
+    Sample { arrival, host: 0, prompt: 20, outcome }
+}
+
+fn entry(at_us: u64, kind: &str, mark: &str) -> Entry {
+    Entry {
+        at_us,
+        kind: kind.into(),
+        request_id: Some(mark.into()),
+        instance: "a0:1".into(),
+        prompt: mark.into(),
+        ..Entry::default()
+    }
+}
+
+fn decision(at_us: u64, limited: bool) -> Decision {
+    Decision { at_us, end_us: at_us + 1, reserved: 10, used: 10, limited }
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against stalls that are counted for instances that were resident in time.
+    only_loads_that_end_after_the_sending_are_stalls: {
+        let j = vec![
+            entry(0, "load_begin", ""),
+            entry(300_000, "load", ""),
+            entry(301_000, "request", "early"),
+            entry(500_000, "load", ""),
+            entry(501_000, "request", "late"),
+        ];
+        let s = [sample("early", 100_000, 900_000), sample("late", 400_000, 900_000)];
+        let out = stalls(&s, &[("e0".to_owned(), j)].into());
+        assert_eq!((out.count, out.loads), (1, 1));
+        assert_eq!((out.p50_ms, out.seconds_per_1000), (200.0, 100.0));
+    }
+    // Guards against idle times that count against the batch although no work waits.
+    efficiency_counts_only_while_work_waits: {
+        let j = vec![
+            entry(0, "request", "a"), entry(0, "begin", "a"),
+            entry(1_000_000, "end", "a"),
+            entry(1_000_000, "request", "b"), entry(1_000_000, "begin", "b"),
+            entry(2_000_000, "end", "b"),
+        ];
+        let s = [sample("a", 0, 1_000_000), sample("b", 490_000, 2_000_000)];
+        let out = batch(&s, &[("e0".to_owned(), j)].into(), 2, (0, 4_000_000)).unwrap();
+        assert_eq!((out.efficiency, out.waiting_s), (0.5, 0.5));
+    }
+    // Guards against a reference that overlooks room, or counts rightful refusals.
+    a_refusal_is_wrongful_only_with_room: {
+        let l = Limits { rate: 10, burst: 20 };
+        let d = [
+            decision(500_000, true),
+            decision(1_000_000, false),
+            decision(1_500_000, true),
+            decision(2_100_000, true),
+        ];
+        let out = reference(&d, l, 0);
+        assert_eq!((out.refused, out.wrongful), (3, 1));
+    }
+}
--- a/crates/bench/src/proxy.rs
+++ b/crates/bench/src/proxy.rs
@@ -71,6 +71,10 @@
     thread: Option<thread::JoinHandle<()>>,
 }
 
+/// A view of the proxy's traffic.
+#[derive(Clone, Debug)]
+pub struct Meter(Arc<Shared>);
+
 #[derive(Debug)]
 struct Shared {
     state: Mutex<State>,
@@ -176,7 +180,19 @@
 
     /// Traffic so far by caller and target.
     pub fn traffic(&self) -> BTreeMap<(String, String), Traffic> {
-        let state = self.shared.lock();
+        self.watch().traffic()
+    }
+
+    /// A view of the traffic that does not borrow the proxy.
+    pub fn watch(&self) -> Meter {
+        Meter(self.shared.clone())
+    }
+}
+
+impl Meter {
+    /// Traffic so far by caller and target.
+    pub fn traffic(&self) -> BTreeMap<(String, String), Traffic> {
+        let state = self.0.lock();
         state.traffic.iter().map(|((f, t), n)| ((f.to_string(), t.to_string()), *n)).collect()
     }
 }
--- /dev/null
+++ b/crates/bench/src/scenario/build.rs
@@ -0,0 +1,73 @@
+//! The fleet of a scenario.
+
+use std::time::Duration;
+
+use yuccawing_core::rules;
+
+use super::Scenario;
+use crate::plan::{Engine, Plain, Plan, Weights};
+
+/// Path of calls that may be repeated.
+pub const NOTES: &str = "/notes";
+
+/// Path of calls that must not be repeated.
+pub const ONCE: &str = "/once";
+
+/// Seconds that a graceful shutdown may take in a scenario.
+const STOP_S: u64 = 40;
+
+impl Scenario {
+    /// The fleet of this scenario.
+    pub fn plan(&self) -> Plan {
+        let ms = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
+        let mut p = Plan::new(3);
+        p.hosts.clone_from(&self.hosts);
+        let engines = self.engines.iter().flat_map(|e| std::iter::repeat_n(e, e.count));
+        p.engines = engines
+            .enumerate()
+            .map(|(i, e)| Engine {
+                name: format!("e{i}").into(),
+                domain: e.domain.clone(),
+                slots: e.slots,
+                batch: e.batch,
+                fencing: e.fencing,
+                first_ms: e.first_ms,
+                token_ms: e.token_ms,
+            })
+            .collect();
+        let plain = self.plain.iter().flat_map(|s| std::iter::repeat_n(s, s.count));
+        p.plain = plain
+            .enumerate()
+            .map(|(i, s)| Plain {
+                name: format!("p{i}").into(),
+                domain: s.domain.clone(),
+                limit: s.limit,
+            })
+            .collect();
+        p.store = Weights {
+            rate: self.store.rate,
+            flight: self.store.flight,
+            load_ms: self.store.load_ms,
+        };
+        let a = &self.adapters;
+        let of = |class, n| std::iter::repeat_n(class, n);
+        p.adapters = of(rules::Class::Status, a.status)
+            .chain(of(rules::Class::Interactive, a.interactive))
+            .chain(of(rules::Class::Drafting, a.drafting))
+            .collect();
+        p.versions.clone_from(&a.versions);
+        p.accounts.clear();
+        p.routes.clear();
+        for a in &self.accounts {
+            p = p.account(&a.name, a.rate, a.burst);
+            p.accounts.entry(a.name.clone()).and_modify(|x| x.weight = a.weight);
+        }
+        if !p.plain.is_empty() {
+            p = p.route(NOTES, |_| {}).route(ONCE, |r| r.idempotent = false);
+        }
+        p.domain_delay = ms(self.delay.domains_ms);
+        p.caller_delay = ms(self.delay.callers_ms);
+        p.stop_s = STOP_S;
+        p.proxied()
+    }
+}
