--- a/crates/bench/src/cmd.rs
+++ b/crates/bench/src/cmd.rs
@@ -1,5 +1,6 @@
 //! Commands of `yuccabench`.
 
+pub mod capacity;
 pub mod demo;
 pub mod report;
 pub mod run;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,10 +1,13 @@
 //! Daemon of a yuccawing entry host.
 
 mod control;
+mod edge;
 mod events;
 mod mesh;
 mod metrics;
 mod settings;
+mod stop;
+mod tls;
 mod upstream;
 mod watch;
 
