--- a/crates/bench/src/client/events.rs
+++ b/crates/bench/src/client/events.rs
@@ -50,7 +50,8 @@
     if v["done"] == true {
         return Event::End;
     }
-    text_of(&v).map_or(Event::Other, Event::Text)
+    // The chunk that gives the reason of the end has an empty text.
+    text_of(&v).filter(|t| !t.is_empty()).map_or(Event::Other, Event::Text)
 }
 
 /// Text of a chunk or of a whole answer.
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -247,6 +247,15 @@
         self.hosts.get_mut(name).ok_or_else(|| Error::Unknown(name.into()))
     }
 
+    /// Process id of a host.
+    ///
+    /// # Errors
+    ///
+    /// There is none of this name.
+    pub fn pid(&self, name: &str) -> Result<u32> {
+        Ok(self.host(name)?.process.pid())
+    }
+
     /// Starts the daemon of an ordinal and returns its name. The host list does not show it yet.
     ///
     /// # Errors
