--- a/crates/bench/src/cmd.rs
+++ b/crates/bench/src/cmd.rs
@@ -2,3 +2,5 @@
 
 pub mod capacity;
 pub mod demo;
+pub mod report;
+pub mod run;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -17,6 +17,8 @@
 enum Command {
     Capacity(cmd::capacity::Args),
     Demo(cmd::demo::Args),
+    Run(cmd::run::Args),
+    Report(cmd::report::Args),
 }
 
 fn main() -> ExitCode {
@@ -34,5 +36,7 @@
     match command {
         Command::Capacity(a) => cmd::capacity::run(a).await,
         Command::Demo(a) => cmd::demo::run(a).await,
+        Command::Run(a) => cmd::run::run(a).await,
+        Command::Report(a) => cmd::report::run(&a),
     }
 }
