Do not refuse requests for capacity while slots are free

Cause: requests that wait for an adapter were counted as load, at the initial speed of 25 tokens/s; a graceful stop refused four of six long requests as overloaded (long_streams_end_before_the_process). Change: the expected wait is zero while there is a free slot for every waiting request. Conclusion: early refusal starts when the slots are full.

--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -276,7 +276,10 @@
     fn expected(&self, account: &ArcStr, weight: u32, level: usize, tokens: u64) -> Duration {
         let flows = &self.levels[level].flows;
         let before: u64 = self.levels[..level].iter().map(|l| l.tokens).sum();
-        if before == 0 && flows.is_empty() && self.free(level) > 0 {
+        // With a free slot for each of them, requests wait for adapters and not for capacity.
+        let ahead: usize =
+            self.levels[..=level].iter().flat_map(|l| l.flows.values()).map(|f| f.items.len()).sum();
+        if ahead < self.free(level) as usize {
             return Duration::ZERO;
         }
         let own = flows.get(account).map_or(0, |f| f.tokens);
--- a/crates/core/src/queue/tests.rs
+++ b/crates/core/src/queue/tests.rs
@@ -59,6 +59,17 @@
         // Another account has its own share and is not refused for this account's backlog.
         assert!(q.push(at(0), item("b", Class::Interactive, 100, at(5_000), 3)).is_ok());
     }
+    // Guards against refusals for capacity while there are free slots for all that wait: a graceful
+    // stop once refused four of six long requests whose adapters were being loaded.
+    requests_that_wait_for_adapters_do_not_count_as_load: {
+        let mut q = Queue::new(Limits { slots: 24, reserved: 3, ..LIMITS });
+        for i in 0..20 {
+            q.push(at(0), item("a", Class::Interactive, 5_000, at(5_000), i)).unwrap();
+        }
+        q.push(at(0), item("a", Class::Interactive, 5_000, at(5_000), 20)).unwrap();
+        let r = q.push(at(0), item("a", Class::Interactive, 5_000, at(5_000), 21)).unwrap_err();
+        assert_eq!(r.reason, Reason::Late);
+    }
     // Guards against a queue that grows without bound.
     the_bounds_hold: {
         let mut q = Queue::new(Limits { per_account: 3, ..LIMITS });
