--- /dev/null
+++ b/crates/core/examples/placement_figures.rs
@@ -0,0 +1,60 @@
+//! Load stalls and batch efficiency of the placement, route and queue decisions on a small model of
+//! engines and hosts, against full-view baselines on the same trace.
+//!
+//! `cargo run --release -p yuccawing-core --example placement_figures -- [stalls|batch] [SEED]`
+
+#[path = "placement_figures/central.rs"]
+mod central;
+#[path = "placement_figures/hosts.rs"]
+mod hosts;
+#[path = "placement_figures/trace.rs"]
+mod trace;
+
+use trace::{Load, Outcome, Shape, Trace};
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let seed = args.get(1).and_then(|s| s.parse().ok()).unwrap_or(1);
+    match args.first().map_or("stalls", String::as_str) {
+        "stalls" => stalls(seed),
+        "batch" => batch(seed),
+        other => {
+            eprintln!("unknown command {other}");
+            std::process::exit(2);
+        }
+    }
+}
+
+fn stalls(seed: u64) {
+    println!("requests per trace 12000 to 30000, 20 engines x 8 slots, 3000 adapters, 4 loads/s");
+    for (zipf, rate, shift) in [(1.2, 12.0, 0.1), (1.0, 7.0, 0.1), (1.4, 16.0, 0.1)] {
+        let load = Load { zipf, rate, shift, seconds: 1800, mean_ms: 4000, seed };
+        let t = Trace::new(&load);
+        println!(
+            "\nzipf {zipf}, {rate} requests/s, {shift} of the popular adapters change every 120 s"
+        );
+        run_all(&t, &Shape::default());
+    }
+}
+
+fn batch(seed: u64) {
+    for (zipf, rate) in [(1.2, 38.0), (1.2, 42.0), (1.4, 42.0)] {
+        let load = Load { zipf, rate, shift: 0.0, seconds: 600, mean_ms: 4000, seed };
+        let t = Trace::new(&load);
+        println!("\nzipf {zipf}, {rate} requests/s, capacity 40 requests/s");
+        run_all(&t, &Shape::default());
+    }
+}
+
+fn run_all(t: &Trace, shape: &Shape) {
+    println!("{}", Outcome::HEADER);
+    println!("{}", hosts::run(t, shape).line("hosts with lagging views"));
+    for (name, policy) in [
+        ("clairvoyant, full view", central::Policy::Clairvoyant),
+        ("least-loaded replica, LRU, full view", central::Policy::Resident),
+        ("least-loaded replica, LFU with aging, full view", central::Policy::Aged),
+        ("LFU with aging over the fleet, full view", central::Policy::Fleet),
+    ] {
+        println!("{}", central::run(t, shape, policy).line(name));
+    }
+}
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -825,7 +825,7 @@
             Room::Evict { .. } | Room::None => return Step::Refused(Reason::Full),
         };
         let flying = self.loading() + self.wants.values().filter(|w| w.evicting.is_some()).count();
-        let spare = usize::from(prefetch);
+        let spare = usize::from(prefetch && self.flight > 1);
         if hold || flying + spare >= self.flight.max(1) as usize {
             return Step::Blocked;
         }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -252,6 +252,13 @@
         }
     }
 
+    /// Calls `f` with every waiting request.
+    pub fn each(&self, mut f: impl FnMut(&Item<T>)) {
+        for w in self.levels.iter().flat_map(|l| l.flows.values()).flat_map(|f| &f.items) {
+            f(&w.item);
+        }
+    }
+
     /// Takes out the requests for which `keep` is false, for example those whose caller has gone.
     pub fn retain(&mut self, mut keep: impl FnMut(&Item<T>) -> bool) {
         for l in 0..self.levels.len() {
