Evict at once after the first start of a group

Cause: a new holder of an ordinal waits 150 s before it evicts anything on an engine with fencing, since it does not know its predecessor's pins. After a first start there is no predecessor, and a full engine refused every load for that time (evictions_spare_adapters_in_use_on_fenced_engines: nothing was evicted). Change: the control thread tells the placement the generation of a first start; instances that it loaded itself can be evicted at once. Conclusion: the wait remains after a replacement.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -193,6 +193,9 @@
     Configure(Vec<Spec>),
     /// This host's share of the loads in flight.
     Flight(u32),
+    /// The group is started for the first time under this generation, so nobody has pinned
+    /// anything before. To be sent before [`Event::Held`].
+    Founded(Generation),
     /// The lease of the ordinal was obtained or renewed.
     Held {
         /// Generation.
@@ -385,6 +388,7 @@
 pub struct Placement {
     authority: Option<Authority>,
     generation: Option<Generation>,
+    founded: Option<Generation>,
     flight: u32,
     engines: BTreeMap<ArcStr, Engine>,
     wants: BTreeMap<Key, Want>,
@@ -426,6 +430,7 @@
         Self {
             authority: None,
             generation: None,
+            founded: None,
             flight: 1,
             engines: BTreeMap::new(),
             wants: BTreeMap::new(),
@@ -446,6 +451,7 @@
         match event {
             Event::Configure(specs) => self.configure(now, specs),
             Event::Flight(n) => self.flight = n,
+            Event::Founded(g) => self.founded = Some(g),
             Event::Held { generation, until } => self.held(now, generation, until),
             Event::Lost => self.authority = None,
             Event::Pin(r) => self.pin(now, r, out),
@@ -533,6 +539,7 @@
             self.generation = Some(generation);
             for e in self.engines.values_mut() {
                 *e = Engine::new(e.spec.clone(), now, false);
+                e.fresh |= self.founded == Some(generation);
             }
             self.retired.clear();
             self.failures.clear();
--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -67,7 +67,7 @@
     pub(super) spec: Spec,
     since: Tick,
     // Nobody else has pinned instances under the names that this holder uses.
-    fresh: bool,
+    pub(super) fresh: bool,
     boot: Option<u64>,
     pub(super) reported: bool,
     pub(super) fence_raised: bool,
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -141,6 +141,20 @@
         assert!(sum(|s| s.restarts) > 50 && sum(|s| s.holders) > 30, "{runs:?}");
         assert!(sum(|s| s.late) > 50, "{runs:?}");
     }
+    // Guards against engines that load nothing for 150 s after the first start of a group, when no
+    // predecessor can have pinned anything.
+    a_first_start_evicts_what_it_loaded_itself: {
+        let mut one = One::new(true);
+        one.send(Event::Founded(Generation(4)));
+        one.hold(4);
+        one.start(&[]);
+        let (command, _) = loading(&one.load(1, "a")).unwrap();
+        one.send(Event::Loaded { command, result: LoadResult::Loaded, random: 0 });
+        one.now = at(1000);
+        one.send(unpin(1, "a:1"));
+        let out = one.load(2, "b");
+        assert!(matches!(&out[0], Effect::Unload { instance, .. } if instance == "a:1"), "{out:?}");
+    }
     // Guards against evicting what the predecessor's pins protect.
     a_new_holder_evicts_nothing_before_old_pins_have_ended: {
         let mut one = One::new(true);
--- a/crates/daemon/src/control/versions.rs
+++ b/crates/daemon/src/control/versions.rs
@@ -5,7 +5,6 @@
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use yuccawing_core::{
     config::{self, Reason, Source, Want},
-    ids::Generation,
     membership,
     rules::Rules,
     time::Tick,
@@ -13,6 +12,7 @@
 
 use super::{
     Control,
+    group::FOUNDED,
     messages::{AdapterView, HostEntry, Hosts, KeyHash, RouteView, Snapshot},
 };
 use crate::{
@@ -180,7 +180,7 @@
         match &mut self.lease {
             Some(l) => l.configure(now, version, rules.hosts),
             None => {
-                let found = self.setup.settings.found.then_some(Generation(1));
+                let found = self.setup.settings.found.then_some(FOUNDED);
                 let identity = self.setup.incarnation;
                 self.lease = Some(self.new_lease(now, rules.hosts, identity, found));
             }
