--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -213,6 +213,10 @@
         pub enum Code { $($(#[$doc])* $name,)* }
 
         impl Code {
+            /// All codes, to compare them with the documentation.
+            #[cfg(test)]
+            pub const ALL: &[Self] = &[$(Self::$name),*];
+
             /// Name in error answers and metrics.
             pub fn name(self) -> &'static str {
                 match self { $(Self::$name => $text,)* }
