--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -252,6 +252,13 @@
         }
     }
 
+    /// Calls `f` with every waiting request.
+    pub fn each(&self, mut f: impl FnMut(&Item<T>)) {
+        for w in self.levels.iter().flat_map(|l| l.flows.values()).flat_map(|f| &f.items) {
+            f(&w.item);
+        }
+    }
+
     /// Takes out the requests for which `keep` is false, for example those whose caller has gone.
     pub fn retain(&mut self, mut keep: impl FnMut(&Item<T>) -> bool) {
         for l in 0..self.levels.len() {
@@ -276,7 +283,10 @@
     fn expected(&self, account: &ArcStr, weight: u32, level: usize, tokens: u64) -> Duration {
         let flows = &self.levels[level].flows;
         let before: u64 = self.levels[..level].iter().map(|l| l.tokens).sum();
-        if before == 0 && flows.is_empty() && self.free(level) > 0 {
+        // With a free slot for each of them, requests wait for adapters and not for capacity.
+        let ahead: usize =
+            self.levels[..=level].iter().flat_map(|l| l.flows.values()).map(|f| f.items.len()).sum();
+        if ahead < self.free(level) as usize {
             return Duration::ZERO;
         }
         let own = flows.get(account).map_or(0, |f| f.tokens);
