--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -328,3 +328,118 @@
         prop_assert!(matches!(out[..], [Effect::Rejected(_)]));
     }
 }
+
+/// Hosts, their messages on the way, and the service.
+struct Group {
+    hosts: Vec<Config>,
+    service: Option<Rendered>,
+    now: Tick,
+}
+
+impl Group {
+    /// Delivers an event and everything that follows; `lost` tells which fetches fail.
+    fn send(&mut self, to: usize, event: Event, lost: &mut impl FnMut() -> bool) {
+        let mut queue = vec![(to, event)];
+        while let Some((at, event)) = queue.pop() {
+            let mut out = Vec::new();
+            self.hosts[at].handle(self.now, event, &mut out);
+            for e in out {
+                match e {
+                    Effect::Fetch { from, want } => {
+                        let event = if lost() { None } else { self.fetch(&from, &want) };
+                        queue.push((at, event.unwrap_or(Event::Failed { from, want })));
+                    }
+                    Effect::Announce(s) => {
+                        for peer in (0..self.hosts.len()).filter(|p| *p != at && !lost()) {
+                            queue.push((peer, announce(at, &s)));
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn fetch(&self, from: &Source, want: &Want) -> Option<Event> {
+        let host = match from {
+            Source::Service => None,
+            Source::Peer(name) => name[1..].parse::<usize>().ok(),
+        };
+        match (want, host) {
+            (Want::Head, Some(i)) => {
+                let head = self.hosts[i].head()?.clone();
+                Some(Event::Offered { from: from.clone(), head })
+            }
+            (Want::Head, None) => {
+                let head = self.service.as_ref()?.head.clone();
+                Some(Event::Offered { from: from.clone(), head })
+            }
+            (Want::Part(d), i) => {
+                let bytes = match i {
+                    Some(i) => self.hosts[i].part(d)?.as_bytes().to_vec(),
+                    None => self.service.as_ref()?.parts.get(d)?.clone().into_bytes(),
+                };
+                Some(Event::Part { from: from.clone(), digest: d.clone(), bytes })
+            }
+        }
+    }
+
+    /// One round of probes between all hosts.
+    fn probe(&mut self, lost: &mut impl FnMut() -> bool) {
+        self.now = Tick(self.now.0 + 500_000);
+        for i in 0..self.hosts.len() {
+            self.send(i, Event::Tick, lost);
+            let Some(s) = self.hosts[i].stamp() else { continue };
+            for to in (0..self.hosts.len()).filter(|t| *t != i) {
+                if !lost() {
+                    self.send(to, announce(i, &s), lost);
+                }
+            }
+        }
+    }
+}
+
+fn announce(from: usize, s: &Stamp) -> Event {
+    let (version, digest) = (s.version, Some(s.digest.clone()));
+    Event::Announced { from: peer(&format!("h{from}")), version, digest }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+    // Guards against hosts that stay on different versions after lost messages: when messages
+    // arrive again, all hosts reach the newest version that any host had seen.
+    #[test]
+    fn all_hosts_reach_the_newest_version(
+        steps in prop::collection::vec((0..4usize, any::<bool>()), 1..12),
+        losses in prop::collection::vec(0..4u8, 1..64),
+    ) {
+        let mut g = Group {
+            hosts: (0..4).map(|i| Config::new(Ordinal(i), false)).collect(),
+            service: None,
+            now: Tick(0),
+        };
+        let mut n = 0;
+        let mut lost = move || {
+            n += 1;
+            losses[n % losses.len()] == 0
+        };
+        for (i, (reader, publish)) in steps.iter().enumerate() {
+            if *publish || i == 0 {
+                g.service = Some(rendered(i as u64 + 1, i as u32));
+            }
+            let head = g.service.as_ref().unwrap().head.clone();
+            g.send(*reader, Event::Offered { from: Source::Service, head }, &mut lost);
+            g.probe(&mut lost);
+        }
+        // The last round of a reader without losses, then probes for the longest back-off.
+        let head = g.service.as_ref().unwrap().head.clone();
+        g.send(0, Event::Offered { from: Source::Service, head }, &mut || false);
+        for _ in 0..12 {
+            g.probe(&mut || false);
+        }
+        let newest = g.service.as_ref().map(|r| Stamp::from(&r.head));
+        for h in &g.hosts {
+            prop_assert_eq!(h.stamp(), newest.clone());
+        }
+    }
+}
