--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -116,6 +116,11 @@
 }
 
 impl Host {
+    /// Process id.
+    pub fn pid(&self) -> u32 {
+        self.process.pid()
+    }
+
     /// Lets a paused process continue (SIGCONT), also when the fleet has a successor.
     ///
     /// # Errors
--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -64,7 +64,8 @@
     match run(&req, payload, shape, &context, &shared, &mut record).await {
         Ok(Started::Whole(value)) => {
             record.done();
-            Ok(HttpResponse::Ok().content_type("application/json").body(value.to_string()))
+            let body = body::Whole::new(value.to_string().into(), context);
+            Ok(HttpResponse::Ok().content_type("application/json").body(body))
         }
         Ok(Started::Stream(job)) => {
             let body = stream_body(context, job, record);
@@ -103,7 +104,8 @@
     let deadline = context.deadline(req)?;
     let account = auth::account(&setup.handle.view(), req)?;
     record.set(account.clone(), Class::default());
-    let bytes = body::read(req, payload, setup.limits.body, deadline).await?;
+    // Counted until the first token; the prompt is not needed after it.
+    let (bytes, _held) = body::read(req, payload, shared, deadline).await?;
     let ask = CompletionBody::read(shape, &bytes)
         .map_err(|e| Refusal::not_run(Code::BadRequest, e.to_string()))?;
     drop(bytes);
