--- a/crates/bench/src/client.rs
+++ b/crates/bench/src/client.rs
@@ -287,8 +287,9 @@
         out.request_id = header_of(&answer, "x-request-id");
         match answer.body().limit(BODY_LIMIT).await {
             Ok(b) if answer.status().is_success() => {
+                // The client takes a broken connection for the end of the body.
+                out.complete = serde_json::from_slice::<Value>(&b).is_ok();
                 out.text = String::from_utf8_lossy(&b).into_owned();
-                out.complete = true;
             }
             Ok(b) => out.error(&b),
             Err(e) => out.fail(e),
--- a/crates/bench/tests/p2_pins.rs
+++ b/crates/bench/tests/p2_pins.rs
@@ -26,15 +26,16 @@
 }
 
 cases! {
-    // Guards against evictions that overlook a pin of another host.
-    evictions_spare_adapters_in_use_on_fenced_engines: {
+    // Guards against a holder that evicts on a fenced engine before the pins that a predecessor may
+    // have granted have expired (150 s, longer than this test).
+    nothing_is_evicted_on_fenced_engines_before_old_pins_expire: {
         let (f, d, t) = fleet(crowded(|e| e.fencing = true)).await?;
         let out = churn(&d, &t, Duration::from_secs(6)).await;
         assert!(served(&out) > 20, "{} of {} served", served(&out), out.len());
         let e = clean(&f, &d).await?;
-        assert!(unloads(&e) > 0, "nothing was evicted, the test shows nothing");
+        assert_eq!(unloads(&e), 0);
     }
-    // Guards against the same without the engine's help.
+    // Guards against evictions that overlook a pin of another host.
     evictions_spare_adapters_in_use_without_fencing: {
         let (f, d, t) = fleet(crowded(|e| e.fencing = false)).await?;
         let out = churn(&d, &t, Duration::from_secs(6)).await;
--- a/crates/bench/tests/p8_leaving.rs
+++ b/crates/bench/tests/p8_leaving.rs
@@ -10,14 +10,17 @@
     // Guards against engines that get requests because their adapters are resident there.
     a_leaving_engine_gets_no_new_requests: {
         let (mut f, d, t) = fleet(Plan::new(3)).await?;
-        let make = |i: usize| (t[i % 3].clone(), ask(&adapter(i % 4), "1", 8));
+        let make = |i: usize| (t[i % 3].clone(), ask(&adapter(i % 4), ["1", "2"][i / 4 % 2], 8));
         all_served(&load(&d, 8, Duration::from_secs(3), make).await);
-        d.leaving("e0", true);
-        f.set_leaving("e0", true).await?;
+        let journals = f.engine_journals().await?;
+        let work = |e: &&String| journals[*e].iter().filter(|e| e.kind == "request").count();
+        let busiest = journals.keys().max_by_key(work).unwrap().clone();
+        assert!(work(&&busiest) > 0);
+        d.leaving(&busiest, true);
+        f.set_leaving(&busiest, true).await?;
         // The checker allows 5 s; the load goes on beyond that.
         all_served(&load(&d, 8, Duration::from_secs(9), make).await);
-        let e = clean(&f, &d).await?;
-        assert!(e.engines["e0"].iter().any(|e| e.kind == "request"), "e0 never had work");
+        clean(&f, &d).await?;
     }
     // Guards against the same for plain services.
     a_leaving_plain_service_gets_no_new_calls: {
--- a/crates/bench/tests/standins.rs
+++ b/crates/bench/tests/standins.rs
@@ -9,11 +9,13 @@
 use serde_json::{Value, json};
 use support::*;
 
+/// Status and body. The client takes a connection that breaks for the end of the body, so a broken
+/// stream is known by its missing end event.
 async fn post(addr: SocketAddr, path: &str, body: Value) -> (u16, String) {
     let req = Client::default().post(format!("http://{addr}{path}")).timeout(LONG);
     let mut r = req.send_json(&body).await.unwrap();
-    let body = r.body().await.map(|b| String::from_utf8_lossy(&b).into_owned());
-    (r.status().as_u16(), body.unwrap_or_else(|e| format!("broken: {e}")))
+    let body = r.body().await.unwrap_or_default();
+    (r.status().as_u16(), String::from_utf8_lossy(&body).into_owned())
 }
 
 async fn load_adapter(e: SocketAddr, name: &str, fence: u64) -> (u16, String) {
@@ -66,7 +68,9 @@
         load_adapter(e, "a0:1", 1).await;
         f.faults("e0", json!({"cut_after": 3})).await?;
         let (_, broken) = post(e, "/v1/completions", completion("a0:1", "r1", 5, 0)).await;
-        assert!(broken.starts_with("broken"), "{broken}");
+        // The last token before the break may be lost with the connection.
+        assert!(broken.contains("a0:1#1 ") && !broken.contains("a0:1#3 "), "{broken}");
+        assert!(!broken.contains("done"), "{broken}");
         f.faults("e0", json!({"cut_after": 0})).await?;
         let mut r = Client::default()
             .get(format!("http://{e}/v1/streams/r1?from=3")).send().await.unwrap();
@@ -117,7 +121,7 @@
         };
         let ((_, text), ()) =
             tokio::join!(post(e, "/v1/completions", completion("a0:1", "r1", 50, 0)), restart);
-        assert!(text.starts_with("broken"), "{text}");
+        assert!(text.contains("a0:1#0 ") && !text.contains("done"), "{text}");
         let o = post(e, "/v1/completions", completion("a0:1", "r2", 5, 0)).await;
         assert_eq!(o, (404, r#"{"code":"unknown_instance"}"#.into()));
         let report: Value = f.http.get(e, "/v1/report").await?;
