--- a/crates/daemon/src/edge/plain.rs
+++ b/crates/daemon/src/edge/plain.rs
@@ -35,7 +35,7 @@
             if let Some(v) = reply.content {
                 res.insert_header((CONTENT_TYPE, v));
             }
-            Ok(res.body(reply.body))
+            Ok(res.body(body::Whole::new(reply.body, context)))
         }
         Err(r) => Err(record.failed(r).into()),
     }
@@ -68,7 +68,7 @@
     }
     let deadline = context.deadline(req)?;
     let ticket = ticket(req, &route)?;
-    let body = body::read(req, payload, setup.limits.body, deadline).await?;
+    let (body, _held) = body::read(req, payload, shared, deadline).await?;
     let call = Call {
         method: req.method().clone(),
         target: req.uri().path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string),
