--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -51,13 +51,24 @@
 /// What the concurrent parts of a run share.
 #[derive(Default)]
 struct Shared {
-    /// Hosts that run, by name: ordinal, target and process id.
-    hosts: RefCell<BTreeMap<String, (usize, Target, u32)>>,
+    /// Hosts that run, by name.
+    hosts: RefCell<BTreeMap<String, Running>>,
+}
+
+/// A host that runs.
+#[derive(Clone)]
+struct Running {
+    ordinal: usize,
+    target: Target,
+    pid: u32,
 }
 
 impl Shared {
     fn refresh(&self, fleet: &Fleet) {
-        let all = fleet.hosts().map(|h| (h.name.clone(), (h.ordinal, Target::from(h), h.pid())));
+        let all = fleet.hosts().map(|h| {
+            let running = Running { ordinal: h.ordinal, target: Target::from(h), pid: h.pid() };
+            (h.name.clone(), running)
+        });
         *self.hosts.borrow_mut() = all.collect();
     }
 }
@@ -110,8 +121,8 @@
         let now = Instant::now();
         let current = shared.hosts.borrow().clone();
         let all = traffic();
-        for (name, (_, _, pid)) in &current {
-            let Some(r) = usage::read(*pid) else { continue };
+        for (name, host) in &current {
+            let Some(r) = usage::read(host.pid) else { continue };
             let is_host = |n: &str| n.starts_with('h') && !n.ends_with(".http");
             let b = usage::bytes(&all, name, is_host);
             let rss_kb = r.rss_kb;
--- a/crates/bench/src/experiment/load.rs
+++ b/crates/bench/src/experiment/load.rs
@@ -96,7 +96,7 @@
     /// The first addresses come from the fleet, as callers have some configured.
     fn look_up_once(&self) {
         let hosts = self.shared.hosts.borrow();
-        *self.known.borrow_mut() = hosts.values().map(|(o, t, _)| (*o, t.clone())).collect();
+        *self.known.borrow_mut() = hosts.values().map(|h| (h.ordinal, h.target.clone())).collect();
     }
 
     /// The preferred host if the look-up shows it, or the next one.
@@ -112,15 +112,15 @@
     loop {
         sleep(LOOK_UP).await;
         let all = load.shared.hosts.borrow().clone();
-        for (_, t, _) in all.values() {
-            let ask = load.http.get::<Hosts>(t.addr, "/v1/hosts");
+        for h in all.values() {
+            let ask = load.http.get::<Hosts>(h.target.addr, "/v1/hosts");
             let Ok(Ok(found)) = tokio::time::timeout(LOOK_UP, ask).await else { continue };
             let known: BTreeMap<_, _> = found
                 .hosts
                 .into_iter()
                 .filter_map(|h| {
-                    let (ordinal, _, _) = all.get(&h.name)?;
-                    Some((*ordinal, Target { name: h.name, addr: h.http }))
+                    let ordinal = all.get(&h.name)?.ordinal;
+                    Some((ordinal, Target { name: h.name, addr: h.http }))
                 })
                 .collect();
             if !known.is_empty() {
