--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -2,13 +2,14 @@
 //!
 //! Each ordinal holds an equal part of the rate and of the burst of every account. A host that is
 //! short of tokens borrows a part of a peer's share for at most [`LOAN`]: rate, burst and tokens
-//! together. At any time the shares of all hosts sum to at most the whole, and so do the tokens
+//! together. Tokens that are unspent at the end of the loan stay as far as the borrower's own
+//! capacity has room, which keeps the hosts at about the same level. At any time the shares of all hosts sum to at most the whole, and so do the tokens
 //! in their buckets, so no account receives more than burst + rate x window over any window.
 
 mod search;
 mod share;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -23,8 +24,9 @@
     time::{Tick, less_drift, micros, plus_drift},
 };
 
-/// Longest time of a loan. It is below the lease, so that a healthy lender's lease outlasts it.
-pub const LOAN: Duration = Duration::from_secs(2);
+/// Longest time of a loan. Tokens are borrowed for requests that wait, so a loan is used within a
+/// few round trips; while it lasts the lender's bucket cannot fill up.
+pub const LOAN: Duration = Duration::from_millis(250);
 
 /// How long an answer to a borrow request is waited for.
 pub const ANSWER: Duration = Duration::from_millis(100);
@@ -45,8 +47,10 @@
     pub account: ArcStr,
     /// Tokens that requests wait for.
     pub need: u64,
-    /// Burst that the borrower has a use for while the loan lasts, at least `need`.
+    /// Tokens that would bring the borrower to the mean level of the group, at least `need`.
     pub want: u64,
+    /// Tokens that the borrower has beyond those that requests wait for.
+    pub level: u64,
 }
 
 /// A request for loans for several accounts.
@@ -242,12 +246,12 @@
         let mut order: Vec<_> = self.shares.iter_mut().collect();
         order.rotate_left(turn);
         for (account, share) in order {
-            share.plan(now, live, &free, |to, need, want| {
+            share.plan(now, live, &free, |to, ask| {
                 let list = &mut asks[usize::from(to.0)];
                 if list.len() == MAX_ASKS {
                     return false;
                 }
-                list.push(Ask { account: account.clone(), need, want });
+                list.push(Ask { account: account.clone(), ..ask });
                 true
             });
         }
@@ -283,7 +287,7 @@
         answer.lasts = micros(lasts);
         for ask in q.asks.iter().take(MAX_ASKS) {
             if let Some(share) = self.shares.get_mut(&ask.account) {
-                answer.loans.push(share.lend(now, now + plus_drift(lasts), ask));
+                answer.loans.push(share.lend(now, now + plus_drift(lasts), from, ask));
             }
         }
         answer
--- a/crates/core/src/allowance/search.rs
+++ b/crates/core/src/allowance/search.rs
@@ -73,39 +73,30 @@
         let i = usize::from(from.0);
         self.waits[i] = false;
         self.empty[i] = !enough;
-        self.hints[i] = Some(Hint { left, at: now });
+        self.note(from, left, now);
     }
 
-    /// Peers that can be asked for `missing` tokens, with the part that each is asked for.
+    /// Peers that can be asked now, with the tokens that each is expected to have, most first.
     /// `rate` and `burst` are those of a peer's base share.
-    pub(super) fn parts(
+    pub(super) fn peers(
         &self,
-        missing: u64,
         rate: u64,
         burst: u64,
         free: &[Ordinal],
         now: Tick,
     ) -> Vec<(Ordinal, u64)> {
         let open = |o: &Ordinal| !self.empty[usize::from(o.0)] && !self.waits[usize::from(o.0)];
-        let mut peers: Vec<(Ordinal, u64)> = free
-            .iter()
-            .copied()
-            .filter(open)
-            .map(|o| (o, self.expected(o, rate, burst, now)))
-            .collect();
+        let free = free.iter().copied().filter(open);
+        let mut peers: Vec<_> = free.map(|o| (o, self.expected(o, rate, burst, now))).collect();
         peers.sort_by_key(|(o, e)| (std::cmp::Reverse(*e), *o));
-        let mut rest = missing;
-        for (_, part) in &mut peers {
-            *part = rest.min(*part);
-            rest -= *part;
-        }
-        // When the expected tokens do not suffice, each may have more than expected.
-        let extra = rest.div_ceil(peers.len().max(1) as u64);
-        peers.iter_mut().for_each(|(_, part)| *part += extra);
-        peers.retain(|(_, part)| *part > 0);
         peers
     }
 
+    /// Notes how many tokens a peer has.
+    pub(super) fn note(&mut self, from: Ordinal, left: u64, now: Tick) {
+        self.hints[usize::from(from.0)] = Some(Hint { left, at: now });
+    }
+
     pub(super) fn asked(&mut self, o: Ordinal) {
         self.waits[usize::from(o.0)] = true;
     }
--- a/crates/core/src/allowance/share.rs
+++ b/crates/core/src/allowance/share.rs
@@ -7,14 +7,17 @@
     ArcStr,
     bucket::{Bucket, Limits, Reservation},
     ids::Ordinal,
-    time::{Tick, micros},
+    time::Tick,
 };
 
-/// Loans of one account in each direction, so that memory is bounded.
-const MAX_LOANS: usize = 64;
+/// Loans that end within the same interval are counted as one, which bounds their number.
+const GRID: u64 = 10_000;
 
-/// Shortest interval over which demand is averaged.
-const SAMPLE: Duration = Duration::from_millis(250);
+/// Shortest time between two attempts to reach the peers' level.
+const LEVEL: Duration = Duration::from_millis(100);
+
+/// A host above this level, in per cent of its own burst, asks for nothing in advance.
+const ENOUGH: u64 = 70;
 
 /// Retry delay named to a caller when the account has no room.
 const RETRY: Duration = Duration::from_millis(50);
@@ -35,10 +38,7 @@
     bucket: Bucket,
     given: Vec<Term>,
     taken: Vec<Term>,
-    // Tokens per second that this host's requests use.
-    demand: u64,
-    used: u64,
-    sampled: Tick,
+    levelled: Tick,
 }
 
 impl Share {
@@ -52,9 +52,7 @@
             bucket: Bucket::new(base, now),
             given: Vec::new(),
             taken: Vec::new(),
-            demand: 0,
-            used: 0,
-            sampled: now,
+            levelled: now,
         }
     }
 
@@ -71,15 +69,12 @@
 
     pub(super) fn take(&mut self, n: u64, now: Tick) -> Option<Reservation> {
         self.expire(now);
-        let r = self.bucket.take(n, now)?;
-        self.used = self.used.saturating_add(n);
-        Some(r)
+        self.bucket.take(n, now)
     }
 
     pub(super) fn settle(&mut self, r: Reservation, unused: u64, now: Tick) {
         self.expire(now);
         self.bucket.settle(r, unused, now);
-        self.used = self.used.saturating_sub(unused);
     }
 
     pub(super) fn retry(&mut self, n: u64, now: Tick) -> Duration {
@@ -89,71 +84,66 @@
         own.map_or(group, |w| w.min(group)).max(self.search.dry(now)).max(RETRY)
     }
 
-    /// Plans the next round of the search; `ask(peer, need, want)` is false if it cannot be sent.
+    /// Plans the next round of the search; `ask` is false if the message to the peer is full.
     pub(super) fn plan(
         &mut self,
         now: Tick,
         live: &[Ordinal],
         free: &[Ordinal],
-        mut ask: impl FnMut(Ordinal, u64, u64) -> bool,
+        mut ask: impl FnMut(Ordinal, Ask) -> bool,
     ) {
         self.expire(now);
-        self.sample(now);
-        if self.search.need == 0 {
-            return;
-        }
-        let missing = self.search.need.saturating_sub(self.bucket.available(now));
+        let have = self.bucket.available(now);
+        let missing = self.search.need.saturating_sub(have);
         if missing == 0 {
-            return self.search.done();
-        }
-        if self.search.exhausted(live, now) || self.taken.len() + live.len() > MAX_LOANS {
+            self.search.done();
+            let due = now >= self.levelled + LEVEL;
+            if !due || have >= self.base.burst / 100 * ENOUGH {
+                return;
+            }
+        } else if self.search.exhausted(live, now) {
             return;
         }
-        let parts = self.search.parts(missing, self.base.rate, self.base.burst, free, now);
-        let wanted = self.wanted().max(missing);
-        for (to, need) in parts {
-            let want = scale(wanted, need, missing).max(need);
-            if ask(to, need, want) {
+        self.levelled = now;
+        let peers = self.search.peers(self.base.rate, self.base.burst, free, now);
+        let level = if missing > 0 { 0 } else { have };
+        let spare = have.saturating_sub(self.search.need);
+        for (to, need, want) in parts(&peers, missing, spare) {
+            if want > 0 && ask(to, Ask { account: ArcStr::new(), need, want, level }) {
                 self.search.asked(to);
             }
         }
     }
 
-    pub(super) fn lend(&mut self, now: Tick, until: Tick, ask: &Ask) -> Loan {
+    pub(super) fn lend(&mut self, now: Tick, until: Tick, from: Ordinal, ask: &Ask) -> Loan {
         self.expire(now);
-        self.sample(now);
         let own = self.own();
-        let available = self.bucket.available(now);
-        let mut loan = Loan { account: ask.account.clone(), rate: 0, burst: 0, tokens: 0, left: 0 };
-        if self.given.len() < MAX_LOANS && own.burst > 0 {
-            let needed = ask.need.min(available).min(own.burst);
-            // Beyond what is needed at once, only what this host's own requests do not use.
-            let kept = scale(own.burst, self.demand.min(own.rate), own.rate.max(1));
-            loan.burst = needed.max(ask.want.min(own.burst - kept));
-            loan.rate = scale(own.rate, loan.burst, own.burst);
-            // Tokens above the remaining capacity would be lost.
-            let rest = self.bucket.limits().burst - loan.burst;
-            loan.tokens = needed.max(available.saturating_sub(rest)).min(loan.burst);
-        }
-        if loan.burst > 0 {
-            self.bucket.remove(loan.tokens, now);
-            let limits = Limits { rate: loan.rate, burst: loan.burst };
-            self.given.push(Term { limits, until });
+        let available = self.bucket.available(now).min(own.burst);
+        let needed = ask.need.min(available);
+        // In advance only up to the same level on both sides.
+        let even = (available - needed).saturating_sub(ask.level) / 2;
+        let tokens = needed + ask.want.saturating_sub(ask.need).min(even);
+        let rate = scale(own.rate, tokens, own.burst);
+        if tokens > 0 {
+            self.bucket.remove(tokens, now);
+            let until = Tick(until.0.div_ceil(GRID) * GRID);
+            add(&mut self.given, Term { limits: Limits { rate, burst: tokens }, until });
             self.apply(now);
         }
-        loan.left = self.bucket.available(now).min(self.own().burst);
-        loan
+        self.search.note(from, ask.level.saturating_add(tokens - needed), now);
+        let left = available - tokens;
+        Loan { account: ask.account.clone(), rate, burst: tokens, tokens, left }
     }
 
     pub(super) fn borrowed(&mut self, now: Tick, until: Tick, from: Ordinal, loan: &Loan) {
         self.expire(now);
-        let enough = loan.left > 0;
-        self.search.answered(from, loan.left, enough, now);
-        if loan.burst == 0 || now >= until || self.taken.len() >= MAX_LOANS {
+        self.search.answered(from, loan.left, loan.left > 0, now);
+        let until = Tick(until.0 / GRID * GRID);
+        if loan.burst == 0 || now >= until {
             return;
         }
         let limits = Limits { rate: loan.rate, burst: loan.burst };
-        self.taken.push(Term { limits, until });
+        add(&mut self.taken, Term { limits, until });
         self.apply(now);
         self.bucket.add(loan.tokens.min(loan.burst), now);
     }
@@ -204,22 +194,34 @@
             burst: self.base.burst.saturating_sub(given.burst),
         }
     }
+}
 
-    // Burst that goes with the rate that this host's requests use above its own.
-    fn wanted(&self) -> u64 {
-        let short = self.demand.saturating_sub(self.bucket.limits().rate);
-        scale(self.base.burst, short, self.base.rate.max(1))
-    }
+// Splits what is missing over the peers by what each is expected to have, and adds to each part
+// what brings this host to the mean of the levels. `have` is left after the waiting request.
+fn parts(peers: &[(Ordinal, u64)], missing: u64, have: u64) -> Vec<(Ordinal, u64, u64)> {
+    let count = peers.len().max(1) as u64;
+    let total = peers.iter().fold(0u64, |s, (_, e)| s.saturating_add(*e));
+    let mean = total.saturating_sub(missing).saturating_add(have) / (count + 1);
+    let above = peers.iter().fold(0, |s: u64, (_, e)| s.saturating_add(e.saturating_sub(mean)));
+    let wanted = mean.saturating_sub(have);
+    let mut rest = missing;
+    // When the expected tokens do not suffice, each peer may have more than expected.
+    let extra = missing.saturating_sub(total).div_ceil(count);
+    peers
+        .iter()
+        .map(|(o, e)| {
+            let need = rest.min(*e);
+            rest -= need;
+            let need = need + extra;
+            (*o, need, need + scale(wanted, e.saturating_sub(mean), above))
+        })
+        .collect()
+}
 
-    fn sample(&mut self, now: Tick) {
-        let d = now.since(self.sampled);
-        if d < SAMPLE {
-            return;
-        }
-        let rate = u128::from(self.used) * 1_000_000 / u128::from(micros(d).max(1));
-        self.demand = self.demand.midpoint(u64::try_from(rate).unwrap_or(u64::MAX));
-        self.used = 0;
-        self.sampled = now;
+fn add(terms: &mut Vec<Term>, t: Term) {
+    match terms.iter_mut().find(|o| o.until == t.until) {
+        Some(o) => o.limits = sum(&[*o, t]),
+        None => terms.push(t),
     }
 }
 
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -1,3 +1,7 @@
+mod faults;
+pub(crate) mod fleet;
+mod waste;
+
 use std::time::Duration;
 
 use super::{Allowance, Borrow, Grant, Verdict};
