--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -1,9 +1,9 @@
 //! Allowances of accounts over all hosts: base shares and loans.
 //!
 //! Each ordinal holds an equal part of the rate and of the burst of every account. A host that is
-//! short of tokens borrows a part of a peer's share for at most [`LOAN`]: rate, burst and tokens
-//! together. Tokens that are unspent at the end of the loan stay as far as the borrower's own
-//! capacity has room, which keeps the hosts at about the same level. At any time the shares of all hosts sum to at most the whole, and so do the tokens
+//! short of tokens borrows from its peers: a loan moves tokens and as much of the lender's
+//! capacity for at most [`LOAN`]. Tokens that are unspent at its end stay as far as the borrower's
+//! own capacity has room, which keeps the hosts at about the same level. At any time the shares of all hosts sum to at most the whole, and so do the tokens
 //! in their buckets, so no account receives more than burst + rate x window over any window.
 
 mod search;
@@ -25,8 +25,8 @@
 };
 
 /// Longest time of a loan. Tokens are borrowed for requests that wait, so a loan is used within a
-/// few round trips; while it lasts the lender's bucket cannot fill up.
-pub const LOAN: Duration = Duration::from_millis(250);
+/// few round trips. While it lasts the lender's bucket cannot fill up, so a longer one wastes more.
+pub const LOAN: Duration = Duration::from_millis(100);
 
 /// How long an answer to a borrow request is waited for.
 pub const ANSWER: Duration = Duration::from_millis(100);
@@ -69,11 +69,7 @@
 pub struct Loan {
     /// Account.
     pub account: ArcStr,
-    /// Tokens per second.
-    pub rate: u64,
-    /// Capacity.
-    pub burst: u64,
-    /// Tokens.
+    /// Tokens, and the capacity that holds them.
     pub tokens: u64,
     /// Tokens that the lender could still lend.
     pub left: u64,
@@ -369,8 +365,6 @@
     pub account: ArcStr,
     /// Tokens that can be taken now.
     pub available: u64,
-    /// Tokens per second, with loans.
-    pub rate: u64,
     /// Capacity, with loans.
     pub burst: u64,
     /// Burst lent to peers.
--- a/crates/core/src/allowance/search.rs
+++ b/crates/core/src/allowance/search.rs
@@ -12,6 +12,12 @@
 /// bounds the messages of an account that sends far above its rate.
 const DRY: Duration = Duration::from_millis(50);
 
+/// How long a search goes on, so that a request waits for refill rather than being refused.
+const PATIENCE: Duration = Duration::from_millis(200);
+
+/// Time between two attempts to ask all peers in one search.
+const AGAIN: Duration = Duration::from_millis(40);
+
 /// What a peer said about its tokens.
 #[derive(Clone, Copy, Debug)]
 struct Hint {
@@ -27,6 +33,8 @@
     waits: [bool; MAX_HOSTS],
     empty: [bool; MAX_HOSTS],
     hints: [Option<Hint>; MAX_HOSTS],
+    since: Tick,
+    again: Tick,
     dry_until: Tick,
 }
 
@@ -36,6 +44,9 @@
         if now < self.dry_until {
             return false;
         }
+        if self.need == 0 {
+            self.since = now;
+        }
         self.need = self.need.max(need);
         true
     }
@@ -51,17 +62,37 @@
         self.empty = Default::default();
     }
 
-    /// Ends the search without success when nobody is left to be asked.
+    /// Whether nobody can be asked now.
     pub(super) fn exhausted(&mut self, live: &[Ordinal], now: Tick) -> bool {
+        if now < self.again {
+            return true;
+        }
         let open = |o: &Ordinal| !self.empty[usize::from(o.0)];
         if live.iter().any(open) || self.waits.contains(&true) {
             return false;
         }
-        self.done();
-        self.dry_until = now + DRY;
+        self.rest(now);
         true
     }
 
+    /// Asks nobody for a short time; after [`PATIENCE`] this ends the search.
+    pub(super) fn rest(&mut self, now: Tick) {
+        self.empty = Default::default();
+        self.again = now + AGAIN;
+        if now >= self.since + PATIENCE {
+            self.done();
+            self.dry_until = now + DRY;
+        }
+    }
+
+    /// Whether all of `live` said lately what they have.
+    pub(super) fn informed(&self, live: &[Ordinal], now: Tick) -> bool {
+        let fresh = |h: Hint| now < h.at + AGAIN;
+        live.iter().all(|o| {
+            self.empty[usize::from(o.0)] || self.hints[usize::from(o.0)].is_some_and(fresh)
+        })
+    }
+
     /// A peer did not answer, or does not know the account.
     pub(super) fn failed(&mut self, from: Ordinal) {
         self.waits[usize::from(from.0)] = false;
--- a/crates/core/src/allowance/share.rs
+++ b/crates/core/src/allowance/share.rs
@@ -11,7 +11,7 @@
 };
 
 /// Loans that end within the same interval are counted as one, which bounds their number.
-const GRID: u64 = 10_000;
+const GRID: u64 = 2_000;
 
 /// Shortest time between two attempts to reach the peers' level.
 const LEVEL: Duration = Duration::from_millis(100);
@@ -22,9 +22,10 @@
 /// Retry delay named to a caller when the account has no room.
 const RETRY: Duration = Duration::from_millis(50);
 
+/// Capacity that is lent or borrowed until some time.
 #[derive(Clone, Copy, Debug)]
 struct Term {
-    limits: Limits,
+    burst: u64,
     until: Tick,
 }
 
@@ -105,11 +106,22 @@
             return;
         }
         self.levelled = now;
-        let peers = self.search.peers(self.base.rate, self.base.burst, free, now);
+        let (rate, burst) = (self.base.rate, self.base.burst);
+        let total: u64 = self.search.peers(rate, burst, live, now).iter().map(|(_, e)| e).sum();
+        // Tokens for a request that cannot be served would be lost above this host's capacity, so
+        // peers are first asked what they have.
+        let probe = total < missing;
+        if probe && self.search.informed(live, now) {
+            return self.search.rest(now);
+        }
+        let peers = self.search.peers(rate, burst, free, now);
         let level = if missing > 0 { 0 } else { have };
         let spare = have.saturating_sub(self.search.need);
-        for (to, need, want) in parts(&peers, missing, spare) {
-            if want > 0 && ask(to, Ask { account: ArcStr::new(), need, want, level }) {
+        for (to, need, want) in parts(&peers, missing, spare, burst / 2) {
+            let (need, want) = if probe { (0, 0) } else { (need, want) };
+            let sent =
+                (probe || want > 0) && ask(to, Ask { account: ArcStr::new(), need, want, level });
+            if sent {
                 self.search.asked(to);
             }
         }
@@ -117,35 +129,32 @@
 
     pub(super) fn lend(&mut self, now: Tick, until: Tick, from: Ordinal, ask: &Ask) -> Loan {
         self.expire(now);
-        let own = self.own();
-        let available = self.bucket.available(now).min(own.burst);
+        let available = self.bucket.available(now).min(self.own());
         let needed = ask.need.min(available);
         // In advance only up to the same level on both sides.
         let even = (available - needed).saturating_sub(ask.level) / 2;
         let tokens = needed + ask.want.saturating_sub(ask.need).min(even);
-        let rate = scale(own.rate, tokens, own.burst);
         if tokens > 0 {
             self.bucket.remove(tokens, now);
             let until = Tick(until.0.div_ceil(GRID) * GRID);
-            add(&mut self.given, Term { limits: Limits { rate, burst: tokens }, until });
+            add(&mut self.given, Term { burst: tokens, until });
             self.apply(now);
         }
         self.search.note(from, ask.level.saturating_add(tokens - needed), now);
         let left = available - tokens;
-        Loan { account: ask.account.clone(), rate, burst: tokens, tokens, left }
+        Loan { account: ask.account.clone(), tokens, left }
     }
 
     pub(super) fn borrowed(&mut self, now: Tick, until: Tick, from: Ordinal, loan: &Loan) {
         self.expire(now);
         self.search.answered(from, loan.left, loan.left > 0, now);
         let until = Tick(until.0 / GRID * GRID);
-        if loan.burst == 0 || now >= until {
+        if loan.tokens == 0 || now >= until {
             return;
         }
-        let limits = Limits { rate: loan.rate, burst: loan.burst };
-        add(&mut self.taken, Term { limits, until });
+        add(&mut self.taken, Term { burst: loan.tokens, until });
         self.apply(now);
-        self.bucket.add(loan.tokens.min(loan.burst), now);
+        self.bucket.add(loan.tokens, now);
     }
 
     pub(super) fn lent_until(&self) -> Option<Tick> {
@@ -154,19 +163,17 @@
 
     pub(super) fn report(&mut self, account: ArcStr, now: Tick) -> Report {
         self.expire(now);
-        let limits = self.bucket.limits();
         Report {
             account,
             available: self.bucket.available(now) / UNIT,
-            rate: limits.rate / UNIT,
-            burst: limits.burst / UNIT,
-            given: sum(&self.given).burst / UNIT,
-            taken: sum(&self.taken).burst / UNIT,
+            burst: self.bucket.limits().burst / UNIT,
+            given: sum(&self.given) / UNIT,
+            taken: sum(&self.taken) / UNIT,
         }
     }
 
-    // Loans end one after the other at their own times: refill after the end of a loan must not
-    // count its rate.
+    // Loans end one after the other at their own times, so that refill is cut off at the capacity
+    // that was in force when it arrived.
     fn expire(&mut self, now: Tick) {
         loop {
             let terms = self.given.iter().chain(&self.taken);
@@ -178,41 +185,35 @@
     }
 
     fn apply(&mut self, now: Tick) {
-        let (own, taken) = (self.own(), sum(&self.taken));
-        let limits = Limits {
-            rate: own.rate.saturating_add(taken.rate),
-            burst: own.burst.saturating_add(taken.burst),
-        };
-        self.bucket.set_limits(limits, now);
+        let burst = self.own().saturating_add(sum(&self.taken));
+        self.bucket.set_limits(Limits { rate: self.base.rate, burst }, now);
     }
 
-    // The part of the base share that is not lent.
-    fn own(&self) -> Limits {
-        let given = sum(&self.given);
-        Limits {
-            rate: self.base.rate.saturating_sub(given.rate),
-            burst: self.base.burst.saturating_sub(given.burst),
-        }
+    // The part of the base capacity that is not lent.
+    fn own(&self) -> u64 {
+        self.base.burst.saturating_sub(sum(&self.given))
     }
 }
 
 // Splits what is missing over the peers by what each is expected to have, and adds to each part
 // what brings this host to the mean of the levels. `have` is left after the waiting request.
-fn parts(peers: &[(Ordinal, u64)], missing: u64, have: u64) -> Vec<(Ordinal, u64, u64)> {
+fn parts(
+    peers: &[(Ordinal, u64)],
+    missing: u64,
+    have: u64,
+    floor: u64,
+) -> Vec<(Ordinal, u64, u64)> {
     let count = peers.len().max(1) as u64;
     let total = peers.iter().fold(0u64, |s, (_, e)| s.saturating_add(*e));
     let mean = total.saturating_sub(missing).saturating_add(have) / (count + 1);
     let above = peers.iter().fold(0, |s: u64, (_, e)| s.saturating_add(e.saturating_sub(mean)));
-    let wanted = mean.saturating_sub(have);
+    let wanted = if mean >= floor { mean.saturating_sub(have) } else { 0 };
     let mut rest = missing;
-    // When the expected tokens do not suffice, each peer may have more than expected.
-    let extra = missing.saturating_sub(total).div_ceil(count);
     peers
         .iter()
         .map(|(o, e)| {
             let need = rest.min(*e);
             rest -= need;
-            let need = need + extra;
             (*o, need, need + scale(wanted, e.saturating_sub(mean), above))
         })
         .collect()
@@ -220,7 +221,7 @@
 
 fn add(terms: &mut Vec<Term>, t: Term) {
     match terms.iter_mut().find(|o| o.until == t.until) {
-        Some(o) => o.limits = sum(&[*o, t]),
+        Some(o) => o.burst = o.burst.saturating_add(t.burst),
         None => terms.push(t),
     }
 }
@@ -231,11 +232,8 @@
     Limits { rate: part(whole.rate), burst: part(whole.burst) }
 }
 
-fn sum(terms: &[Term]) -> Limits {
-    terms.iter().fold(Limits::default(), |s, t| Limits {
-        rate: s.rate.saturating_add(t.limits.rate),
-        burst: s.burst.saturating_add(t.limits.burst),
-    })
+fn sum(terms: &[Term]) -> u64 {
+    terms.iter().fold(0, |s, t| s.saturating_add(t.burst))
 }
 
 // n x part / whole, rounded down.
