--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -15,7 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use self::share::Share;
+use self::share::{Ends, Share};
 use crate::{
     ArcStr,
     bucket::{Limits, Reservation},
@@ -28,6 +28,10 @@
 /// few round trips. While it lasts the lender's bucket cannot fill up, so a longer one wastes more.
 pub const LOAN: Duration = Duration::from_millis(100);
 
+/// Longest time for which capacity without tokens is lent. It holds the refunds of long requests,
+/// which would otherwise be lost where a host's requests are larger than its own capacity.
+pub const KEEP: Duration = Duration::from_millis(500);
+
 /// How long an answer to a borrow request is waited for.
 pub const ANSWER: Duration = Duration::from_millis(100);
 
@@ -41,7 +45,7 @@
 const UNIT: u64 = 1000;
 
 /// What one account asks of a peer, in thousandths of a token.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
     /// Account.
     pub account: ArcStr,
@@ -51,6 +55,8 @@
     pub want: u64,
     /// Tokens that the borrower has beyond those that requests wait for.
     pub level: u64,
+    /// Capacity that the borrower needs for refunds.
+    pub room: u64,
 }
 
 /// A request for loans for several accounts.
@@ -69,8 +75,10 @@
 pub struct Loan {
     /// Account.
     pub account: ArcStr,
-    /// Tokens, and the capacity that holds them.
+    /// Tokens, and the capacity that holds them for [`BorrowAnswer::lasts`].
     pub tokens: u64,
+    /// Capacity for [`BorrowAnswer::keeps`].
+    pub room: u64,
     /// Tokens that the lender could still lend.
     pub left: u64,
 }
@@ -80,8 +88,10 @@
 pub struct BorrowAnswer {
     /// Number of the request.
     pub id: u64,
-    /// Duration of the loans in microseconds.
+    /// Duration of the loans of tokens in microseconds.
     pub lasts: u64,
+    /// Duration of the loans of capacity in microseconds.
+    pub keeps: u64,
     /// One loan for each account that was asked for and is known; it may be empty.
     pub loans: Vec<Loan>,
 }
@@ -268,7 +278,7 @@
         from: Ordinal,
         q: &BorrowRequest,
     ) -> BorrowAnswer {
-        let mut answer = BorrowAnswer { id: q.id, lasts: 0, loans: Vec::new() };
+        let mut answer = BorrowAnswer { id: q.id, lasts: 0, keeps: 0, loans: Vec::new() };
         let able = self.refresh(now, authority) && !self.closing;
         let (Some(a), Some(served)) = (authority, self.served.get_mut(usize::from(from.0))) else {
             return answer;
@@ -279,11 +289,12 @@
         }
         *served = (q.generation, q.id);
         // The lender's authority ends first, so its successor starts without outstanding loans.
-        let lasts = LOAN.min(a.until.since(now));
-        answer.lasts = micros(lasts);
+        let (lasts, keeps) = (LOAN.min(a.until.since(now)), KEEP.min(a.until.since(now)));
+        (answer.lasts, answer.keeps) = (micros(lasts), micros(keeps));
+        let ends = Ends { tokens: now + plus_drift(lasts), room: now + plus_drift(keeps) };
         for ask in q.asks.iter().take(MAX_ASKS) {
             if let Some(share) = self.shares.get_mut(&ask.account) {
-                answer.loans.push(share.lend(now, now + plus_drift(lasts), from, ask));
+                answer.loans.push(share.lend(now, ends, from, ask));
             }
         }
         answer
@@ -296,12 +307,13 @@
             return;
         }
         let Some(flight) = slot.take() else { return };
-        let lasts = LOAN.min(Duration::from_micros(answer.lasts));
-        let until = flight.sent + less_drift(lasts);
+        let end =
+            |us, most: Duration| flight.sent + less_drift(most.min(Duration::from_micros(us)));
+        let ends = Ends { tokens: end(answer.lasts, LOAN), room: end(answer.keeps, KEEP) };
         for a in flight.accounts {
             let Some(share) = self.shares.get_mut(&a) else { continue };
             match answer.loans.iter().find(|l| l.account == a) {
-                Some(loan) => share.borrowed(now, until, from, loan),
+                Some(loan) => share.borrowed(now, ends, from, loan),
                 None => share.search.failed(from),
             }
         }
--- a/crates/core/src/allowance/search.rs
+++ b/crates/core/src/allowance/search.rs
@@ -128,6 +128,12 @@
         self.hints[usize::from(from.0)] = Some(Hint { left, at: now });
     }
 
+    /// Whether an answer of a peer is pending.
+    pub(super) fn waits(&self, o: Ordinal) -> bool {
+        self.waits[usize::from(o.0)]
+    }
+
+    /// Notes that a peer was asked.
     pub(super) fn asked(&mut self, o: Ordinal) {
         self.waits[usize::from(o.0)] = true;
     }
--- a/crates/core/src/allowance/share.rs
+++ b/crates/core/src/allowance/share.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use super::{Ask, Loan, Report, UNIT, search::Search};
+use super::{Ask, KEEP, Loan, Report, UNIT, search::Search};
 use crate::{
     ArcStr,
     bucket::{Bucket, Limits, Reservation},
     ids::Ordinal,
-    time::Tick,
+    time::{Tick, micros},
 };
 
 /// Loans that end within the same interval are counted as one, which bounds their number.
@@ -22,6 +22,16 @@
 /// Retry delay named to a caller when the account has no room.
 const RETRY: Duration = Duration::from_millis(50);
 
+/// Shortest time between two requests for capacity.
+const ROOM: Duration = Duration::from_millis(100);
+
+/// When a loan ends, by the clock of this host.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ends {
+    pub(super) tokens: Tick,
+    pub(super) room: Tick,
+}
+
 /// Capacity that is lent or borrowed until some time.
 #[derive(Clone, Copy, Debug)]
 struct Term {
@@ -40,6 +50,7 @@
     given: Vec<Term>,
     taken: Vec<Term>,
     levelled: Tick,
+    roomed: Tick,
 }
 
 impl Share {
@@ -54,6 +65,7 @@
             given: Vec::new(),
             taken: Vec::new(),
             levelled: now,
+            roomed: now,
         }
     }
 
@@ -85,7 +97,7 @@
         own.map_or(group, |w| w.min(group)).max(self.search.dry(now)).max(RETRY)
     }
 
-    /// Plans the next round of the search; `ask` is false if the message to the peer is full.
+    /// Plans what to ask of the peers; `ask` is false if the message to the peer is full.
     pub(super) fn plan(
         &mut self,
         now: Tick,
@@ -94,67 +106,119 @@
         mut ask: impl FnMut(Ordinal, Ask) -> bool,
     ) {
         self.expire(now);
+        let rooms = self.plan_room(free, now);
+        for (to, mut a) in self.plan_tokens(live, free, now) {
+            a.room = rooms.iter().find(|(o, _)| *o == to).map_or(0, |(_, r)| *r);
+            if ask(to, a) {
+                self.search.asked(to);
+            }
+        }
+        let idle = rooms.into_iter().filter(|(o, r)| *r > 0 && !self.search.waits(*o));
+        for (to, room) in idle.collect::<Vec<_>>() {
+            let level = self.bucket.available(now);
+            if ask(to, Ask { level, room, ..Ask::default() }) {
+                self.search.asked(to);
+            }
+        }
+    }
+
+    fn plan_tokens(
+        &mut self,
+        live: &[Ordinal],
+        free: &[Ordinal],
+        now: Tick,
+    ) -> Vec<(Ordinal, Ask)> {
         let have = self.bucket.available(now);
         let missing = self.search.need.saturating_sub(have);
+        let (rate, burst) = (self.base.rate, self.base.burst);
         if missing == 0 {
             self.search.done();
-            let due = now >= self.levelled + LEVEL;
-            if !due || have >= self.base.burst / 100 * ENOUGH {
-                return;
+            if now < self.levelled + LEVEL || have >= burst / 100 * ENOUGH {
+                return Vec::new();
             }
         } else if self.search.exhausted(live, now) {
-            return;
+            return Vec::new();
         }
         self.levelled = now;
-        let (rate, burst) = (self.base.rate, self.base.burst);
         let total: u64 = self.search.peers(rate, burst, live, now).iter().map(|(_, e)| e).sum();
         // Tokens for a request that cannot be served would be lost above this host's capacity, so
         // peers are first asked what they have.
         let probe = total < missing;
         if probe && self.search.informed(live, now) {
-            return self.search.rest(now);
+            self.search.rest(now);
+            return Vec::new();
         }
         let peers = self.search.peers(rate, burst, free, now);
         let level = if missing > 0 { 0 } else { have };
+        if probe {
+            return peers.iter().map(|(o, _)| (*o, Ask { level, ..Ask::default() })).collect();
+        }
         let spare = have.saturating_sub(self.search.need);
-        for (to, need, want) in parts(&peers, missing, spare, burst / 2) {
-            let (need, want) = if probe { (0, 0) } else { (need, want) };
-            let sent =
-                (probe || want > 0) && ask(to, Ask { account: ArcStr::new(), need, want, level });
-            if sent {
-                self.search.asked(to);
-            }
+        let parts = parts(&peers, missing, spare, burst / 2).into_iter();
+        let asks = parts.map(|(o, need, want)| (o, Ask { need, want, level, ..Ask::default() }));
+        asks.filter(|(_, a)| a.want > 0).collect()
+    }
+
+    // Capacity for the refunds of running requests that this host's own capacity and the loans
+    // that do not end soon cannot hold. Peers with fewer tokens have more of it.
+    fn plan_room(&mut self, free: &[Ordinal], now: Tick) -> Vec<(Ordinal, u64)> {
+        if now < self.roomed + ROOM {
+            return Vec::new();
         }
+        let later = self.taken.iter().filter(|t| t.until > now + KEEP / 2);
+        let lasting = later.fold(self.own(), |s, t| s.saturating_add(t.burst));
+        let filled = self.bucket.refundable(now).saturating_add(self.bucket.available(now));
+        let short = filled.saturating_sub(lasting);
+        // Asking for less than this is not worth a message.
+        if short <= self.base.burst / 20 {
+            return Vec::new();
+        }
+        self.roomed = now;
+        let (rate, burst) = (self.base.rate, self.base.burst);
+        let peers = self.search.peers(rate, burst, free, now);
+        let empty: u64 = peers.iter().map(|(_, e)| burst - e).sum();
+        peers.into_iter().map(|(o, e)| (o, scale(short, burst - e, empty).min(burst))).collect()
     }
 
-    pub(super) fn lend(&mut self, now: Tick, until: Tick, from: Ordinal, ask: &Ask) -> Loan {
+    pub(super) fn lend(&mut self, now: Tick, ends: Ends, from: Ordinal, ask: &Ask) -> Loan {
         self.expire(now);
         let available = self.bucket.available(now).min(self.own());
         let needed = ask.need.min(available);
         // In advance only up to the same level on both sides.
         let even = (available - needed).saturating_sub(ask.level) / 2;
         let tokens = needed + ask.want.saturating_sub(ask.need).min(even);
-        if tokens > 0 {
-            self.bucket.remove(tokens, now);
-            let until = Tick(until.0.div_ceil(GRID) * GRID);
-            add(&mut self.given, Term { burst: tokens, until });
-            self.apply(now);
-        }
+        self.bucket.remove(tokens, now);
+        self.give(tokens, ends.tokens, now);
+        let filled = self.bucket.available(now).saturating_add(self.bucket.refundable(now));
+        // What refills meanwhile needs its capacity too.
+        let refill = self.base.rate.saturating_mul(micros(ends.room.since(now))) / 1_000_000;
+        let room = ask.room.min(self.own().saturating_sub(filled.saturating_add(refill)));
+        self.give(room, ends.room, now);
         self.search.note(from, ask.level.saturating_add(tokens - needed), now);
-        let left = available - tokens;
-        Loan { account: ask.account.clone(), tokens, left }
+        Loan { account: ask.account.clone(), tokens, room, left: available - tokens }
     }
 
-    pub(super) fn borrowed(&mut self, now: Tick, until: Tick, from: Ordinal, loan: &Loan) {
+    pub(super) fn borrowed(&mut self, now: Tick, ends: Ends, from: Ordinal, loan: &Loan) {
         self.expire(now);
         self.search.answered(from, loan.left, loan.left > 0, now);
-        let until = Tick(until.0 / GRID * GRID);
-        if loan.tokens == 0 || now >= until {
-            return;
+        for (burst, until) in [(loan.tokens, ends.tokens), (loan.room, ends.room)] {
+            let until = Tick(until.0 / GRID * GRID);
+            if burst > 0 && now < until {
+                add(&mut self.taken, Term { burst, until });
+            }
         }
-        add(&mut self.taken, Term { burst: loan.tokens, until });
         self.apply(now);
-        self.bucket.add(loan.tokens, now);
+        if now < ends.tokens {
+            self.bucket.add(loan.tokens, now);
+        }
+    }
+
+    fn give(&mut self, burst: u64, until: Tick, now: Tick) {
+        if burst > 0 {
+            let until = Tick(until.0.div_ceil(GRID) * GRID);
+            add(&mut self.given, Term { burst, until });
+            self.apply(now);
+        }
     }
 
     pub(super) fn lent_until(&self) -> Option<Tick> {
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use super::{Allowance, Borrow, Grant, Verdict};
+use super::{Allowance, Ask, Borrow, BorrowAnswer, BorrowRequest, Grant, Verdict};
 use crate::{
     ArcStr,
     bucket::Limits,
@@ -69,6 +69,11 @@
     }
 }
 
+fn request(id: u64) -> BorrowRequest {
+    let ask = Ask { account: ACCOUNT, need: 1000, want: 1000, level: 0, room: 1000 };
+    BorrowRequest { generation: Generation(1), id, asks: vec![ask] }
+}
+
 macro_rules! cases {
     ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
 }
@@ -92,6 +97,43 @@
         let allowed = 4 * g.now.since(begin).as_secs();
         assert!(granted <= allowed + 8 && granted * 10 >= allowed * 9, "{granted} of {allowed}");
     }
+    // Guards against loans that are out when the lender's successor starts.
+    a_loan_ends_with_the_lease: {
+        let mut g = Group::new(3, Limits { rate: 100, burst: 1000 });
+        g.now = g.now + Duration::from_secs(5);
+        let until = g.now + Duration::from_millis(40);
+        let a = Authority { until, ..g.authority().unwrap() };
+        let answer = g.hosts[1].lend(g.now, Some(a), Ordinal(0), &request(1));
+        assert!(answer.loans[0].tokens > 0 && answer.loans[0].room > 0);
+        assert!(answer.lasts <= 40_000 && answer.keeps <= 40_000);
+        assert_eq!(g.hosts[1].lend(until, Some(a), Ordinal(0), &request(2)).loans, []);
+    }
+    // Guards against a repeated request that is lent to again, and a repeated answer that adds
+    // its tokens again.
+    a_repeated_message_changes_nothing: {
+        let mut g = Group::new(3, Limits { rate: 100, burst: 1000 });
+        g.now = g.now + Duration::from_secs(20);
+        let a = g.authority();
+        let first = g.hosts[1].lend(g.now, a, Ordinal(0), &request(1));
+        assert!(!first.loans.is_empty());
+        assert_eq!(g.hosts[1].lend(g.now, a, Ordinal(0), &request(1)).loans, []);
+        // Host 0 has asked nothing, so this answers no pending request.
+        g.hosts[0].lent(g.now, Ordinal(1), first);
+        assert_eq!(g.hosts[0].report(g.now, a)[0].taken, 0);
+    }
+    // Guards against a late answer whose tokens the lender has counted as its own again.
+    a_late_answer_is_ignored: {
+        let mut g = Group::new(3, Limits { rate: 100, burst: 1000 });
+        g.now = g.now + Duration::from_secs(20);
+        let a = g.authority();
+        assert!(matches!(g.hosts[0].reserve(g.now, a, &ACCOUNT, 500), Verdict::Pending));
+        let mut out = Vec::new();
+        g.hosts[0].poll(g.now, a, &[Ordinal(1)], &mut out);
+        let answer: BorrowAnswer = g.hosts[1].lend(g.now, a, Ordinal(0), &out[0].request);
+        g.now = g.now + Duration::from_millis(99);
+        g.hosts[0].lent(g.now, Ordinal(1), answer);
+        assert!(matches!(g.hosts[0].reserve(g.now, a, &ACCOUNT, 500), Verdict::Pending));
+    }
     // Guards against a settlement that adds tokens to the bucket of a later incarnation.
     settling_after_a_reset_is_ignored: {
         let mut g = Group::new(1, Limits { rate: 100, burst: 1000 });
--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -75,6 +75,12 @@
         self.tokens / MICRO
     }
 
+    /// Tokens of open reservations that can still be given back, rounded up.
+    pub fn refundable(&mut self, now: Tick) -> u64 {
+        self.refill(now);
+        self.refundable.div_ceil(MICRO)
+    }
+
     /// Changes the limits. Tokens and refund rights above the new capacity are dropped.
     pub fn set_limits(&mut self, limits: Limits, now: Tick) {
         self.refill(now);
