--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -1,20 +1,21 @@
 //! Allowances of accounts over all hosts: base shares and loans.
 //!
 //! Each ordinal holds an equal part of the rate and of the burst of every account. A host that is
-//! short of tokens borrows a part of a peer's share for at most [`LOAN`]: rate, burst and tokens
-//! together. At any time the shares of all hosts sum to at most the whole, and so do the tokens
+//! short of tokens borrows from its peers: a loan moves tokens and as much of the lender's
+//! capacity for at most [`LOAN`]. Tokens that are unspent at its end stay as far as the borrower's
+//! own capacity has room, which keeps the hosts at about the same level. At any time the shares of all hosts sum to at most the whole, and so do the tokens
 //! in their buckets, so no account receives more than burst + rate x window over any window.
 
 mod search;
 mod share;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use std::{collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use self::share::Share;
+use self::share::{Ends, Share};
 use crate::{
     ArcStr,
     bucket::{Limits, Reservation},
@@ -23,8 +24,13 @@
     time::{Tick, less_drift, micros, plus_drift},
 };
 
-/// Longest time of a loan. It is below the lease, so that a healthy lender's lease outlasts it.
-pub const LOAN: Duration = Duration::from_secs(2);
+/// Longest time of a loan. Tokens are borrowed for requests that wait, so a loan is used within a
+/// few round trips. While it lasts the lender's bucket cannot fill up, so a longer one wastes more.
+pub const LOAN: Duration = Duration::from_millis(100);
+
+/// Longest time for which capacity without tokens is lent. It holds the refunds of long requests,
+/// which would otherwise be lost where a host's requests are larger than its own capacity.
+pub const KEEP: Duration = Duration::from_millis(500);
 
 /// How long an answer to a borrow request is waited for.
 pub const ANSWER: Duration = Duration::from_millis(100);
@@ -39,14 +45,18 @@
 const UNIT: u64 = 1000;
 
 /// What one account asks of a peer, in thousandths of a token.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
     /// Account.
     pub account: ArcStr,
     /// Tokens that requests wait for.
     pub need: u64,
-    /// Burst that the borrower has a use for while the loan lasts, at least `need`.
+    /// Tokens that would bring the borrower to the mean level of the group, at least `need`.
     pub want: u64,
+    /// Tokens that the borrower has beyond those that requests wait for.
+    pub level: u64,
+    /// Capacity that the borrower needs for refunds.
+    pub room: u64,
 }
 
 /// A request for loans for several accounts.
@@ -65,12 +75,10 @@
 pub struct Loan {
     /// Account.
     pub account: ArcStr,
-    /// Tokens per second.
-    pub rate: u64,
-    /// Capacity.
-    pub burst: u64,
-    /// Tokens.
+    /// Tokens, and the capacity that holds them for [`BorrowAnswer::lasts`].
     pub tokens: u64,
+    /// Capacity for [`BorrowAnswer::keeps`].
+    pub room: u64,
     /// Tokens that the lender could still lend.
     pub left: u64,
 }
@@ -80,8 +88,10 @@
 pub struct BorrowAnswer {
     /// Number of the request.
     pub id: u64,
-    /// Duration of the loans in microseconds.
+    /// Duration of the loans of tokens in microseconds.
     pub lasts: u64,
+    /// Duration of the loans of capacity in microseconds.
+    pub keeps: u64,
     /// One loan for each account that was asked for and is known; it may be empty.
     pub loans: Vec<Loan>,
 }
@@ -242,12 +252,12 @@
         let mut order: Vec<_> = self.shares.iter_mut().collect();
         order.rotate_left(turn);
         for (account, share) in order {
-            share.plan(now, live, &free, |to, need, want| {
+            share.plan(now, live, &free, |to, ask| {
                 let list = &mut asks[usize::from(to.0)];
                 if list.len() == MAX_ASKS {
                     return false;
                 }
-                list.push(Ask { account: account.clone(), need, want });
+                list.push(Ask { account: account.clone(), ..ask });
                 true
             });
         }
@@ -268,7 +278,7 @@
         from: Ordinal,
         q: &BorrowRequest,
     ) -> BorrowAnswer {
-        let mut answer = BorrowAnswer { id: q.id, lasts: 0, loans: Vec::new() };
+        let mut answer = BorrowAnswer { id: q.id, lasts: 0, keeps: 0, loans: Vec::new() };
         let able = self.refresh(now, authority) && !self.closing;
         let (Some(a), Some(served)) = (authority, self.served.get_mut(usize::from(from.0))) else {
             return answer;
@@ -279,11 +289,12 @@
         }
         *served = (q.generation, q.id);
         // The lender's authority ends first, so its successor starts without outstanding loans.
-        let lasts = LOAN.min(a.until.since(now));
-        answer.lasts = micros(lasts);
+        let (lasts, keeps) = (LOAN.min(a.until.since(now)), KEEP.min(a.until.since(now)));
+        (answer.lasts, answer.keeps) = (micros(lasts), micros(keeps));
+        let ends = Ends { tokens: now + plus_drift(lasts), room: now + plus_drift(keeps) };
         for ask in q.asks.iter().take(MAX_ASKS) {
             if let Some(share) = self.shares.get_mut(&ask.account) {
-                answer.loans.push(share.lend(now, now + plus_drift(lasts), ask));
+                answer.loans.push(share.lend(now, ends, from, ask));
             }
         }
         answer
@@ -296,12 +307,13 @@
             return;
         }
         let Some(flight) = slot.take() else { return };
-        let lasts = LOAN.min(Duration::from_micros(answer.lasts));
-        let until = flight.sent + less_drift(lasts);
+        let end =
+            |us, most: Duration| flight.sent + less_drift(most.min(Duration::from_micros(us)));
+        let ends = Ends { tokens: end(answer.lasts, LOAN), room: end(answer.keeps, KEEP) };
         for a in flight.accounts {
             let Some(share) = self.shares.get_mut(&a) else { continue };
             match answer.loans.iter().find(|l| l.account == a) {
-                Some(loan) => share.borrowed(now, until, from, loan),
+                Some(loan) => share.borrowed(now, ends, from, loan),
                 None => share.search.failed(from),
             }
         }
@@ -365,8 +377,6 @@
     pub account: ArcStr,
     /// Tokens that can be taken now.
     pub available: u64,
-    /// Tokens per second, with loans.
-    pub rate: u64,
     /// Capacity, with loans.
     pub burst: u64,
     /// Burst lent to peers.
--- a/crates/core/src/allowance/share.rs
+++ b/crates/core/src/allowance/share.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Ask, Loan, Report, UNIT, search::Search};
+use super::{Ask, KEEP, Loan, Report, UNIT, search::Search};
 use crate::{
     ArcStr,
     bucket::{Bucket, Limits, Reservation},
@@ -10,18 +10,32 @@
     time::{Tick, micros},
 };
 
-/// Loans of one account in each direction, so that memory is bounded.
-const MAX_LOANS: usize = 64;
+/// Loans that end within the same interval are counted as one, which bounds their number.
+const GRID: u64 = 2_000;
 
-/// Shortest interval over which demand is averaged.
-const SAMPLE: Duration = Duration::from_millis(250);
+/// Shortest time between two attempts to reach the peers' level.
+const LEVEL: Duration = Duration::from_millis(100);
+
+/// A host above this level, in per cent of its own burst, asks for nothing in advance.
+const ENOUGH: u64 = 70;
 
 /// Retry delay named to a caller when the account has no room.
 const RETRY: Duration = Duration::from_millis(50);
 
+/// Shortest time between two requests for capacity.
+const ROOM: Duration = Duration::from_millis(100);
+
+/// When a loan ends, by the clock of this host.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ends {
+    pub(super) tokens: Tick,
+    pub(super) room: Tick,
+}
+
+/// Capacity that is lent or borrowed until some time.
 #[derive(Clone, Copy, Debug)]
 struct Term {
-    limits: Limits,
+    burst: u64,
     until: Tick,
 }
 
@@ -35,10 +49,8 @@
     bucket: Bucket,
     given: Vec<Term>,
     taken: Vec<Term>,
-    // Tokens per second that this host's requests use.
-    demand: u64,
-    used: u64,
-    sampled: Tick,
+    levelled: Tick,
+    roomed: Tick,
 }
 
 impl Share {
@@ -52,9 +64,8 @@
             bucket: Bucket::new(base, now),
             given: Vec::new(),
             taken: Vec::new(),
-            demand: 0,
-            used: 0,
-            sampled: now,
+            levelled: now,
+            roomed: now,
         }
     }
 
@@ -71,15 +82,12 @@
 
     pub(super) fn take(&mut self, n: u64, now: Tick) -> Option<Reservation> {
         self.expire(now);
-        let r = self.bucket.take(n, now)?;
-        self.used = self.used.saturating_add(n);
-        Some(r)
+        self.bucket.take(n, now)
     }
 
     pub(super) fn settle(&mut self, r: Reservation, unused: u64, now: Tick) {
         self.expire(now);
         self.bucket.settle(r, unused, now);
-        self.used = self.used.saturating_sub(unused);
     }
 
     pub(super) fn retry(&mut self, n: u64, now: Tick) -> Duration {
@@ -89,73 +97,128 @@
         own.map_or(group, |w| w.min(group)).max(self.search.dry(now)).max(RETRY)
     }
 
-    /// Plans the next round of the search; `ask(peer, need, want)` is false if it cannot be sent.
+    /// Plans what to ask of the peers; `ask` is false if the message to the peer is full.
     pub(super) fn plan(
         &mut self,
         now: Tick,
         live: &[Ordinal],
         free: &[Ordinal],
-        mut ask: impl FnMut(Ordinal, u64, u64) -> bool,
+        mut ask: impl FnMut(Ordinal, Ask) -> bool,
     ) {
         self.expire(now);
-        self.sample(now);
-        if self.search.need == 0 {
-            return;
+        let rooms = self.plan_room(free, now);
+        for (to, mut a) in self.plan_tokens(live, free, now) {
+            a.room = rooms.iter().find(|(o, _)| *o == to).map_or(0, |(_, r)| *r);
+            if ask(to, a) {
+                self.search.asked(to);
+            }
+        }
+        let idle = rooms.into_iter().filter(|(o, r)| *r > 0 && !self.search.waits(*o));
+        for (to, room) in idle.collect::<Vec<_>>() {
+            let level = self.bucket.available(now);
+            if ask(to, Ask { level, room, ..Ask::default() }) {
+                self.search.asked(to);
+            }
         }
-        let missing = self.search.need.saturating_sub(self.bucket.available(now));
+    }
+
+    fn plan_tokens(
+        &mut self,
+        live: &[Ordinal],
+        free: &[Ordinal],
+        now: Tick,
+    ) -> Vec<(Ordinal, Ask)> {
+        let have = self.bucket.available(now);
+        let missing = self.search.need.saturating_sub(have);
+        let (rate, burst) = (self.base.rate, self.base.burst);
         if missing == 0 {
-            return self.search.done();
+            self.search.done();
+            if now < self.levelled + LEVEL || have >= burst / 100 * ENOUGH {
+                return Vec::new();
+            }
+        } else if self.search.exhausted(live, now) {
+            return Vec::new();
         }
-        if self.search.exhausted(live, now) || self.taken.len() + live.len() > MAX_LOANS {
-            return;
+        self.levelled = now;
+        let total: u64 = self.search.peers(rate, burst, live, now).iter().map(|(_, e)| e).sum();
+        // Tokens for a request that cannot be served would be lost above this host's capacity, so
+        // peers are first asked what they have.
+        let probe = total < missing;
+        if probe && self.search.informed(live, now) {
+            self.search.rest(now);
+            return Vec::new();
         }
-        let parts = self.search.parts(missing, self.base.rate, self.base.burst, free, now);
-        let wanted = self.wanted().max(missing);
-        for (to, need) in parts {
-            let want = scale(wanted, need, missing).max(need);
-            if ask(to, need, want) {
-                self.search.asked(to);
-            }
+        let peers = self.search.peers(rate, burst, free, now);
+        let level = if missing > 0 { 0 } else { have };
+        if probe {
+            return peers.iter().map(|(o, _)| (*o, Ask { level, ..Ask::default() })).collect();
         }
+        let spare = have.saturating_sub(self.search.need);
+        let parts = parts(&peers, missing, spare, burst / 2).into_iter();
+        let asks = parts.map(|(o, need, want)| (o, Ask { need, want, level, ..Ask::default() }));
+        asks.filter(|(_, a)| a.want > 0).collect()
     }
 
-    pub(super) fn lend(&mut self, now: Tick, until: Tick, ask: &Ask) -> Loan {
-        self.expire(now);
-        self.sample(now);
-        let own = self.own();
-        let available = self.bucket.available(now);
-        let mut loan = Loan { account: ask.account.clone(), rate: 0, burst: 0, tokens: 0, left: 0 };
-        if self.given.len() < MAX_LOANS && own.burst > 0 {
-            let needed = ask.need.min(available).min(own.burst);
-            // Beyond what is needed at once, only what this host's own requests do not use.
-            let kept = scale(own.burst, self.demand.min(own.rate), own.rate.max(1));
-            loan.burst = needed.max(ask.want.min(own.burst - kept));
-            loan.rate = scale(own.rate, loan.burst, own.burst);
-            // Tokens above the remaining capacity would be lost.
-            let rest = self.bucket.limits().burst - loan.burst;
-            loan.tokens = needed.max(available.saturating_sub(rest)).min(loan.burst);
+    // Capacity for the refunds of running requests that this host's own capacity and the loans
+    // that do not end soon cannot hold. Peers with fewer tokens have more of it.
+    fn plan_room(&mut self, free: &[Ordinal], now: Tick) -> Vec<(Ordinal, u64)> {
+        if now < self.roomed + ROOM {
+            return Vec::new();
         }
-        if loan.burst > 0 {
-            self.bucket.remove(loan.tokens, now);
-            let limits = Limits { rate: loan.rate, burst: loan.burst };
-            self.given.push(Term { limits, until });
-            self.apply(now);
+        let later = self.taken.iter().filter(|t| t.until > now + KEEP / 2);
+        let lasting = later.fold(self.own(), |s, t| s.saturating_add(t.burst));
+        let filled = self.bucket.refundable(now).saturating_add(self.bucket.available(now));
+        let short = filled.saturating_sub(lasting);
+        // Asking for less than this is not worth a message.
+        if short <= self.base.burst / 20 {
+            return Vec::new();
         }
-        loan.left = self.bucket.available(now).min(self.own().burst);
-        loan
+        self.roomed = now;
+        let (rate, burst) = (self.base.rate, self.base.burst);
+        let peers = self.search.peers(rate, burst, free, now);
+        let empty: u64 = peers.iter().map(|(_, e)| burst - e).sum();
+        peers.into_iter().map(|(o, e)| (o, scale(short, burst - e, empty).min(burst))).collect()
     }
 
-    pub(super) fn borrowed(&mut self, now: Tick, until: Tick, from: Ordinal, loan: &Loan) {
+    pub(super) fn lend(&mut self, now: Tick, ends: Ends, from: Ordinal, ask: &Ask) -> Loan {
         self.expire(now);
-        let enough = loan.left > 0;
-        self.search.answered(from, loan.left, enough, now);
-        if loan.burst == 0 || now >= until || self.taken.len() >= MAX_LOANS {
-            return;
+        let available = self.bucket.available(now).min(self.own());
+        let needed = ask.need.min(available);
+        // In advance only up to the same level on both sides.
+        let even = (available - needed).saturating_sub(ask.level) / 2;
+        let tokens = needed + ask.want.saturating_sub(ask.need).min(even);
+        self.bucket.remove(tokens, now);
+        self.give(tokens, ends.tokens, now);
+        let filled = self.bucket.available(now).saturating_add(self.bucket.refundable(now));
+        // What refills meanwhile needs its capacity too.
+        let refill = self.base.rate.saturating_mul(micros(ends.room.since(now))) / 1_000_000;
+        let room = ask.room.min(self.own().saturating_sub(filled.saturating_add(refill)));
+        self.give(room, ends.room, now);
+        self.search.note(from, ask.level.saturating_add(tokens - needed), now);
+        Loan { account: ask.account.clone(), tokens, room, left: available - tokens }
+    }
+
+    pub(super) fn borrowed(&mut self, now: Tick, ends: Ends, from: Ordinal, loan: &Loan) {
+        self.expire(now);
+        self.search.answered(from, loan.left, loan.left > 0, now);
+        for (burst, until) in [(loan.tokens, ends.tokens), (loan.room, ends.room)] {
+            let until = Tick(until.0 / GRID * GRID);
+            if burst > 0 && now < until {
+                add(&mut self.taken, Term { burst, until });
+            }
         }
-        let limits = Limits { rate: loan.rate, burst: loan.burst };
-        self.taken.push(Term { limits, until });
         self.apply(now);
-        self.bucket.add(loan.tokens.min(loan.burst), now);
+        if now < ends.tokens {
+            self.bucket.add(loan.tokens, now);
+        }
+    }
+
+    fn give(&mut self, burst: u64, until: Tick, now: Tick) {
+        if burst > 0 {
+            let until = Tick(until.0.div_ceil(GRID) * GRID);
+            add(&mut self.given, Term { burst, until });
+            self.apply(now);
+        }
     }
 
     pub(super) fn lent_until(&self) -> Option<Tick> {
@@ -164,19 +227,17 @@
 
     pub(super) fn report(&mut self, account: ArcStr, now: Tick) -> Report {
         self.expire(now);
-        let limits = self.bucket.limits();
         Report {
             account,
             available: self.bucket.available(now) / UNIT,
-            rate: limits.rate / UNIT,
-            burst: limits.burst / UNIT,
-            given: sum(&self.given).burst / UNIT,
-            taken: sum(&self.taken).burst / UNIT,
+            burst: self.bucket.limits().burst / UNIT,
+            given: sum(&self.given) / UNIT,
+            taken: sum(&self.taken) / UNIT,
         }
     }
 
-    // Loans end one after the other at their own times: refill after the end of a loan must not
-    // count its rate.
+    // Loans end one after the other at their own times, so that refill is cut off at the capacity
+    // that was in force when it arrived.
     fn expire(&mut self, now: Tick) {
         loop {
             let terms = self.given.iter().chain(&self.taken);
@@ -188,38 +249,44 @@
     }
 
     fn apply(&mut self, now: Tick) {
-        let (own, taken) = (self.own(), sum(&self.taken));
-        let limits = Limits {
-            rate: own.rate.saturating_add(taken.rate),
-            burst: own.burst.saturating_add(taken.burst),
-        };
-        self.bucket.set_limits(limits, now);
-    }
-
-    // The part of the base share that is not lent.
-    fn own(&self) -> Limits {
-        let given = sum(&self.given);
-        Limits {
-            rate: self.base.rate.saturating_sub(given.rate),
-            burst: self.base.burst.saturating_sub(given.burst),
-        }
+        let burst = self.own().saturating_add(sum(&self.taken));
+        self.bucket.set_limits(Limits { rate: self.base.rate, burst }, now);
     }
 
-    // Burst that goes with the rate that this host's requests use above its own.
-    fn wanted(&self) -> u64 {
-        let short = self.demand.saturating_sub(self.bucket.limits().rate);
-        scale(self.base.burst, short, self.base.rate.max(1))
+    // The part of the base capacity that is not lent.
+    fn own(&self) -> u64 {
+        self.base.burst.saturating_sub(sum(&self.given))
     }
+}
 
-    fn sample(&mut self, now: Tick) {
-        let d = now.since(self.sampled);
-        if d < SAMPLE {
-            return;
-        }
-        let rate = u128::from(self.used) * 1_000_000 / u128::from(micros(d).max(1));
-        self.demand = self.demand.midpoint(u64::try_from(rate).unwrap_or(u64::MAX));
-        self.used = 0;
-        self.sampled = now;
+// Splits what is missing over the peers by what each is expected to have, and adds to each part
+// what brings this host to the mean of the levels. `have` is left after the waiting request.
+fn parts(
+    peers: &[(Ordinal, u64)],
+    missing: u64,
+    have: u64,
+    floor: u64,
+) -> Vec<(Ordinal, u64, u64)> {
+    let count = peers.len().max(1) as u64;
+    let total = peers.iter().fold(0u64, |s, (_, e)| s.saturating_add(*e));
+    let mean = total.saturating_sub(missing).saturating_add(have) / (count + 1);
+    let above = peers.iter().fold(0, |s: u64, (_, e)| s.saturating_add(e.saturating_sub(mean)));
+    let wanted = if mean >= floor { mean.saturating_sub(have) } else { 0 };
+    let mut rest = missing;
+    peers
+        .iter()
+        .map(|(o, e)| {
+            let need = rest.min(*e);
+            rest -= need;
+            (*o, need, need + scale(wanted, e.saturating_sub(mean), above))
+        })
+        .collect()
+}
+
+fn add(terms: &mut Vec<Term>, t: Term) {
+    match terms.iter_mut().find(|o| o.until == t.until) {
+        Some(o) => o.burst = o.burst.saturating_add(t.burst),
+        None => terms.push(t),
     }
 }
 
@@ -229,11 +296,8 @@
     Limits { rate: part(whole.rate), burst: part(whole.burst) }
 }
 
-fn sum(terms: &[Term]) -> Limits {
-    terms.iter().fold(Limits::default(), |s, t| Limits {
-        rate: s.rate.saturating_add(t.limits.rate),
-        burst: s.burst.saturating_add(t.limits.burst),
-    })
+fn sum(terms: &[Term]) -> u64 {
+    terms.iter().fold(0, |s, t| s.saturating_add(t.burst))
 }
 
 // n x part / whole, rounded down.
