Bound the scan for parts to fetch; write the head by renaming

Cause: each event looked at every missing part and counted the fetches for each of them; an interrupted render left a cut head.

--- a/crates/cli/src/cmd/render.rs
+++ b/crates/cli/src/cmd/render.rs
@@ -91,7 +91,10 @@
         fs::write(&path, text).map_err(|e| CliError::File(path, e))?;
         new = (new.0 + 1, new.1 + text.len());
     }
-    let path = dir.join(HEAD);
-    fs::write(&path, serde_json::to_vec(&out.head)?).map_err(|e| CliError::File(path, e))?;
+    // A run that is interrupted leaves the old head, which is complete.
+    let (path, draft) = (dir.join(HEAD), dir.join("head.new"));
+    fs::write(&draft, serde_json::to_vec(&out.head)?)
+        .map_err(|e| CliError::File(draft.clone(), e))?;
+    fs::rename(&draft, &path).map_err(|e| CliError::File(path, e))?;
     Ok(new)
 }
--- a/crates/core/examples/config_figures.rs
+++ b/crates/core/examples/config_figures.rs
@@ -45,6 +45,7 @@
 
     let versions: Vec<_> =
         (0..RUNS as u64).map(|v| rendered_with(&rules, v + 2, &format!("{}", 1001 + v))).collect();
+    let start = median(|_| offer(&mut Config::new(Ordinal(0), false), &old));
     let mut config = Config::new(Ordinal(0), false);
     offer(&mut config, &old);
     let apply = median(|i| offer(&mut config, &versions[i]));
@@ -52,7 +53,7 @@
 
     println!(
         "adapters {adapters} upstreams {upstreams} check_ms {check:.1} render_ms {render:.1} \
-         assemble_ms {assemble:.1} apply_ms {apply:.1} values_bytes {bytes} head_bytes {head} \
+         assemble_ms {assemble:.1} start_ms {start:.1} apply_ms {apply:.1} values_bytes {bytes} head_bytes {head} \
          change_bytes {} {}",
         head + part,
         memory_of(&[&old, &new]),
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -521,9 +521,13 @@
     }
 
     fn pump(&mut self, now: Tick, out: &mut Vec<Effect>) {
+        let mut free = self.fetches.free();
         for c in &self.candidates {
             for d in &c.missing {
-                self.fetches.part(now, d, &c.sources, out);
+                if free == 0 {
+                    return;
+                }
+                free -= usize::from(self.fetches.part(now, d, &c.sources, out));
             }
         }
     }
--- a/crates/core/src/config/fetch.rs
+++ b/crates/core/src/config/fetch.rs
@@ -51,34 +51,35 @@
         }
     }
 
-    /// Fetches a part from the next of `sources`, the service last.
+    /// How many more parts may be fetched at the same time.
+    pub(super) fn free(&self) -> usize {
+        FLIGHT.saturating_sub(self.parts.values().filter(|p| p.flight.is_some()).count())
+    }
+
+    /// Fetches a part from the next of `sources`, the service last. Returns whether a fetch began.
     pub(super) fn part(
         &mut self,
         now: Tick,
         digest: &Digest,
         sources: &[Source],
         out: &mut Vec<Effect>,
-    ) {
-        let busy = self.parts.values().filter(|p| p.flight.is_some()).count();
+    ) -> bool {
         let p = self.parts.entry(digest.clone()).or_default();
-        if busy >= FLIGHT || p.flight.is_some() || now < p.due {
-            return;
+        if p.flight.is_some() || now < p.due {
+            return false;
         }
         let peers = sources.iter().filter(|s| **s != Source::Service);
         let next = peers.chain([&Source::Service]).find(|s| !p.tried.contains(s));
-        match next {
-            Some(s) => {
-                p.tried.push(s.clone());
-                p.flight = Some((s.clone(), now));
-                let want = Want::Part(digest.clone());
-                out.push(Effect::Fetch { from: s.clone(), want });
-            }
-            None => {
-                p.tried.clear();
-                p.due = now + PAUSE.saturating_mul(1 << p.rounds.min(8)).min(PAUSE_MAX);
-                p.rounds += 1;
-            }
-        }
+        let Some(s) = next else {
+            p.tried.clear();
+            p.due = now + PAUSE.saturating_mul(1 << p.rounds.min(8)).min(PAUSE_MAX);
+            p.rounds += 1;
+            return false;
+        };
+        p.tried.push(s.clone());
+        p.flight = Some((s.clone(), now));
+        out.push(Effect::Fetch { from: s.clone(), want: Want::Part(digest.clone()) });
+        true
     }
 
     /// Ends a fetch without a usable result.
