--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -5,6 +5,7 @@
 mod diff;
 mod remote;
 mod render;
+mod tls;
 mod workdir;
 
 /// Rules that pass the checks.
