--- a/crates/cli/src/cmd/render.rs
+++ b/crates/cli/src/cmd/render.rs
@@ -7,7 +7,10 @@
     process::ExitCode,
 };
 
-use yuccawing_core::rules::{Head, MAX_PART, Rendered};
+use yuccawing_core::{
+    config::MAX_BYTES,
+    rules::{Head, MAX_PART, Rendered},
+};
 
 use crate::{
     error::{CliError, CliResult},
@@ -56,13 +59,17 @@
 }
 
 fn within_limit(out: &Rendered) -> CliResult<()> {
-    match out.parts.iter().find(|(_, t)| t.len() > MAX_PART) {
-        Some((d, t)) => Err(CliError::Version(format!(
+    if let Some((d, t)) = out.parts.iter().find(|(_, t)| t.len() > MAX_PART) {
+        return Err(CliError::Version(format!(
             "part {d} has {} bytes, the configuration service allows {MAX_PART}",
             t.len()
-        ))),
-        None => Ok(()),
+        )));
+    }
+    let bytes: usize = out.parts.values().map(String::len).sum();
+    if bytes > MAX_BYTES {
+        return Err(CliError::Version(format!("{bytes} bytes, hosts allow {MAX_BYTES}")));
     }
+    Ok(())
 }
 
 fn follows(old: &Head, new: &Head) -> CliResult<()> {
--- a/crates/cli/tests/cli/render.rs
+++ b/crates/cli/tests/cli/render.rs
@@ -34,3 +34,15 @@
     assert!(w.fail("render --version 1 --out v r.toml").starts_with("r.toml:1: "));
     assert_eq!(w.list("v"), ["x"]);
 }
+
+// Guards against a version that every host would reject for its size.
+#[test]
+fn a_version_that_is_too_large_is_an_error() {
+    let w = Workdir::new();
+    let keys: Vec<_> = (0..20_000).map(|i| format!("\"{i:064x}\"")).collect();
+    w.write(
+        "r.toml",
+        SAMPLE.replace("burst = 4000", &format!("burst = 1\nkeys = [{}]", keys.join(","))),
+    );
+    assert!(w.fail("render --version 1 --out v r.toml").contains("allows 1000000"));
+}
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -246,6 +246,8 @@
     // Parts that the head and the index parts at hand name, and those of them that are not here.
     parts: BTreeSet<Digest>,
     missing: BTreeSet<Digest>,
+    // Size of the parts that are here.
+    bytes: usize,
 }
 
 impl Config {
@@ -468,7 +470,9 @@
 
     /// Applies the highest complete candidate that passes the checks.
     fn advance(&mut self, now: Tick, out: &mut Vec<Effect>) {
-        while let Some(i) = self.candidates.iter().rposition(|c| c.missing.is_empty()) {
+        // A version that is too large is given up before all of it is in memory.
+        let done = |c: &Candidate| c.missing.is_empty() || c.bytes > MAX_BYTES;
+        while let Some(i) = self.candidates.iter().rposition(done) {
             let c = self.candidates.remove(i);
             match self.assemble(&c) {
                 Ok(rules) => self.apply(now, c, Arc::new(rules), out),
@@ -483,10 +487,8 @@
     }
 
     fn assemble(&self, c: &Candidate) -> Result<Rules, Reason> {
-        let texts = c.parts.iter().filter_map(|d| self.parts.get(d));
-        let bytes: usize = texts.map(|t| t.len()).sum();
-        if bytes > MAX_BYTES {
-            return Err(Reason::Invalid(format!("{bytes} bytes, allowed are {MAX_BYTES}")));
+        if c.bytes > MAX_BYTES {
+            return Err(Reason::Invalid(format!("more than {MAX_BYTES} bytes")));
         }
         let get = |d: &Digest| self.parts.get(d).cloned();
         let rules = match &self.force {
@@ -584,6 +586,7 @@
             since: now,
             parts: BTreeSet::new(),
             missing: BTreeSet::new(),
+            bytes: 0,
         };
         for d in own {
             c.want(d, parts);
@@ -604,11 +607,12 @@
     }
 
     fn arrived(&mut self, d: &Digest, parts: &BTreeMap<Digest, ArcStr>) {
+        let Some(text) = parts.get(d).filter(|_| self.parts.contains(d)) else { return };
         self.missing.remove(d);
+        self.bytes += text.len();
         // An index part that cannot be read names nothing; assembling reports it.
-        if self.parts.contains(d)
-            && self.head.parts[1..].contains(d)
-            && let Some(named) = parts.get(d).and_then(|t| shards(d, t).ok())
+        if self.head.parts[1..].contains(d)
+            && let Ok(named) = shards(d, text)
         {
             for shard in named {
                 self.want(shard, parts);
--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -6,7 +6,7 @@
 use crate::{
     ArcStr,
     ids::Ordinal,
-    rules::{Digest, Head, Rendered, Rules},
+    rules::{Adapter, Class, Digest, Head, Rendered, Rules},
     time::Tick,
 };
 
@@ -187,6 +187,9 @@
         let mut net = Net::new(false);
         net.offer(&rendered(1, 1), Source::Service);
         net.send(Event::Offered { from: peer("h1"), head: rendered(2, 2).head });
+        net.now = Tick(29_000_000);
+        net.send(Event::Unchanged);
+        assert!(net.config.is_stale(net.now));
         net.now = Tick(40_000_000);
         net.send(Event::Tick);
         assert!(matches!(net.reasons()[..], [Reason::Unavailable(_)]));
@@ -223,8 +226,24 @@
         assert_eq!(net.config.version(), 7);
         assert!(!net.config.is_ready());
         net.answer(2, true, Some(&rendered(8, 2)));
-        assert_eq!(net.config.version(), 8);
-        assert!(net.log.contains(&Effect::Ready));
+        let at = |f: fn(&Effect) -> bool| net.log.iter().position(f).unwrap();
+        let applied = at(|e| matches!(e, Effect::Apply { version: 8, .. }));
+        assert!(at(|e| *e == Effect::Ready) > applied);
+    }
+    // Guards against a start with the peers' version although the service has a newer one.
+    a_start_waits_for_the_version_of_the_service: {
+        let mut net = Net::new(false);
+        let newest = rendered(9, 3);
+        net.send(Event::Offered { from: Source::Service, head: newest.head.clone() });
+        net.answer(1, true, Some(&rendered(8, 2)));
+        net.answer(2, true, Some(&rendered(8, 2)));
+        assert!(!net.config.is_ready());
+        net.offer(&newest, Source::Service);
+        net.now = Tick(2_000_000);
+        net.send(Event::Tick);
+        net.settle();
+        assert!(net.config.is_ready());
+        assert_eq!(net.config.version(), 9);
     }
     // Guards against counting a peer that has just started and knows nothing itself.
     a_starting_peer_counts_only_at_a_first_start: {
@@ -247,6 +266,52 @@
         let last = Stamp::from(&rendered(2, 2).head);
         assert!(net.log.contains(&Effect::Announce(last)));
     }
+    // Guards against a head fetch without an answer that keeps newer heads from being fetched.
+    a_silent_announcer_is_asked_again: {
+        let mut net = Net::new(false);
+        for at in [0, 2_000_000] {
+            net.now = Tick(at);
+            net.send(Event::Tick);
+            net.log.clear();
+            net.send(Event::Announced { from: peer("h1"), version: 2, digest: None });
+            net.send(Event::Announced { from: peer("h1"), version: 2, digest: None });
+            assert_eq!(net.log, [Effect::Fetch { from: peer("h1"), want: Want::Head }]);
+        }
+    }
+    // Guards against a head fetch from every peer that announces the same version.
+    one_head_is_fetched_for_a_version: {
+        let mut net = Net::new(false);
+        for i in 1..9 {
+            let from = peer(&format!("h{i}"));
+            net.send(Event::Announced { from, version: 2, digest: None });
+        }
+        assert_eq!(net.log.len(), 1);
+    }
+    // Guards against versions that follow each other so fast that none is ever completed, and
+    // against a memory that grows with them.
+    the_oldest_and_the_newest_candidates_are_kept: {
+        let mut net = Net::new(false);
+        for v in 1..20 {
+            net.send(Event::Offered { from: peer("h1"), head: rendered(v, v as u32).head });
+        }
+        let kept: Vec<_> = net.config.candidates.iter().map(|c| c.head.version).collect();
+        assert_eq!(kept, [1, 17, 18, 19]);
+    }
+    // Guards against a version that fills the memory of the hosts.
+    a_version_that_is_too_large_is_refused: {
+        let long = "x".repeat(127);
+        let mut rules = Rules::parse("r.toml", BASE).unwrap();
+        for i in 0..5_000 {
+            let versions = (0..27).map(|v| format!("{v:02}{}", &long[2..]).into()).collect();
+            let a = Adapter { model: "base".into(), versions, class: Class::Status };
+            rules.adapters.insert(format!("a{i}").into(), a);
+        }
+        let (mut net, large) = (Net::new(false), rules.render(1));
+        net.offer(&large, Source::Service);
+        assert!(matches!(net.reasons()[..], [Reason::Invalid(m)] if m.contains("bytes")));
+        assert!(net.fetched() < large.parts.len());
+        assert!(net.config.parts.is_empty() && net.config.candidates.is_empty());
+    }
     // Guards against parts of replaced versions that stay in memory for good.
     old_parts_are_dropped: {
         let mut net = Net::new(false);
--- a/crates/core/src/membership/tests.rs
+++ b/crates/core/src/membership/tests.rs
@@ -97,8 +97,10 @@
         assert_eq!(status(&m, 1_500_100, 1), Status::Suspect);
         assert_eq!(status(&m, 3_000_100, 1), Status::Lost);
         let late = Event::Answered { peer: name(1), sent: Tick(50), about: about(4) };
-        send(&mut m, 3_000_100, late);
-        assert_eq!(status(&m, 3_000_100, 1), Status::Lost);
+        send(&mut m, 1_500_060, late);
+        assert_eq!(status(&m, 1_500_060, 1), Status::Alive);
+        let found = m.addresses(Tick(1_500_060), false).hosts;
+        assert_eq!(found[0].incarnation, Incarnation(5).to_string());
     }
     // Guards against a leaving process that gets new calls again because the list lags.
     a_leaving_process_never_returns_but_its_successor_does: {
