--- a/crates/cli/src/cmd/render.rs
+++ b/crates/cli/src/cmd/render.rs
@@ -7,7 +7,10 @@
     process::ExitCode,
 };
 
-use yuccawing_core::rules::{Head, MAX_PART, Rendered};
+use yuccawing_core::{
+    config::MAX_BYTES,
+    rules::{Head, MAX_PART, Rendered},
+};
 
 use crate::{
     error::{CliError, CliResult},
@@ -56,13 +59,17 @@
 }
 
 fn within_limit(out: &Rendered) -> CliResult<()> {
-    match out.parts.iter().find(|(_, t)| t.len() > MAX_PART) {
-        Some((d, t)) => Err(CliError::Version(format!(
+    if let Some((d, t)) = out.parts.iter().find(|(_, t)| t.len() > MAX_PART) {
+        return Err(CliError::Version(format!(
             "part {d} has {} bytes, the configuration service allows {MAX_PART}",
             t.len()
-        ))),
-        None => Ok(()),
+        )));
+    }
+    let bytes: usize = out.parts.values().map(String::len).sum();
+    if bytes > MAX_BYTES {
+        return Err(CliError::Version(format!("{bytes} bytes, hosts allow {MAX_BYTES}")));
     }
+    Ok(())
 }
 
 fn follows(old: &Head, new: &Head) -> CliResult<()> {
@@ -91,7 +98,10 @@
         fs::write(&path, text).map_err(|e| CliError::File(path, e))?;
         new = (new.0 + 1, new.1 + text.len());
     }
-    let path = dir.join(HEAD);
-    fs::write(&path, serde_json::to_vec(&out.head)?).map_err(|e| CliError::File(path, e))?;
+    // A run that is interrupted leaves the old head, which is complete.
+    let (path, draft) = (dir.join(HEAD), dir.join("head.new"));
+    fs::write(&draft, serde_json::to_vec(&out.head)?)
+        .map_err(|e| CliError::File(draft.clone(), e))?;
+    fs::rename(&draft, &path).map_err(|e| CliError::File(path, e))?;
     Ok(new)
 }
