--- a/crates/core/src/rules/tests.rs
+++ b/crates/core/src/rules/tests.rs
@@ -122,6 +122,24 @@
         let out = parse(&[&text]).unwrap().render(1);
         assert!(out.parts.values().all(|p| p.len() < super::MAX_PART));
     }
+    // Guards against a key that the page for operators does not have.
+    the_page_names_every_key: {
+        let page = include_str!("../../../../docs/configuration.md");
+        let files = ["accounts", "adapters", "fleet"].map(|f| {
+            let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/rules/");
+            File { name: f.into(), text: std::fs::read_to_string(format!("{path}{f}.toml")).unwrap() }
+        });
+        let rules = Rules::read(&files).unwrap();
+        let mut open = vec![(serde_json::to_value(&rules).unwrap(), true)];
+        while let Some((value, is_fields)) = open.pop() {
+            for (key, v) in value.as_object().into_iter().flatten() {
+                assert!(!is_fields || page.contains(&format!("`{key}`")) , "{key}");
+                let named = is_fields && page.contains(&format!("### `[{key}."));
+                let named = named || (is_fields && key == "routes");
+                open.push((v.clone(), !named));
+            }
+        }
+    }
     // Guards against a change that operators cannot recognise in the report.
     a_diff_says_what_a_change_does: {
         let old = parse(&[SAMPLE]).unwrap();
