Pass sampling parameters on to the engine

Cause: temperature, top_p, top_k, stop, seed, the penalties, logit_bias and response_format of a completion were read over, so a caller got another answer than it had asked for. Change: these nine fields are copied into the engine's request as they are read, on each attempt. Together they may take 64 KiB and none may be given twice. Members keep their order, which matters for JSON schemas. Other fields, also user, stay at the edge. Conclusion: usual clients get the answers that they ask for.

--- a/crates/daemon/src/edge/ask.rs
+++ b/crates/daemon/src/edge/ask.rs
@@ -2,6 +2,7 @@
 //! hand: they skip what is not used without building it, and render chat messages into the prompt
 //! as they are read.
 
+mod sampling;
 #[cfg(test)]
 mod tests;
 
@@ -12,6 +13,8 @@
     de::{DeserializeSeed, Error, IgnoredAny, MapAccess, SeqAccess, Visitor},
 };
 
+use self::sampling::Sampling;
+
 /// Largest `max_tokens`.
 pub(super) const MAX_TOKENS: u64 = 131_072;
 
@@ -31,6 +34,8 @@
     pub(super) stream: bool,
     /// Whether a stream ends with a chunk of its own for the usage.
     pub(super) usage: bool,
+    /// Sampling parameters for the engine, as members of a JSON object without its braces.
+    pub(super) sampling: String,
 }
 
 /// Which of the two request shapes a body has.
@@ -69,6 +74,7 @@
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<CompletionBody, A::Error> {
         let (mut model, mut prompt, mut max_tokens) = (None, None, None);
         let (mut stream, mut usage) = (false, false);
+        let mut sampling = Sampling::default();
         while let Some(key) = map.next_key::<Key>()? {
             match key {
                 Key::Model if model.is_some() => return Err(A::Error::duplicate_field("model")),
@@ -90,6 +96,7 @@
                         return Err(A::Error::custom("n and best_of must be 1"));
                     }
                 }
+                Key::Sampling(name) => map.next_value_seed(sampling.member(name))?,
                 Key::Prompt | Key::Messages | Key::Other => {
                     map.next_value::<IgnoredAny>()?;
                 }
@@ -109,6 +116,7 @@
             max_tokens,
             stream,
             usage,
+            sampling: sampling.finish(),
         })
     }
 }
@@ -121,6 +129,7 @@
     Stream,
     Options,
     Count,
+    Sampling(&'static str),
     Other,
 }
 
@@ -148,7 +157,7 @@
             "stream" => Key::Stream,
             "stream_options" => Key::Options,
             "n" | "best_of" => Key::Count,
-            _ => Key::Other,
+            _ => sampling::name(s).map_or(Key::Other, Key::Sampling),
         })
     }
 }
--- /dev/null
+++ b/crates/daemon/src/edge/ask/sampling.rs
@@ -0,0 +1,161 @@
+//! Sampling parameters of a completion, copied from the caller's body to the engine's.
+//!
+//! Each value is written as it is read, so the members of an object keep their order: engines
+//! generate the properties of a JSON schema in the order in which it names them.
+
+use std::fmt;
+
+use serde::{
+    Deserializer, Serialize,
+    de::{DeserializeSeed, Error, MapAccess, SeqAccess, Visitor},
+};
+
+/// Fields that engines get. Any other field could collide with those that this host sets.
+const NAMES: [&str; 9] = [
+    "temperature",
+    "top_p",
+    "top_k",
+    "stop",
+    "seed",
+    "presence_penalty",
+    "frequency_penalty",
+    "logit_bias",
+    "response_format",
+];
+
+/// Most bytes of all sampling parameters of a request; a JSON schema is the largest of them.
+pub(super) const MAX_SAMPLING: usize = 64 * 1024;
+
+/// The sampling parameter of this name.
+pub(super) fn name(s: &str) -> Option<&'static str> {
+    NAMES.into_iter().find(|n| *n == s)
+}
+
+/// Sampling parameters read so far.
+#[derive(Default)]
+pub(super) struct Sampling {
+    text: String,
+    seen: Vec<&'static str>,
+}
+
+impl Sampling {
+    /// Reads the value of a parameter. `null` leaves the parameter out.
+    pub(super) fn member(&mut self, name: &'static str) -> Member<'_> {
+        Member { to: self, name }
+    }
+
+    /// Members of a JSON object, without braces; empty if there are none.
+    pub(super) fn finish(self) -> String {
+        self.text
+    }
+}
+
+/// Reads the value of one parameter.
+pub(super) struct Member<'a> {
+    to: &'a mut Sampling,
+    name: &'static str,
+}
+
+impl<'de> DeserializeSeed<'de> for Member<'_> {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'de>>(self, d: D) -> Result<(), D::Error> {
+        let Sampling { text, seen } = self.to;
+        if seen.contains(&self.name) {
+            return Err(D::Error::duplicate_field(self.name));
+        }
+        seen.push(self.name);
+        let before = text.len();
+        if before > 0 {
+            text.push(',');
+        }
+        put(text, self.name)?;
+        text.push(':');
+        let start = text.len();
+        Copy(text).deserialize(d)?;
+        if &text[start..] == "null" {
+            text.truncate(before);
+        }
+        Ok(())
+    }
+}
+
+// Writes a value as JSON.
+struct Copy<'a>(&'a mut String);
+
+fn put<E: Error>(text: &mut String, value: impl Serialize) -> Result<(), E> {
+    text.push_str(&serde_json::to_string(&value).map_err(E::custom)?);
+    if text.len() > MAX_SAMPLING {
+        return Err(E::custom(format!("the sampling parameters exceed {MAX_SAMPLING} bytes")));
+    }
+    Ok(())
+}
+
+impl<'de> DeserializeSeed<'de> for Copy<'_> {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'de>>(self, d: D) -> Result<(), D::Error> {
+        d.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for Copy<'_> {
+    type Value = ();
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a JSON value")
+    }
+
+    fn visit_unit<E: Error>(self) -> Result<(), E> {
+        put(self.0, ())
+    }
+
+    fn visit_bool<E: Error>(self, b: bool) -> Result<(), E> {
+        put(self.0, b)
+    }
+
+    fn visit_u64<E: Error>(self, n: u64) -> Result<(), E> {
+        put(self.0, n)
+    }
+
+    fn visit_i64<E: Error>(self, n: i64) -> Result<(), E> {
+        put(self.0, n)
+    }
+
+    fn visit_f64<E: Error>(self, n: f64) -> Result<(), E> {
+        put(self.0, n)
+    }
+
+    fn visit_str<E: Error>(self, s: &str) -> Result<(), E> {
+        put(self.0, s)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<(), A::Error> {
+        self.0.push('[');
+        let start = self.0.len();
+        while seq.next_element_seed(Copy(self.0))?.is_some() {
+            self.0.push(',');
+        }
+        close(self.0, start, ']');
+        Ok(())
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
+        self.0.push('{');
+        let start = self.0.len();
+        while map.next_key_seed(Copy(self.0))?.is_some() {
+            self.0.push(':');
+            map.next_value_seed(Copy(self.0))?;
+            self.0.push(',');
+        }
+        close(self.0, start, '}');
+        Ok(())
+    }
+}
+
+fn close(text: &mut String, start: usize, end: char) {
+    if text.len() > start {
+        text.pop();
+    }
+    text.push(end);
+}
--- a/crates/daemon/src/edge/ask/tests.rs
+++ b/crates/daemon/src/edge/ask/tests.rs
@@ -19,6 +19,7 @@
             "stream":true,"stream_options":{"include_usage":true},"n":1,"user":null}"#).unwrap();
         let want = CompletionBody {
             model: "a@1".into(), prompt: "hi".into(), max_tokens: 9, stream: true, usage: true,
+            sampling: r#""temperature":0.2,"stop":["x"]"#.into(),
         };
         assert_eq!(b, want);
     }
@@ -37,6 +38,38 @@
         assert_eq!(b.prompt, "system: be brief\nuser: ab\nassistant: \nassistant:");
         assert_eq!(b.max_tokens, 3);
     }
+    // Guards against values that change on the way to the engine, and against lost order in a
+    // JSON schema.
+    sampling_parameters_are_copied: {
+        let fields = r#""temperature":0.7,"top_p":1,"top_k":-1,"stop":["\n\"","\u00fc"],"seed":18446744073709551615,"presence_penalty":-0.5,"frequency_penalty":1.5,"logit_bias":{"50256":-100,"11":0.25},"response_format":{"type":"json_schema","json_schema":{"z":{},"a":[true,null,[]]}}"#;
+        let b = text(&format!(r#"{{"model":"a","prompt":"x",{fields}}}"#)).unwrap();
+        assert_eq!(b.sampling, fields.replace("\\u00fc", "ü"));
+        let b = text(r#"{"top_k":null,"model":"a","seed":null,"prompt":"x","stop":"e","top_p":null}"#).unwrap();
+        assert_eq!(b.sampling, r#""stop":"e""#);
+    }
+    // Guards against fields of the caller that replace those that the host sets for the engine,
+    // and against a caller's own name for its user that reaches the engine.
+    only_sampling_parameters_are_copied: {
+        let b = text(r#"{"model":"a","prompt":"x","user":"u","request_id":"1","priority":0,
+            "lora_path":"b/1","metadata":{"a":"b"},"top_p":0.5,"x":"\",\"priority\":0"}"#).unwrap();
+        assert_eq!(b.sampling, r#""top_p":0.5"#);
+        let b = text(r#"{"model":"a","prompt":"x","stop":"\",\"priority\":0"}"#).unwrap();
+        assert_eq!(b.sampling, r#""stop":"\",\"priority\":0""#);
+    }
+    // Guards against sampling parameters that fill the memory or the stack, and against repeated
+    // ones, of which engines may take either.
+    sampling_parameters_have_bounds: {
+        let body = |field: &str| format!(r#"{{"model":"a","prompt":"x",{field}}}"#);
+        let string = |n| format!(r#""stop":"{}""#, "x".repeat(n));
+        assert!(text(&body(&string(60_000))).is_ok());
+        assert!(text(&body(&string(66_000))).is_err());
+        let list = format!(r#""stop":[{}""]"#, r#""","#.repeat(40_000));
+        assert!(text(&body(&list)).is_err());
+        let deep = format!(r#""response_format":{}{}"#, "[".repeat(200_000), "]".repeat(200_000));
+        assert!(text(&body(&deep)).is_err());
+        assert!(text(&body(r#""top_p":1,"top_p":0"#)).is_err());
+        assert!(text(&body(r#""top_p":1e999"#)).is_err());
+    }
     // Guards against requests that are answered in another way than they ask for.
     what_cannot_be_answered_is_refused: {
         for body in [
--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -128,7 +128,12 @@
     let admission = setup.handle.admit(admit).await?;
     let render =
         Renderer::new(shape, &context.id.to_string(), unix_seconds(), model, ask.max_tokens);
-    let engine = Ask { prompt: ask.prompt, max_tokens: ask.max_tokens, prompt_tokens };
+    let engine = Ask {
+        prompt: ask.prompt,
+        max_tokens: ask.max_tokens,
+        prompt_tokens,
+        sampling: ask.sampling,
+    };
     let mut answer = Answer::new(upstreams(req), admission, engine);
     // The head of the answer waits for the first token, so that a refusal has its own status.
     let Some(first) = answer.next().await? else {
--- a/crates/daemon/src/edge/tests/http.rs
+++ b/crates/daemon/src/edge/tests/http.rs
@@ -185,6 +185,34 @@
         let a = w.post("/v1/completions", &json!({"model": "deck"})).await;
         assert_eq!(a.error(), (400, "bad_request".into(), "not_run".into()));
     }
+    // Guards against answers that are sampled in another way than the caller asked for, and against
+    // a caller's user name or header that reaches the engine.
+    sampling_parameters_reach_the_engine: {
+        let w = World::start();
+        let mut body = ask(2, false);
+        let sampling = json!({
+            "temperature": 0.0, "top_p": 0.9, "top_k": 40, "stop": ["a", "b"], "seed": 7,
+            "presence_penalty": 0.1, "frequency_penalty": -0.1, "logit_bias": {"5": -100},
+            "response_format": {"type": "json_object"},
+        });
+        body.as_object_mut().unwrap().extend(sampling.as_object().unwrap().clone());
+        body["user"] = json!("someone");
+        body["priority"] = json!(0);
+        // The second attempt must carry them as well.
+        w.faults(&[Fault::Status(404, "unknown_instance")]);
+        let a = w.post_with("/v1/completions", &body, &[("x-other", "someone")]).await;
+        assert_eq!(a.status, StatusCode::OK);
+        let seen = w.up.seen.borrow().clone();
+        assert_eq!(seen.len(), 2);
+        for s in seen {
+            let got: serde_json::Value = serde_json::from_str(&s.body).unwrap();
+            for (name, value) in sampling.as_object().unwrap() {
+                assert_eq!(&got[name], value, "{name}");
+            }
+            assert_eq!((got["priority"].as_u64(), got["max_tokens"].as_u64()), (Some(1), Some(2)));
+            assert!(!s.body.contains("someone") && !s.head.contains("someone"), "{s:?}");
+        }
+    }
     // Guards against callers that learn a wrong set of hosts, and against secrets in the answer.
     the_address_look_up_needs_no_key: {
         let w = World::start();
--- a/crates/daemon/src/upstream/engine.rs
+++ b/crates/daemon/src/upstream/engine.rs
@@ -43,6 +43,8 @@
     pub max_tokens: u64,
     /// Estimated tokens of the prompt, until the engine tells their number.
     pub prompt_tokens: u64,
+    /// Sampling parameters: members of a JSON object without its braces.
+    pub sampling: String,
 }
 
 /// Part of an answer.
@@ -104,6 +106,19 @@
     stream: bool,
 }
 
+impl Body<'_> {
+    fn json(&self, sampling: &str) -> String {
+        let mut text = serde_json::to_string(self).expect("plain fields serialise");
+        if !sampling.is_empty() {
+            text.pop();
+            text.push(',');
+            text.push_str(sampling);
+            text.push('}');
+        }
+        text
+    }
+}
+
 #[derive(Deserialize)]
 struct EngineError {
     code: String,
@@ -168,13 +183,15 @@
             priority: d.priority,
             stream: true,
         };
+        let body = body.json(&self.ask.sampling);
         let call = self
             .up
             .pooled
             .post(format!("http://{}/v1/completions", d.addr))
             .timeout(left.min(self.up.timing.first))
             .no_decompress()
-            .send_json(&body);
+            .content_type("application/json")
+            .send_body(body);
         // From here on a drop cannot tell whether the engine runs it.
         self.link = Link::Lost;
         a.note(self.ask.prompt_tokens, Outcome::Cancelled);
@@ -268,6 +285,7 @@
                 Verdict::Deliver => {
                     // No attempt follows a delivered token.
                     self.ask.prompt = String::new();
+                    self.ask.sampling = String::new();
                     self.note(Outcome::Cancelled);
                     return Ok(Some(Piece::Token(chunk.text.into_owned())));
                 }
