Lower the weight of an overloaded host in the address look-up

Cause: every host had weight 100 for good, so callers kept coming to a host that could not keep up. The answer did not name the domains. Change: the weight follows the time to serve the waiting status and interactive requests and the refusals of the control thread's mailbox: 25 above 2 s or with a refusal, left out above 8 s or with 100 refusals in 1 s while another host is there. The weight rises one step after 10 s of calm. Peers learn it from probes. Members wraps the membership and replaces its fixed weight. GET /v1/hosts names domains.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -10,11 +10,15 @@
 mod requests;
 mod status;
 mod versions;
+mod weight;
 
 use std::{
     collections::BTreeMap,
     hash::{BuildHasher, Hasher, RandomState},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -28,7 +32,7 @@
     config::{self, Config},
     ids::{Incarnation, Ordinal},
     lease::{Authority, Lease},
-    membership::{self, Membership},
+    membership,
     placement::{self, Placement},
     queue::{Limits, Queue},
     route::{self, Route},
@@ -41,6 +45,7 @@
     commands::Commands,
     messages::{Call, RequestId, Snapshot},
     requests::Requests,
+    weight::{Members, WEIGHT},
 };
 use crate::{
     mesh::{Link, PeerCall},
@@ -65,6 +70,8 @@
     pub incarnation: Incarnation,
     /// Published state.
     pub view: Arc<ArcSwap<Snapshot>>,
+    /// Calls that the full mailbox has refused, counted by [`Handle`].
+    pub refused: Arc<AtomicU64>,
     /// Metrics.
     pub metrics: Metrics,
     /// Log.
@@ -113,7 +120,7 @@
     clock: Clock,
     random: Random,
     config: Config,
-    membership: Membership,
+    membership: Members,
     lease: Option<Lease>,
     // End of the lease at the last tick, to notice renewals.
     renewed: Tick,
@@ -147,11 +154,11 @@
             domain: s.domain.clone(),
             http: s.listen.http.to_string().into(),
             incarnation: setup.incarnation,
-            weight: 100,
+            weight: WEIGHT,
         };
         Self {
             config: Config::new(s.ordinal, s.found),
-            membership: Membership::new(member),
+            membership: Members::new(member),
             lease: None,
             renewed: Tick(0),
             allowance: Allowance::new(s.ordinal),
@@ -195,6 +202,8 @@
         self.release_pins(now, false, ctx);
         self.watch_config(now, ctx);
         self.expire_requests(now, ctx);
+        let refused = self.setup.refused.load(Ordering::Relaxed);
+        self.membership.observe(now, self.backlog(), refused);
         self.publish(now);
     }
 }
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -10,7 +10,10 @@
     hash::{Hash, Hasher},
     net::SocketAddr,
     str::FromStr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -326,6 +329,8 @@
     pub name: ArcStr,
     /// Address for callers, `IP:PORT`.
     pub http: ArcStr,
+    /// Failure domain.
+    pub domain: ArcStr,
     /// Share of callers that should use it, relative to the others.
     pub weight: u32,
     /// Process, in hexadecimal.
@@ -337,7 +342,8 @@
 pub struct Hosts {
     /// How long a caller may use it, in milliseconds.
     pub ttl_ms: u64,
-    /// Hosts that are alive, not leaving and hold their lease.
+    /// Hosts that are alive, not leaving and hold their lease, without overloaded ones while there
+    /// is another.
     pub hosts: Vec<HostEntry>,
 }
 
@@ -427,6 +433,7 @@
 pub struct Handle {
     control: Recipient<Call>,
     view: Arc<ArcSwap<Snapshot>>,
+    refused: Arc<AtomicU64>,
 }
 
 impl fmt::Debug for Handle {
@@ -436,9 +443,14 @@
 }
 
 impl Handle {
-    /// A handle of the actor behind `control`, which publishes to `view`.
-    pub fn new(control: Recipient<Call>, view: Arc<ArcSwap<Snapshot>>) -> Self {
-        Self { control, view }
+    /// A handle of the actor behind `control`, which publishes to `view`. Calls that its full mailbox
+    /// refuses are counted in `refused`.
+    pub fn new(
+        control: Recipient<Call>,
+        view: Arc<ArcSwap<Snapshot>>,
+        refused: Arc<AtomicU64>,
+    ) -> Self {
+        Self { control, view, refused }
     }
 
     /// The snapshot in force.
@@ -523,6 +535,7 @@
     fn send(&self, call: Call) -> Result<(), Refusal> {
         self.control.try_send(call).map_err(|e| match e {
             actix::prelude::SendError::Full(_) => {
+                self.refused.fetch_add(1, Ordering::Relaxed);
                 Refusal::not_run(Code::Overloaded, "the control thread's mailbox is full")
                     .retry(Duration::from_secs(1))
             }
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -130,6 +130,13 @@
         }
     }
 
+    /// Time until everything that waits in the classes above drafting is served. Drafting requests
+    /// may wait, so they do not count as overload.
+    pub(super) fn backlog(&self) -> Duration {
+        let all = u64::from(u32::MAX);
+        self.queue.expected_wait(&ArcStr::new(), 1, Class::Interactive, all)
+    }
+
     /// Open requests.
     pub(super) fn open_requests(&self) -> usize {
         self.requests.open.len()
--- a/crates/daemon/src/control/versions.rs
+++ b/crates/daemon/src/control/versions.rs
@@ -246,6 +246,7 @@
         let entry = |a: membership::Address| HostEntry {
             name: a.name,
             http: a.http,
+            domain: a.domain,
             weight: a.weight,
             incarnation: a.incarnation.into(),
         };
--- a/crates/daemon/src/edge/tests/fake.rs
+++ b/crates/daemon/src/edge/tests/fake.rs
@@ -480,7 +480,7 @@
             log: log.clone(),
         };
         let view = Arc::new(ArcSwap::from_pointee(snapshot()));
-        let handle = Handle::new(control.start().recipient(), view.clone());
+        let handle = Handle::new(control.start().recipient(), view.clone(), Arc::default());
         let (lines, gate, metrics) = (Lines::default(), Gate::new(), Metrics::new());
         let drain = Mutex::new(slog_json::Json::default(lines.clone())).fuse();
         let logger = Logger::root(drain, o!());
--- a/crates/daemon/src/edge/tests/http.rs
+++ b/crates/daemon/src/edge/tests/http.rs
@@ -218,13 +218,13 @@
         let w = World::start();
         let mut s = snapshot();
         let host = HostEntry {
-            name: "h0".into(), http: "127.0.0.1:1".into(), weight: 2, incarnation: "a".into(),
+            name: "h0".into(), http: "127.0.0.1:1".into(), domain: "a".into(), weight: 2, incarnation: "a".into(),
         };
         s.hosts = Hosts { ttl_ms: 2000, hosts: vec![host] };
         w.view.store(s.into());
         let r = w.client.get(format!("http://{}/v1/hosts", w.addr)).send().await.unwrap();
         let want = json!({"ttl_ms": 2000, "hosts": [
-            {"name": "h0", "http": "127.0.0.1:1", "weight": 2, "incarnation": "a"}]});
+            {"name": "h0", "http": "127.0.0.1:1", "domain": "a", "weight": 2, "incarnation": "a"}]});
         assert_eq!(Answer::read(r).await.json(), want);
     }
     // Guards against operators' calls that do not reach the control thread.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -15,7 +15,7 @@
     net::TcpListener,
     path::PathBuf,
     process::ExitCode,
-    sync::{Arc, mpsc},
+    sync::{Arc, atomic::AtomicU64, mpsc},
 };
 
 use actix::{Actor, Addr};
@@ -93,12 +93,14 @@
     let peers = TcpListener::bind(settings.listen.peer)?;
     peers.set_nonblocking(true)?;
     let view = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
+    let refused = Arc::new(AtomicU64::new(0));
     let (metrics, gate, token) = (Metrics::new(), Gate::new(), CancellationToken::new());
     let control = start_control(
         control::Setup {
             settings: settings.clone(),
             incarnation: random_incarnation(),
             view: view.clone(),
+            refused: refused.clone(),
             metrics: metrics.clone(),
             log: log.clone(),
             tls: tls.clone().filter(|_| !settings.plaintext.peers),
@@ -106,7 +108,7 @@
         },
         peers,
     );
-    let handle = Handle::new(control.recipient(), view);
+    let handle = Handle::new(control.recipient(), view, refused);
     let tls_callers = match &tls {
         Some(t) if !settings.plaintext.callers => Some(t.callers()?),
         _ => None,
