Give the ticket of a call that did not run back

Cause: a call whose attempts all failed to connect ended with not_run, but its ticket stayed spent, so the caller's next attempt with it was answered with ticket_spent and unknown. Change: an end without a run restores the ticket, except after a silence, when a late start is possible. Conclusion: not_run holds for the ticket as well.

--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -574,8 +574,14 @@
 
     fn done(&mut self, now: Tick, d: Done, ctx: &mut Context<Self>) {
         if let Some(t) = self.requests.spent.remove(&d.id) {
-            let ran = matches!(d.outcome, Outcome::Finished);
-            self.tickets.finish(t, if ran { Fate::Ran } else { Fate::Unknown });
+            match d.outcome {
+                Outcome::Finished => self.tickets.finish(t, Fate::Ran),
+                // After a silence a late start is possible.
+                Outcome::NotRun(NotRun::Silent) | Outcome::Cancelled | Outcome::Broken => {
+                    self.tickets.finish(t, Fate::Unknown);
+                }
+                Outcome::NotRun(_) => self.tickets.restore(t),
+            }
         }
         let known = || self.requests.ids.get(&d.id).copied();
         let Some(flight) = d.flight.or_else(known) else { return };
