End a forced exit with code 2

Cause: the process ended with 0 also when a second signal or the time limit cut off its requests, so a supervisor could not tell. Conclusion: a forced exit is seen in the log and in the exit code.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -31,7 +31,7 @@
     events::{Event, emit},
     metrics::Metrics,
     settings::Settings,
-    stop::{Gate, Signals, Stop},
+    stop::{Ended, Gate, Signals, Stop},
     tls::{Tls, TlsError},
     upstream::Timing,
 };
@@ -61,10 +61,14 @@
     Io(#[from] std::io::Error),
 }
 
+/// Exit code of a forced exit, which may have cut off requests.
+const FORCED: u8 = 2;
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match run(&args) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(Ended::Graceful) => ExitCode::SUCCESS,
+        Ok(Ended::Forced) => ExitCode::from(FORCED),
         Err(e) => {
             eprintln!("yuccawingd: {e}");
             ExitCode::FAILURE
@@ -72,10 +76,10 @@
     }
 }
 
-fn run(args: &Args) -> Result<(), Error> {
+fn run(args: &Args) -> Result<Ended, Error> {
     let settings = Arc::new(Settings::load(&args.settings)?);
     if args.check {
-        return Ok(());
+        return Ok(Ended::Graceful);
     }
     let (log, _guard) = events::logger(settings.log, &settings.name);
     let out = actix_rt::System::new().block_on(serve(settings, log.clone()));
@@ -86,7 +90,7 @@
     out
 }
 
-async fn serve(settings: Arc<Settings>, log: Logger) -> Result<(), Error> {
+async fn serve(settings: Arc<Settings>, log: Logger) -> Result<Ended, Error> {
     let mut signals = Signals::new()?;
     let tls = settings.tls.as_ref().map(Tls::load).transpose()?;
     let callers = TcpListener::bind(settings.listen.http)?;
@@ -138,9 +142,9 @@
     }
     let http = settings.listen.http.to_string();
     emit(&log, Event::Started, &slog::b!("http" => http));
-    stop::run(stop, &mut signals).await;
+    let ended = stop::run(stop, &mut signals).await;
     token.cancel();
-    Ok(())
+    Ok(ended)
 }
 
 /// Starts the control thread, which also serves the peers.
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -2,14 +2,57 @@
 
 mod support;
 
+use std::{io::Write, net::TcpStream, thread, time::Duration};
+
 use serde_json::json;
-use support::{Fleet, Plan};
+use support::{Fleet, KEY, Plan};
+
+/// Opens a connection whose request runs for a minute.
+fn long_request(f: &Fleet) -> TcpStream {
+    let body = json!({"model": "a0", "prompt": "x", "max_tokens": 60}).to_string();
+    let mut s = TcpStream::connect(f.hosts[0].http).unwrap();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    s.write_all((head + &body).as_bytes()).unwrap();
+    while f.journal("e0", "begin").len() + f.journal("e1", "begin").len() == 0 {
+        thread::sleep(Duration::from_millis(20));
+    }
+    s
+}
 
 macro_rules! cases {
     ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
 }
 
 cases! {
+    // Guards against a supervisor that takes a forced exit, which cuts off requests, for a graceful
+    // one.
+    a_forced_exit_has_its_own_code: {
+        for second in [true, false] {
+            let mut f = Fleet::start(&Plan { token_ms: 1000, stop_s: 5, ..Plan::default() }, None);
+            let _open = long_request(&f);
+            f.terminate(0);
+            if second {
+                thread::sleep(Duration::from_millis(300));
+                f.terminate(0);
+            }
+            let limit = Duration::from_secs(if second { 2 } else { 8 });
+            assert_eq!(f.exit_code(0, limit), Some(2), "{}", f.log(0));
+            let log = f.log(0);
+            let line = log.lines().find(|l| l.contains("\"StopForced\"")).expect(&log);
+            assert!(line.contains(&format!("\"second_signal\":{second}")), "{line}");
+            assert!(log.lines().last().unwrap().contains("\"Stopped\""), "{log}");
+        }
+    }
+    // Guards against a graceful exit that is taken for a failure.
+    a_graceful_exit_has_code_0: {
+        let mut f = Fleet::start(&Plan::default(), None);
+        f.terminate(0);
+        assert_eq!(f.exit_code(0, Duration::from_secs(9)), Some(0), "{}", f.log(0));
+        assert!(!f.log(0).contains("StopForced"));
+    }
     // Guards against a ticket that is lost with a call that no service got, so that a caller cannot
     // use it for the next attempt.
     a_call_that_did_not_run_gives_its_ticket_back: {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -42,13 +42,23 @@
     pub load_ms: u64,
     /// Milliseconds between tokens.
     pub token_ms: u64,
+    /// Seconds after which the exit is forced.
+    pub stop_s: u64,
     /// Directories with `cert`, `key` and `ca` of each host; plain text if there are none.
     pub tls: Vec<PathBuf>,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Self { hosts: 1, adapters: 4, loads: 100, load_ms: 20, token_ms: 1, tls: Vec::new() }
+        Self {
+            hosts: 1,
+            adapters: 4,
+            loads: 100,
+            load_ms: 20,
+            token_ms: 1,
+            stop_s: 10,
+            tls: Vec::new(),
+        }
     }
 }
 
@@ -202,7 +212,7 @@
             Self { hosts: Vec::new(), rules, standins, tls, version: 0, _standin: standin, dir };
         f.publish(|_| {});
         for i in 0..plan.hosts {
-            let host = (0..TRIES).find_map(|_| f.start_host(i, plan.tls.get(i)));
+            let host = (0..TRIES).find_map(|_| f.start_host(i, plan));
             f.hosts.push(host.expect("a host starts"));
         }
         let hosts = f.hosts.iter().enumerate().map(|(i, h)| {
@@ -224,7 +234,8 @@
         f
     }
 
-    fn start_host(&self, i: usize, tls: Option<&PathBuf>) -> Option<Host> {
+    fn start_host(&self, i: usize, plan: &Plan) -> Option<Host> {
+        let (tls, stop_s) = (plan.tls.get(i), plan.stop_s);
         let (http, peer) = (free(), free());
         let plain = tls.is_none();
         let (config, list) = (self.standins["config"], self.standins["list"]);
@@ -232,7 +243,7 @@
             "name = \"h{i}\"\nordinal = {i}\ndomain = \"d{i}\"\nfound = true\n\
              [listen]\nhttp = \"{http}\"\npeer = \"{peer}\"\n\
              [platform]\nconfig = \"{config}\"\nlist = \"{list}\"\n\
-             [plaintext]\ncallers = {plain}\npeers = {plain}\n[stop]\nlimit_s = 10\n"
+             [plaintext]\ncallers = {plain}\npeers = {plain}\n[stop]\nlimit_s = {stop_s}\n"
         );
         if let Some(d) = tls {
             let path = |n: &str| d.join(n).display().to_string();
@@ -262,6 +273,24 @@
         Some(Host { http, peer, process, log })
     }
 
+    /// Sends SIGTERM to a host.
+    pub fn terminate(&self, i: usize) {
+        let id = self.hosts[i].process.0.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    /// Waits for the end of a host and returns its exit code.
+    pub fn exit_code(&mut self, i: usize, limit: Duration) -> Option<i32> {
+        let start = Instant::now();
+        loop {
+            if let Some(s) = self.hosts[i].process.0.try_wait().unwrap() {
+                return s.code();
+            }
+            assert!(start.elapsed() < limit, "the process still runs:\n{}", self.log(i));
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     /// Log of a host.
     pub fn log(&self, i: usize) -> String {
         self.hosts.get(i).map(|h| fs::read_to_string(&h.log).unwrap()).unwrap_or_default()
