Explain requests that have ended

Cause: explain knew open and refused requests only, so nobody could tell where an answered request ran or waited; copies of an adapter were debug text. Change: the last 512 ended requests stay explainable, with upstream, instance, outcome and the time waited for tokens, the queue and a pin. Refusals on arrival have a bound of their own. Copies are JSON fields. The end of a request that ran no longer searches the queue for it. Conclusion: a slow request can be explained after the fact.

--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -168,6 +168,18 @@
     Caller,
 }
 
+impl Outcome {
+    /// Name in the answer of `explain`.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Finished => "finished",
+            Self::Cancelled => "cancelled",
+            Self::Broken => "broken",
+            Self::NotRun(_) => "not_run",
+        }
+    }
+}
+
 /// Whether a refused or failed request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Run {
@@ -291,7 +303,7 @@
 pub enum Explain {
     /// Placement of an adapter.
     Adapter(ArcStr),
-    /// A request, waiting, running or refused a short time ago.
+    /// A request, waiting, running, or ended or refused a short time ago.
     Request(RequestId),
 }
 
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -47,7 +47,8 @@
 const TOTAL: usize = 4096;
 /// Tokens per second of one running request before any has been measured: 40 ms per token.
 const SPEED: u64 = 25;
-/// Refusals that `explain` remembers.
+/// Requests that `explain` remembers: so many that ended, and so many that were refused on arrival,
+/// so that a flood of refusals does not push out the others.
 const REMEMBERED: usize = 512;
 /// Prefixes whose engine is remembered, about 0.5 MB. All are dropped when it is exceeded; they
 /// are only a hint.
@@ -61,6 +62,7 @@
     // Requests that wait for loans, oldest first.
     pending: VecDeque<RequestId>,
     refused: VecDeque<(RequestId, Refusal)>,
+    ended: VecDeque<Past>,
     // Engines asked for a pin: `None` while the answer is awaited, else when to ask again.
     pins: BTreeMap<(ArcStr, Target), Option<Tick>>,
     last_pin: u64,
@@ -84,8 +86,73 @@
     running: Option<Running>,
     stalled: bool,
     tries: u32,
+    clock: Phases,
 }
 
+/// Where a request spent its time before it was sent to an upstream.
+#[derive(Clone, Copy, Debug, Default)]
+struct Phases {
+    // Start of the present wait and, while a pin is missing, of the wait for it.
+    since: Tick,
+    pin_since: Option<Tick>,
+    tokens: Duration,
+    queue: Duration,
+    pin: Duration,
+}
+
+impl Phases {
+    fn new(now: Tick) -> Self {
+        Self { since: now, ..Self::default() }
+    }
+
+    fn granted(&mut self, now: Tick) {
+        self.tokens += now.since(self.since);
+        self.since = now;
+    }
+
+    /// Ends the wait for a pin and returns its length.
+    fn pinned(&mut self, now: Tick) -> Option<Duration> {
+        let start = self.pin_since.take()?.max(self.since);
+        let wait = now.since(start);
+        self.queue += start.since(self.since);
+        self.pin += wait;
+        self.since = now;
+        Some(wait)
+    }
+
+    fn left_queue(&mut self, now: Tick) {
+        self.pinned(now);
+        self.queue += now.since(self.since);
+        self.since = now;
+    }
+
+    fn json(&self) -> serde_json::Value {
+        json!({
+            "tokens_ms": self.tokens.as_millis(), "queue_ms": self.queue.as_millis(),
+            "pin_ms": self.pin.as_millis(),
+        })
+    }
+}
+
+// A request that has ended, for `explain`.
+struct Past {
+    id: RequestId,
+    account: Option<ArcStr>,
+    tokens: u64,
+    used: u64,
+    place: Option<Place>,
+    avoid: Vec<ArcStr>,
+    tries: u32,
+    waited: Phases,
+    end: End,
+}
+
+enum End {
+    Refused(Refusal),
+    Done(Outcome),
+}
+
+#[derive(Clone)]
 struct Place {
     upstream: ArcStr,
     instance: ArcStr,
@@ -97,6 +164,59 @@
     Plain { upstreams: Vec<ArcStr> },
 }
 
+impl Open {
+    // Whether it needs tokens of an account.
+    fn is_metered(&self) -> bool {
+        self.account.is_some() && self.cost > 0
+    }
+
+    // Whether it is in the queue for an adapter version.
+    fn waits_for(&self, target: &Target) -> bool {
+        let queued = self.at.is_none() && (self.grant.is_some() || !self.is_metered());
+        queued && matches!(&self.work, Work::Completion { target: t, .. } if t == target)
+    }
+
+    // Its waits, with the present one.
+    fn waited(&self, now: Tick) -> Phases {
+        let mut p = self.clock;
+        match (&self.at, &self.grant) {
+            (Some(_), _) => {}
+            (None, None) if self.is_metered() => p.granted(now),
+            (None, _) => p.left_queue(now),
+        }
+        p
+    }
+
+    fn past(self, waited: Phases, place: Option<Place>, used: u64, end: End) -> Past {
+        let Self { id, account, cost: tokens, avoid, tries, .. } = self;
+        Past { id, account, tokens, used, place, avoid, tries, waited, end }
+    }
+}
+
+impl Past {
+    fn json(&self) -> serde_json::Value {
+        let mut v = json!({
+            "request": self.id.to_string(), "account": self.account, "tokens": self.tokens,
+            "used": self.used, "upstream": self.place.as_ref().map(|p| &p.upstream),
+            "instance": self.place.as_ref().map(|p| &p.instance), "tries": self.tries,
+            "avoid": self.avoid, "waited": self.waited.json(),
+        });
+        match &self.end {
+            End::Refused(r) => {
+                v["state"] = json!("refused");
+                v["code"] = json!(r.code);
+                v["message"] = json!(r.message);
+                v["run"] = json!(r.run);
+            }
+            End::Done(outcome) => {
+                v["state"] = json!("ended");
+                v["outcome"] = json!(outcome.name());
+            }
+        }
+        v
+    }
+}
+
 impl Control {
     /// Takes a call of a traffic thread.
     pub(super) fn traffic_call(&mut self, now: Tick, call: Call, ctx: &mut Context<Self>) {
@@ -143,19 +263,23 @@
     }
 
     /// Where a request stands, or why it was refused.
-    pub(super) fn explain_request(&self, id: RequestId) -> Option<serde_json::Value> {
+    pub(super) fn explain_request(&self, now: Tick, id: RequestId) -> Option<serde_json::Value> {
         if let Some(o) = self.requests.ids.get(&id).and_then(|f| self.requests.open.get(*f)) {
             let state = match (&o.at, &o.grant) {
                 (Some(_), _) => "running",
                 (None, Some(_)) => "waiting for an upstream",
                 (None, None) => "waiting for tokens",
             };
-            let upstream = o.at.as_ref().map(|p| p.upstream.clone());
             return Some(json!({
                 "request": id.to_string(), "state": state, "account": o.account,
-                "tokens": o.cost, "upstream": upstream, "tries": o.tries, "avoid": o.avoid,
+                "tokens": o.cost, "upstream": o.at.as_ref().map(|p| &p.upstream),
+                "instance": o.at.as_ref().map(|p| &p.instance), "tries": o.tries,
+                "avoid": o.avoid, "waited": o.waited(now).json(),
             }));
         }
+        if let Some(p) = self.requests.ended.iter().rev().find(|p| p.id == id) {
+            return Some(p.json());
+        }
         let (_, r) = self.requests.refused.iter().rev().find(|(i, _)| *i == id)?;
         Some(json!({
             "request": id.to_string(), "state": "refused", "code": r.code,
@@ -279,6 +403,7 @@
             running: None,
             stalled: false,
             tries: 0,
+            clock: Phases::new(now),
         };
         let flight = self.requests.open.insert(o);
         self.requests.ids.insert(id, flight);
@@ -298,6 +423,7 @@
         let refusal = match self.allowance.reserve(now, authority, account, o.cost) {
             Verdict::Granted(g) => {
                 o.grant = Some(g);
+                o.clock.granted(now);
                 return true;
             }
             Verdict::Pending if now < o.loan_limit => return false,
@@ -337,7 +463,8 @@
     }
 
     fn enqueue(&mut self, now: Tick, flight: Flight, ctx: &mut Context<Self>) {
-        let Some(o) = self.requests.open.get(flight) else { return };
+        let Some(o) = self.requests.open.get_mut(flight) else { return };
+        o.clock.since = now;
         match &o.work {
             Work::Plain { upstreams } => {
                 let upstreams = upstreams.clone();
@@ -409,9 +536,7 @@
                 false
             });
             for (engine, target, model, load) in wants {
-                if load {
-                    self.mark_stalled(&target);
-                }
+                self.mark_waiting(now, &target, load);
                 self.ask_pin(now, engine, target, model, 1, ctx);
             }
             for id in nowhere {
@@ -444,11 +569,11 @@
         self.close(now, flight, r.retry(Duration::from_secs(1)));
     }
 
-    fn mark_stalled(&mut self, target: &Target) {
-        for o in self.requests.open.values_mut().filter(|o| o.at.is_none()) {
-            if matches!(&o.work, Work::Completion { target: t, .. } if t == target) {
-                o.stalled = true;
-            }
+    // The requests for the adapter version wait for a pin, with `load` for a load as well.
+    fn mark_waiting(&mut self, now: Tick, target: &Target, load: bool) {
+        for o in self.requests.open.values_mut().filter(|o| o.waits_for(target)) {
+            o.clock.pin_since.get_or_insert(now);
+            o.stalled |= load;
         }
     }
 
@@ -480,6 +605,7 @@
             flight,
         };
         o.at = Some(Place { upstream: engine.clone(), instance });
+        o.clock.left_queue(now);
         self.route.started(now, &engine, &target);
         let sent = o.reply.take().is_some_and(|r| r.send(Ok(d)).is_ok());
         if !sent {
@@ -593,15 +719,18 @@
             Outcome::Cancelled | Outcome::NotRun(_) => route::Outcome::Neutral,
         };
         let gone = matches!(d.outcome, Outcome::NotRun(NotRun::UnknownInstance));
+        let place = self.requests.open.get(flight).and_then(|o| o.at.clone());
         self.leave_upstream(now, flight, d.used, outcome, gone, ctx);
         self.requests.ids.remove(&d.id);
-        let Some(o) = self.requests.open.remove(flight) else { return };
-        if let Some(g) = o.grant {
+        let Some(mut o) = self.requests.open.remove(flight) else { return };
+        let waited = if place.is_some() { o.clock } else { o.waited(now) };
+        if let Some(g) = o.grant.take() {
             self.allowance.settle(now, g, d.used);
         }
-        if o.at.is_none() {
+        if place.is_none() {
             self.queue.retain(|i| i.data != d.id);
         }
+        self.remember(o.past(waited, place, d.used, End::Done(d.outcome)));
         self.drive(now, ctx);
     }
 
@@ -694,6 +823,9 @@
         match answer {
             Some(PinAnswer::Pinned { instance, duration }) => {
                 self.requests.pins.remove(&key);
+                for o in self.requests.open.values_mut().filter(|o| o.waits_for(&target)) {
+                    o.clock.pinned(now);
+                }
                 let granted = Granted { engine, target, instance, id, sent, duration };
                 if let Some(u) = self.route.pinned(now, granted) {
                     self.send_unpin(now, u, ctx);
@@ -802,17 +934,27 @@
 
     // Ends a request that was not sent anywhere, with a refusal.
     fn close(&mut self, now: Tick, flight: Flight, r: Refusal) {
-        let Some(o) = self.requests.open.remove(flight) else { return };
+        let Some(mut o) = self.requests.open.remove(flight) else { return };
         self.requests.ids.remove(&o.id);
         if let Some(t) = self.requests.spent.remove(&o.id) {
             self.tickets.restore(t);
         }
-        if let Some(g) = o.grant {
+        if let Some(reply) = o.reply.take() {
+            let _ = reply.send(Err(r.clone()));
+        }
+        let waited = o.waited(now);
+        let grant = o.grant.take();
+        self.remember(o.past(waited, None, 0, End::Refused(r)));
+        if let Some(g) = grant {
             self.allowance.settle(now, g, 0);
         }
-        if let Some(reply) = o.reply {
-            self.refuse(o.id, reply, r);
+    }
+
+    fn remember(&mut self, p: Past) {
+        if self.requests.ended.len() == REMEMBERED {
+            self.requests.ended.pop_front();
         }
+        self.requests.ended.push_back(p);
     }
 
     fn refuse(&mut self, id: RequestId, reply: Reply<Result<Dispatch, Refusal>>, r: Refusal) {
--- a/crates/daemon/src/control/status.rs
+++ b/crates/daemon/src/control/status.rs
@@ -39,7 +39,7 @@
     /// Why a request was refused, or where an adapter stands.
     pub(super) fn explain(&self, now: Tick, what: &Explain) -> Option<Value> {
         match what {
-            Explain::Request(id) => self.explain_request(*id),
+            Explain::Request(id) => self.explain_request(now, *id),
             Explain::Adapter(name) => {
                 let rules = self.config.rules()?;
                 let adapter = rules.adapters.get(name)?;
@@ -50,7 +50,12 @@
                         let target = Target { adapter: name.clone(), version: v.clone() };
                         self.route.copies(now, &target)
                     })
-                    .map(|c| json!(format!("{c:?}")))
+                    .map(|c| {
+                        json!({
+                            "engine": c.engine, "fill": c.fill, "ejected": c.ejected,
+                            "leaving": c.leaving,
+                        })
+                    })
                     .collect();
                 let controlled = self.placement.explain(now, name);
                 Some(json!({
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -53,6 +53,49 @@
         assert_eq!(f.exit_code(0, Duration::from_secs(9)), Some(0), "{}", f.log(0));
         assert!(!f.log(0).contains("StopForced"));
     }
+    // Guards against requests that nobody can explain once they have ended, and against answers
+    // that programs cannot read.
+    an_ended_request_stays_explainable: {
+        let f = Fleet::start(&Plan { load_ms: 300, ..Plan::default() }, None);
+        let a = f.complete(0, "a0", 10_000);
+        assert_eq!(a.status, 200, "{a:?}");
+        let id = a.header("x-request-id").unwrap().to_owned();
+        let explain = |what: &str| f.get(0, &format!("/admin/explain?{what}")).unwrap().json();
+        let e = explain(&format!("request={id}"));
+        assert_eq!((&e["state"], &e["outcome"]), (&json!("ended"), &json!("finished")), "{e}");
+        assert_eq!(e["instance"], "a0:1", "{e}");
+        let engine = e["upstream"].as_str().unwrap();
+        assert!(f.journal(engine, "begin").iter().any(|b| b["request_id"] == id.as_str()), "{e}");
+        let ms = |name: &str| e["waited"][name].as_u64().unwrap();
+        assert!((250..2000).contains(&ms("pin_ms")), "{e}");
+        assert!(ms("tokens_ms") < 500 && ms("queue_ms") < 250, "{e}");
+        // Copies come from the engines' reports.
+        let mut copies = json!([]);
+        for _ in 0..60 {
+            copies = explain("adapter=a0")["copies"].clone();
+            if copies != json!([]) {
+                break;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        assert_eq!(copies[0]["engine"], engine, "{copies}");
+        assert!(copies[0]["fill"].is_number() && copies[0]["ejected"] == false, "{copies}");
+
+        let a = f.post(0, "/v1/completions", &[], &json!({"model": "a0", "prompt": "x", "max_tokens": 1}));
+        let id = a.header("x-request-id").unwrap().to_owned();
+        assert!(explain(&format!("request={id}"))["waited"]["pin_ms"].as_u64().unwrap() < 100);
+        let a = f.post(0, "/dead/x", &[("x-ticket", &f.ticket(0))], &json!({}));
+        let id = a.header("x-request-id").unwrap().to_owned();
+        let e = explain(&format!("request={id}"));
+        assert_eq!((&e["state"], &e["outcome"]), (&json!("ended"), &json!("not_run")), "{e}");
+        assert_eq!(e["tries"], 3, "{e}");
+        // The number of requests that are remembered has a bound.
+        for _ in 0..520 {
+            f.complete(0, "a0", 10_000);
+        }
+        let a = f.get(0, &format!("/admin/explain?request={id}")).unwrap();
+        assert_eq!(a.status, 404, "{a:?}");
+    }
     // Guards against a ticket that is lost with a call that no service got, so that a caller cannot
     // use it for the next attempt.
     a_call_that_did_not_run_gives_its_ticket_back: {
