Refuse requests for which a load would be late

Cause: a request for an adapter that is not resident waited until its deadline even when no load could end before it. Change: a moving estimate of the waits for loads, per host. A request with less time left than that is refused on arrival with not_run, overloaded and Retry-After. Conclusion: callers learn at once that they should try later.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -6,6 +6,7 @@
 mod allowances;
 mod commands;
 mod group;
+mod loads;
 pub mod messages;
 mod requests;
 mod status;
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -23,6 +23,7 @@
 use super::{
     Control,
     commands::controller,
+    loads::Loads,
     messages::{
         Admit, AdmitPlain, Again, Call, Code, Dispatch, Done, Flight, NotRun, Outcome, Refusal,
         Reply, RequestId, Run,
@@ -66,6 +67,7 @@
     // Engines asked for a pin: `None` while the answer is awaited, else when to ask again.
     pins: BTreeMap<(ArcStr, Target), Option<Tick>>,
     last_pin: u64,
+    loads: Loads,
     prefixes: HashMap<u64, ArcStr>,
     plain: BTreeMap<ArcStr, u32>,
     turn: usize,
@@ -152,6 +154,26 @@
     Done(Outcome),
 }
 
+/// Why a pin is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Why {
+    /// A request waits for it; the adapter version is resident.
+    Run,
+    /// A request waits for it and probably for a load.
+    Load,
+    /// Another replica is worth a load.
+    Spread,
+}
+
+// A pin request.
+struct Asked {
+    sent: Tick,
+    engine: ArcStr,
+    target: Target,
+    id: u64,
+    why: Why,
+}
+
 #[derive(Clone)]
 struct Place {
     upstream: ArcStr,
@@ -471,10 +493,17 @@
                 self.dispatch_plain(now, flight, &upstreams);
             }
             Work::Completion { class, weight, .. } => {
+                let (class, weight) = (*class, *weight);
+                if let Err(retry) = self.expect_load(now, flight) {
+                    let text = "loads take longer than the time left";
+                    let refusal = Refusal::not_run(Code::Overloaded, text).retry(retry);
+                    return self.close(now, flight, refusal);
+                }
+                let Some(o) = self.requests.open.get(flight) else { return };
                 let item = Item {
                     account: o.account.clone().unwrap_or_default(),
-                    weight: *weight,
-                    class: *class,
+                    weight,
+                    class,
                     tokens: o.cost,
                     deadline: o.deadline,
                     data: o.id,
@@ -492,6 +521,26 @@
         }
     }
 
+    // Refuses a request that needs a load if recent loads took longer than the time that it has
+    // left. The error is when another attempt makes sense.
+    fn expect_load(&mut self, now: Tick, flight: Flight) -> Result<(), Duration> {
+        let Some(o) = self.requests.open.get(flight) else { return Ok(()) };
+        let Work::Completion { target, model, class, .. } = &o.work else { return Ok(()) };
+        let left = o.deadline.since(now);
+        if self.requests.loads.expected(now) <= left {
+            return Ok(());
+        }
+        let (class, deadline, avoid) = (*class, o.deadline, &o.avoid);
+        let need = Need { model, target, class, deadline, avoid, prefix: None };
+        match self.route.pick(now, &need, self.random.next()) {
+            Choice::Pin { load: true, .. } => self.requests.loads.admit(now, left),
+            Choice::Pin { load: false, .. }
+            | Choice::Run { .. }
+            | Choice::Wait
+            | Choice::Nowhere => Ok(()),
+        }
+    }
+
     /// Starts the waiting requests that can start, and asks for the pins that others need.
     pub(super) fn drive(&mut self, now: Tick, ctx: &mut Context<Self>) {
         // One answer per adapter version, class and set of avoided engines is enough in one pass.
@@ -537,7 +586,8 @@
             });
             for (engine, target, model, load) in wants {
                 self.mark_waiting(now, &target, load);
-                self.ask_pin(now, engine, target, model, 1, ctx);
+                let why = if load { Why::Load } else { Why::Run };
+                self.ask_pin(now, engine, target, model, why, ctx);
             }
             for id in nowhere {
                 self.give_up(now, id);
@@ -621,7 +671,7 @@
         let need =
             Need { model: &model, target: &target, class, deadline, avoid: &[], prefix: None };
         if let Some(extra) = self.route.spread(now, &need) {
-            self.ask_pin(now, extra, target, model, 0, ctx);
+            self.ask_pin(now, extra, target, model, Why::Spread, ctx);
         }
     }
 
@@ -772,7 +822,7 @@
         engine: ArcStr,
         target: Target,
         model: ArcStr,
-        requests: u32,
+        why: Why,
         ctx: &mut Context<Self>,
     ) {
         let key = (engine.clone(), target.clone());
@@ -782,7 +832,7 @@
         self.requests.pins.insert(key, None);
         self.requests.last_pin += 1;
         let (id, host) = (self.requests.last_pin, self.setup.incarnation);
-        let wait = PIN_WAIT;
+        let (wait, requests) = (PIN_WAIT, u32::from(why != Why::Spread));
         let q = PinRequest { host, id, engine, model, target, wait, requests };
         let hosts = self.config.rules().map_or(1, |r| r.hosts);
         let by = controller(&q.engine, hosts);
@@ -805,20 +855,16 @@
             }
         };
         ctx.spawn(call.into_actor(self).map(move |answer, act, ctx| {
-            act.pin_answered(now, engine, target, id, answer, ctx);
+            act.pin_answered(Asked { sent: now, engine, target, id, why }, answer, ctx);
         }));
     }
 
-    fn pin_answered(
-        &mut self,
-        sent: Tick,
-        engine: ArcStr,
-        target: Target,
-        id: u64,
-        answer: Option<PinAnswer>,
-        ctx: &mut Context<Self>,
-    ) {
+    fn pin_answered(&mut self, asked: Asked, answer: Option<PinAnswer>, ctx: &mut Context<Self>) {
         let now = self.clock.now();
+        if asked.why == Why::Load {
+            self.learn_load(now, &asked, answer.as_ref());
+        }
+        let Asked { sent, engine, target, id, .. } = asked;
         let key = (engine.clone(), target.clone());
         match answer {
             Some(PinAnswer::Pinned { instance, duration }) => {
@@ -845,6 +891,25 @@
         self.drive(now, ctx);
     }
 
+    // Learns from the answer to a pin request how long loads take. Requests of one adapter version
+    // may have waited for several of them.
+    fn learn_load(&mut self, now: Tick, asked: &Asked, answer: Option<&PinAnswer>) {
+        let waits = self.requests.open.values().filter(|o| o.stalled && o.waits_for(&asked.target));
+        let longest = waits.map(|o| o.waited(now).pin.saturating_sub(o.clock.pin)).max();
+        let wait = now.since(asked.sent).max(longest.unwrap_or_default());
+        match answer {
+            Some(PinAnswer::Pinned { .. }) => self.requests.loads.ended(now, wait),
+            // The other reasons concern one engine or one adapter and say nothing about loads.
+            Some(PinAnswer::Refused {
+                reason:
+                    placement::Reason::Full | placement::Reason::Busy | placement::Reason::Expired,
+                ..
+            })
+            | None => self.requests.loads.open(now, wait),
+            Some(PinAnswer::Refused { .. }) => {}
+        }
+    }
+
     // Requests that wait for the adapter version go elsewhere.
     fn avoid(&mut self, engine: &ArcStr, target: &Target) {
         for o in self.requests.open.values_mut().filter(|o| o.at.is_none()) {
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -96,6 +96,25 @@
         let a = f.get(0, &format!("/admin/explain?request={id}")).unwrap();
         assert_eq!(a.status, 404, "{a:?}");
     }
+    // Guards against requests that wait until their deadline for a load that cannot be in time, and
+    // against refusals of those that have the time or need no load.
+    a_load_that_would_be_late_is_refused_at_once: {
+        let f = Fleet::start(&Plan { load_ms: 2500, ..Plan::default() }, None);
+        let a = f.complete(0, "a0", 10_000);
+        assert!(a.status == 200 && a.took > Duration::from_secs(2), "{a:?}");
+        thread::scope(|s| {
+            // It is let through to see whether loads are still slow.
+            let probe = s.spawn(|| f.complete(0, "a1", 1000));
+            thread::sleep(Duration::from_millis(200));
+            let late = f.complete(0, "a2", 1000);
+            assert_eq!(late.error(), (503, "overloaded".into(), "not_run".into()), "{late:?}");
+            assert!(late.took < Duration::from_millis(400), "{late:?}");
+            assert_eq!(late.header("retry-after"), Some("2"), "{late:?}");
+            assert_eq!(f.complete(0, "a0", 1000).status, 200);
+            assert_eq!(f.complete(0, "a2", 10_000).status, 200);
+            assert_eq!(probe.join().unwrap().error(), (504, "deadline".into(), "not_run".into()));
+        });
+    }
     // Guards against a ticket that is lost with a call that no service got, so that a caller cannot
     // use it for the next attempt.
     a_call_that_did_not_run_gives_its_ticket_back: {
