Find callers of proxied connections on a thread of its own

The look into /proc took the proxy's only thread long enough that leases were lost when a fleet of 20 engines opened many connections at once. Connections of callers are known without a look.

--- a/crates/bench/src/cmd/run.rs
+++ b/crates/bench/src/cmd/run.rs
@@ -22,6 +22,9 @@
     /// file for the result; the default is standard output
     #[argh(option)]
     out: Option<PathBuf>,
+    /// directory for the settings and logs of all processes
+    #[argh(option)]
+    logs: Option<PathBuf>,
     /// seed in place of the scenario's
     #[argh(option)]
     seed: Option<u64>,
@@ -36,7 +39,7 @@
     let mut s = Scenario::read(&args.scenario)?;
     s.seed = args.seed.unwrap_or(s.seed);
     let name = args.scenario.file_stem().map_or_else(String::new, |n| n.display().to_string());
-    let record = experiment(&s).await?;
+    let record = experiment(&s, args.logs.as_deref()).await?;
     let results = summarise(&name, &s, record);
     let json = serde_json::to_string_pretty(&results)?;
     match &args.out {
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -7,6 +7,7 @@
 use std::{
     cell::RefCell,
     collections::{BTreeMap, HashMap},
+    path::Path,
     rc::Rc,
     time::Duration,
 };
@@ -73,12 +74,12 @@
     }
 }
 
-/// Runs a scenario.
+/// Runs a scenario; settings and logs are copied to `logs`.
 ///
 /// # Errors
 ///
 /// The fleet does not start, or a stand-in does not answer.
-pub async fn run(s: &Scenario) -> Result<Record> {
+pub async fn run(s: &Scenario, logs: Option<&Path>) -> Result<Record> {
     let mut fleet = Fleet::start(s.plan()).await?;
     let driver = Rc::new(Driver::new(&fleet));
     let shared = Rc::new(Shared::default());
@@ -97,6 +98,9 @@
         observe(begin, end, &shared, || traffic.traffic()),
     );
     let (samples, dropped) = load;
+    if let Some(to) = logs {
+        fleet.keep_logs(to)?;
+    }
     let evidence = driver.evidence(&fleet).await?;
     Ok(Record { samples, dropped, span, start_us, faults: faults?, usage, evidence })
 }
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -224,6 +224,20 @@
         self.dir.path()
     }
 
+    /// Copies settings and logs of all processes to `to`.
+    ///
+    /// # Errors
+    ///
+    /// A file cannot be written.
+    pub fn keep_logs(&self, to: &Path) -> Result<()> {
+        let file = |e| Error::File(to.into(), e);
+        fs::create_dir_all(to).map_err(file)?;
+        for entry in fs::read_dir(self.dir())?.flatten() {
+            fs::copy(entry.path(), to.join(entry.file_name())).map_err(file)?;
+        }
+        Ok(())
+    }
+
     /// All hosts that were not killed or stopped, by name.
     pub fn hosts(&self) -> impl Iterator<Item = &Host> {
         self.hosts.values()
@@ -282,7 +296,7 @@
             };
             if let Some(p) = &self.proxy {
                 p.register(host.process.pid(), &name);
-                host.http = p.listen(&format!("{name}.http"), http)?;
+                host.http = p.listen_to(CALLERS, &format!("{name}.http"), http)?;
                 host.peer = p.listen(&name, peer)?;
             }
             if self.is_up(&mut host).await? {
--- a/crates/bench/src/proxy.rs
+++ b/crates/bench/src/proxy.rs
@@ -25,6 +25,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use self::owner::{Finder, Owners};
 use crate::{Error, Result};
 
 /// Name of the caller of a connection whose process is not registered.
@@ -78,6 +79,8 @@
 #[derive(Debug)]
 struct Shared {
     state: Mutex<State>,
+    owners: Owners,
+    finder: Finder,
     // Rises with each change of a link or silence.
     change: watch::Sender<u64>,
 }
@@ -86,7 +89,6 @@
 
 #[derive(Debug, Default)]
 struct State {
-    owners: BTreeMap<i32, Arc<str>>,
     links: HashMap<Pair, Link>,
     // How often a link's open connections were silenced, by direction.
     silences: HashMap<(Pair, Direction), u64>,
@@ -118,7 +120,13 @@
     ///
     /// The thread's runtime cannot be built.
     pub fn start() -> Result<Self> {
-        let shared = Arc::new(Shared { state: Mutex::default(), change: watch::channel(0).0 });
+        let owners = Owners::default();
+        let shared = Arc::new(Shared {
+            state: Mutex::default(),
+            finder: Finder::start(owners.clone())?,
+            owners,
+            change: watch::channel(0).0,
+        });
         let stop = CancellationToken::new();
         let (tx, rx) = mpsc::channel();
         let end = stop.clone();
@@ -140,7 +148,8 @@
     /// Tells which name the connections of a process belong to.
     pub fn register(&self, pid: u32, name: &str) {
         if let Ok(pid) = i32::try_from(pid) {
-            self.shared.lock().owners.insert(pid, name.into());
+            let mut owners = self.shared.owners.lock().unwrap_or_else(PoisonError::into_inner);
+            owners.insert(pid, name.into());
         }
     }
 
@@ -150,13 +159,27 @@
     ///
     /// No port is free.
     pub fn listen(&self, name: &str, target: SocketAddr) -> Result<SocketAddr> {
+        self.open(name, target, None)
+    }
+
+    /// Listens for connections to `target` that all come from `caller`, so that it need not be
+    /// looked up.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub fn listen_to(&self, caller: &str, name: &str, target: SocketAddr) -> Result<SocketAddr> {
+        self.open(name, target, Some(caller.into()))
+    }
+
+    fn open(&self, name: &str, target: SocketAddr, caller: Option<Arc<str>>) -> Result<SocketAddr> {
         let listener = std::net::TcpListener::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), 0))?;
         listener.set_nonblocking(true)?;
         let addr = listener.local_addr()?;
         let _guard = self.handle.enter();
         let listener = TcpListener::from_std(listener)?;
-        let (shared, name) = (self.shared.clone(), Arc::from(name));
-        self.handle.spawn(pump::accept(shared, listener, name, target));
+        let to = pump::Target { name: name.into(), addr: target, caller };
+        self.handle.spawn(pump::accept(self.shared.clone(), listener, to));
         Ok(addr)
     }
 
--- a/crates/bench/src/proxy/owner.rs
+++ b/crates/bench/src/proxy/owner.rs
@@ -1,28 +1,111 @@
 //! Which process holds the other end of a loopback connection.
+//!
+//! A look into `/proc` takes milliseconds on a machine with thousands of sockets, so a thread of its
+//! own answers all questions that wait at once with one look, and links are not held up.
 
-use std::{collections::BTreeMap, fs, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    fs,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError, mpsc},
+    thread,
+};
 
-/// Name of the process that opened the connection from `peer`, among `owners`.
-pub fn find(owners: &BTreeMap<i32, Arc<str>>, peer: SocketAddr) -> Option<Arc<str>> {
-    let link = format!("socket:[{}]", inode(peer)?);
-    let holds = |pid: &i32| {
-        let Ok(dir) = fs::read_dir(format!("/proc/{pid}/fd")) else { return false };
-        dir.flatten()
-            .any(|e| fs::read_link(e.path()).is_ok_and(|to| to.as_os_str().to_str() == Some(&link)))
-    };
-    owners.iter().find(|(pid, _)| holds(pid)).map(|(_, name)| name.clone())
+use tokio::sync::oneshot;
+
+/// Registered processes by id.
+pub type Owners = Arc<Mutex<BTreeMap<i32, Arc<str>>>>;
+
+/// Questions at most per look.
+const BATCH: usize = 1024;
+
+struct Question {
+    peer: SocketAddr,
+    answer: oneshot::Sender<Option<Arc<str>>>,
 }
 
-/// Inode of the socket that is bound to `local` on this machine.
-fn inode(local: SocketAddr) -> Option<String> {
-    let SocketAddr::V4(v4) = local else { return None };
-    let ip = u32::from_ne_bytes(v4.ip().octets());
-    let want = format!("{ip:08X}:{:04X}", v4.port());
-    let table = fs::read_to_string("/proc/self/net/tcp").ok()?;
-    table.lines().skip(1).find_map(|line| {
+/// Finds owners of connections.
+#[derive(Clone, Debug)]
+pub struct Finder {
+    ask: mpsc::Sender<Question>,
+}
+
+impl Finder {
+    /// Starts the thread; it ends with the last copy of the finder.
+    ///
+    /// # Errors
+    ///
+    /// The thread cannot be started.
+    pub fn start(owners: Owners) -> std::io::Result<Self> {
+        let (ask, questions) = mpsc::channel::<Question>();
+        thread::Builder::new().name("proxy-owner".into()).spawn(move || {
+            while let Ok(first) = questions.recv() {
+                let mut batch = vec![first];
+                batch.extend(questions.try_iter().take(BATCH));
+                let owners = owners.lock().unwrap_or_else(PoisonError::into_inner).clone();
+                let found = look(&owners, batch.iter().map(|q| q.peer));
+                for q in batch {
+                    let _ = q.answer.send(found.get(&q.peer).cloned());
+                }
+            }
+        })?;
+        Ok(Self { ask })
+    }
+
+    /// Name of the process that opened the connection from `peer`.
+    pub async fn find(&self, peer: SocketAddr) -> Option<Arc<str>> {
+        let (answer, wait) = oneshot::channel();
+        self.ask.send(Question { peer, answer }).ok()?;
+        wait.await.ok().flatten()
+    }
+}
+
+/// Owners of the sockets that are bound to `peers`.
+fn look(
+    owners: &BTreeMap<i32, Arc<str>>,
+    peers: impl Iterator<Item = SocketAddr>,
+) -> HashMap<SocketAddr, Arc<str>> {
+    let mut inodes = inodes(peers);
+    let mut out = HashMap::new();
+    // This process has by far the most sockets, those of the proxy; it is looked at last.
+    let own = i32::try_from(std::process::id()).unwrap_or(0);
+    let order = owners.iter().filter(|o| *o.0 != own).chain(owners.get_key_value(&own));
+    for (pid, name) in order {
+        if inodes.is_empty() {
+            break;
+        }
+        let Ok(dir) = fs::read_dir(format!("/proc/{pid}/fd")) else { continue };
+        for link in dir.flatten().filter_map(|e| fs::read_link(e.path()).ok()) {
+            let Some(text) = link.to_str().and_then(|l| l.strip_prefix("socket:[")) else {
+                continue;
+            };
+            if let Some(peer) = inodes.remove(text.trim_end_matches(']')) {
+                out.insert(peer, name.clone());
+            }
+        }
+    }
+    out
+}
+
+/// Sockets that are bound to `peers`, by inode.
+fn inodes(peers: impl Iterator<Item = SocketAddr>) -> HashMap<String, SocketAddr> {
+    let wanted: HashSet<SocketAddr> = peers.collect();
+    let by_text: HashMap<String, SocketAddr> =
+        wanted.into_iter().filter_map(|p| Some((address(p)?, p))).collect();
+    let table = fs::read_to_string("/proc/self/net/tcp").unwrap_or_default();
+    let one = |line: &str| {
         let mut fields = line.split_ascii_whitespace();
-        (fields.nth(1)? == want).then_some(())?;
+        let peer = by_text.get(fields.nth(1)?)?;
         // Fields after the local address: remote, state, queues, timer, retransmits, uid, timeout.
-        fields.nth(7).filter(|i| *i != "0").map(str::to_owned)
-    })
+        let inode = fields.nth(7).filter(|i| *i != "0")?;
+        Some((inode.to_owned(), *peer))
+    };
+    table.lines().skip(1).filter_map(one).collect()
+}
+
+/// An address as the kernel's table shows it.
+fn address(a: SocketAddr) -> Option<String> {
+    let SocketAddr::V4(v4) = a else { return None };
+    let ip = u32::from_ne_bytes(v4.ip().octets());
+    Some(format!("{ip:08X}:{:04X}", v4.port()))
 }
--- a/crates/bench/src/proxy/pump.rs
+++ b/crates/bench/src/proxy/pump.rs
@@ -12,7 +12,7 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use super::{Direction, Pair, Shared, UNKNOWN, owner};
+use super::{Direction, Pair, Shared, UNKNOWN};
 
 /// Chunks in delay per direction; with 16 KB chunks this bounds a connection to 1 MB.
 const CHUNKS: usize = 64;
@@ -26,35 +26,44 @@
 /// Wait after a failure to accept, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Accepts connections to `target`.
-pub async fn accept(shared: Arc<Shared>, l: TcpListener, name: Arc<str>, target: SocketAddr) {
+/// Where connections go.
+#[derive(Clone)]
+pub struct Target {
+    /// Name.
+    pub name: Arc<str>,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Caller of all connections, if it is known.
+    pub caller: Option<Arc<str>>,
+}
+
+/// Accepts connections to a target.
+pub async fn accept(shared: Arc<Shared>, l: TcpListener, to: Target) {
     loop {
         match l.accept().await {
             Ok((stream, peer)) => {
-                tokio::spawn(connect(shared.clone(), stream, peer, name.clone(), target));
+                tokio::spawn(connect(shared.clone(), stream, peer, to.clone()));
             }
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-async fn connect(
-    shared: Arc<Shared>,
-    near: TcpStream,
-    peer: SocketAddr,
-    name: Arc<str>,
-    target: SocketAddr,
-) {
-    let look = || {
-        let owners = shared.lock().owners.clone();
-        owner::find(&owners, peer)
-    };
-    let mut from = look();
-    if from.is_none() {
-        sleep(SECOND_LOOK).await;
-        from = look();
+/// Name of the caller of a connection.
+async fn caller(shared: &Shared, peer: SocketAddr, to: &Target) -> Arc<str> {
+    if let Some(c) = &to.caller {
+        return c.clone();
     }
-    let pair: Pair = (from.unwrap_or_else(|| UNKNOWN.into()), name);
+    if let Some(c) = shared.finder.find(peer).await {
+        return c;
+    }
+    sleep(SECOND_LOOK).await;
+    shared.finder.find(peer).await.unwrap_or_else(|| UNKNOWN.into())
+}
+
+async fn connect(shared: Arc<Shared>, near: TcpStream, peer: SocketAddr, to: Target) {
+    let pair: Pair = (caller(&shared, peer, &to).await, to.name);
+    let target = to.addr;
     let mut change = shared.change.subscribe();
     loop {
         change.mark_unchanged();
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -284,8 +284,11 @@
         let flows = &self.levels[level].flows;
         let before: u64 = self.levels[..level].iter().map(|l| l.tokens).sum();
         // With a free slot for each of them, requests wait for adapters and not for capacity.
-        let ahead: usize =
-            self.levels[..=level].iter().flat_map(|l| l.flows.values()).map(|f| f.items.len()).sum();
+        let ahead: usize = self.levels[..=level]
+            .iter()
+            .flat_map(|l| l.flows.values())
+            .map(|f| f.items.len())
+            .sum();
         if ahead < self.free(level) as usize {
             return Duration::ZERO;
         }
