--- a/crates/core/src/allowance/search.rs
+++ b/crates/core/src/allowance/search.rs
@@ -12,6 +12,12 @@
 /// bounds the messages of an account that sends far above its rate.
 const DRY: Duration = Duration::from_millis(50);
 
+/// How long a search goes on, so that a request waits for refill rather than being refused.
+const PATIENCE: Duration = Duration::from_millis(200);
+
+/// Time between two attempts to ask all peers in one search.
+const AGAIN: Duration = Duration::from_millis(40);
+
 /// What a peer said about its tokens.
 #[derive(Clone, Copy, Debug)]
 struct Hint {
@@ -27,6 +33,8 @@
     waits: [bool; MAX_HOSTS],
     empty: [bool; MAX_HOSTS],
     hints: [Option<Hint>; MAX_HOSTS],
+    since: Tick,
+    again: Tick,
     dry_until: Tick,
 }
 
@@ -36,6 +44,9 @@
         if now < self.dry_until {
             return false;
         }
+        if self.need == 0 {
+            self.since = now;
+        }
         self.need = self.need.max(need);
         true
     }
@@ -51,17 +62,37 @@
         self.empty = Default::default();
     }
 
-    /// Ends the search without success when nobody is left to be asked.
+    /// Whether nobody can be asked now.
     pub(super) fn exhausted(&mut self, live: &[Ordinal], now: Tick) -> bool {
+        if now < self.again {
+            return true;
+        }
         let open = |o: &Ordinal| !self.empty[usize::from(o.0)];
         if live.iter().any(open) || self.waits.contains(&true) {
             return false;
         }
-        self.done();
-        self.dry_until = now + DRY;
+        self.rest(now);
         true
     }
 
+    /// Asks nobody for a short time; after [`PATIENCE`] this ends the search.
+    pub(super) fn rest(&mut self, now: Tick) {
+        self.empty = Default::default();
+        self.again = now + AGAIN;
+        if now >= self.since + PATIENCE {
+            self.done();
+            self.dry_until = now + DRY;
+        }
+    }
+
+    /// Whether all of `live` said lately what they have.
+    pub(super) fn informed(&self, live: &[Ordinal], now: Tick) -> bool {
+        let fresh = |h: Hint| now < h.at + AGAIN;
+        live.iter().all(|o| {
+            self.empty[usize::from(o.0)] || self.hints[usize::from(o.0)].is_some_and(fresh)
+        })
+    }
+
     /// A peer did not answer, or does not know the account.
     pub(super) fn failed(&mut self, from: Ordinal) {
         self.waits[usize::from(from.0)] = false;
@@ -73,39 +104,36 @@
         let i = usize::from(from.0);
         self.waits[i] = false;
         self.empty[i] = !enough;
-        self.hints[i] = Some(Hint { left, at: now });
+        self.note(from, left, now);
     }
 
-    /// Peers that can be asked for `missing` tokens, with the part that each is asked for.
+    /// Peers that can be asked now, with the tokens that each is expected to have, most first.
     /// `rate` and `burst` are those of a peer's base share.
-    pub(super) fn parts(
+    pub(super) fn peers(
         &self,
-        missing: u64,
         rate: u64,
         burst: u64,
         free: &[Ordinal],
         now: Tick,
     ) -> Vec<(Ordinal, u64)> {
         let open = |o: &Ordinal| !self.empty[usize::from(o.0)] && !self.waits[usize::from(o.0)];
-        let mut peers: Vec<(Ordinal, u64)> = free
-            .iter()
-            .copied()
-            .filter(open)
-            .map(|o| (o, self.expected(o, rate, burst, now)))
-            .collect();
+        let free = free.iter().copied().filter(open);
+        let mut peers: Vec<_> = free.map(|o| (o, self.expected(o, rate, burst, now))).collect();
         peers.sort_by_key(|(o, e)| (std::cmp::Reverse(*e), *o));
-        let mut rest = missing;
-        for (_, part) in &mut peers {
-            *part = rest.min(*part);
-            rest -= *part;
-        }
-        // When the expected tokens do not suffice, each may have more than expected.
-        let extra = rest.div_ceil(peers.len().max(1) as u64);
-        peers.iter_mut().for_each(|(_, part)| *part += extra);
-        peers.retain(|(_, part)| *part > 0);
         peers
     }
 
+    /// Notes how many tokens a peer has.
+    pub(super) fn note(&mut self, from: Ordinal, left: u64, now: Tick) {
+        self.hints[usize::from(from.0)] = Some(Hint { left, at: now });
+    }
+
+    /// Whether an answer of a peer is pending.
+    pub(super) fn waits(&self, o: Ordinal) -> bool {
+        self.waits[usize::from(o.0)]
+    }
+
+    /// Notes that a peer was asked.
     pub(super) fn asked(&mut self, o: Ordinal) {
         self.waits[usize::from(o.0)] = true;
     }
