--- a/crates/bench/tests/p10_config.rs
+++ b/crates/bench/tests/p10_config.rs
@@ -100,4 +100,20 @@
         add_key(&mut f, &d, "new", EFFECT).await?;
         clean(&f, &d).await?;
     }
+    // Guards against a version that waits for an answer on a connection that is silent for good.
+    silent_connections_do_not_hold_up_a_version: {
+        let (mut f, d, t) = fleet(Plan::new(3).proxied()).await?;
+        let hosts: Vec<_> = t.iter().map(|t| t.name.clone()).collect();
+        let names: Vec<_> = hosts.iter().map(String::as_str).collect();
+        for i in 0..2 {
+            f.silence(&names, &["config"])?;
+            f.silence(&["config"], &names)?;
+            f.silence(&names, &names)?;
+            // A watch on a silent connection ends with its own deadline.
+            add_key(&mut f, &d, &format!("new-{i}"), LONG).await?;
+        }
+        for to in &t {
+            served_at(&d, to, &with("new-1"), LONG).await?;
+        }
+    }
 }
--- a/crates/bench/tests/p5_answers.rs
+++ b/crates/bench/tests/p5_answers.rs
@@ -63,4 +63,20 @@
         all_served(&join_all(t.iter().map(|t| d.ask(t, a.clone()))).await);
         clean(&f, &d).await?;
     }
+    // Guards against a part of a plain service's answer that is passed on as the whole.
+    a_broken_plain_answer_is_an_error: {
+        let (f, d, t) = fleet(Plan::new(3)).await?;
+        f.faults("p0", json!({"cut": true})).await?;
+        let c = Call {
+            mark: String::new(), key: Some(key("press")), path: "/notes/1".into(), ticket: None,
+        };
+        for to in &t {
+            let o = d.call(to, c.clone(), true, false).await;
+            assert!(o.status != Some(200) && o.run.is_some(), "{o:?}");
+            assert_ne!(o.run, Some(Run::NotRun));
+        }
+        f.faults("p0", json!({"cut": false})).await?;
+        all_served(&[d.call(&t[0], c.clone(), true, false).await]);
+        clean(&f, &d).await?;
+    }
 }
