--- a/crates/bench/src/metrics.rs
+++ b/crates/bench/src/metrics.rs
@@ -96,8 +96,8 @@
 }
 
 /// Load stalls: a request waited if the engine that ran it finished loading its instance after the
-/// request was sent; the wait is the time between the two.
-pub fn stalls(samples: &[Sample], engines: &Journals) -> Stalls {
+/// request was sent; the wait is the time between the two. Loads count from `from_us` on.
+pub fn stalls(samples: &[Sample], engines: &Journals, from_us: u64) -> Stalls {
     let sent: HashMap<&str, u64> =
         samples.iter().map(|s| (s.outcome.mark.as_str(), s.outcome.sent_us)).collect();
     let mut waits = Vec::new();
@@ -108,7 +108,7 @@
         for e in journal {
             match (e.kind.as_str(), &e.code) {
                 ("load_begin", _) => {
-                    loads += 1;
+                    loads += u64::from(e.at_us >= from_us);
                     loading.insert(e.instance.as_str());
                 }
                 ("load", None) if loading.remove(e.instance.as_str()) => {
--- a/crates/bench/src/results.rs
+++ b/crates/bench/src/results.rs
@@ -84,7 +84,7 @@
     pub p99_ms: f64,
     /// Seconds of waiting per 1,000 served requests.
     pub seconds_per_1000: f64,
-    /// Loads that engines began.
+    /// Loads that engines began in the measured time.
     pub loads: u64,
 }
 
