Keep a request's place among the loads when its pin is asked for again

Cause: a pin request ended after 10 s; the next one went to the end of the line of loads, or to another engine, where the adapter was loaded a second time. Change: the controlling host keeps a pin request for 15 s, the asking host repeats it every 5 s.

--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -9,7 +9,7 @@
 use arcstr::ArcStr;
 use serde_json::json;
 use slotmap::SlotMap;
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, time::timeout};
 use yuccawing_core::{
     allowance::{Grant, Verdict},
     placement::{self, PinAnswer, PinRequest, Target, Unpin},
@@ -30,15 +30,19 @@
 };
 use crate::{
     events::{Event, emit},
-    mesh::CALL_LIMIT,
+    mesh::{CALL_LIMIT, LinkError},
 };
 
 /// How long a request waits for loans before it is refused.
 const LOAN_WAIT: Duration = Duration::from_millis(400);
 /// Upstreams that one request may be sent to.
 const MAX_TRIES: u32 = 6;
-/// Longest wait for a pin. A request that still waits asks again, elsewhere if need be.
-const PIN_WAIT: Duration = Duration::from_secs(10);
+/// How long a controlling host keeps a request for a pin. It exceeds [`PIN_ASK`], so that a request
+/// that is asked again keeps its place among the loads.
+const PIN_WAIT: Duration = Duration::from_secs(15);
+/// Deadline of one call for a pin; the request is asked again as long as it is needed, so that the
+/// loss of a controlling host is noticed.
+const PIN_ASK: Duration = Duration::from_secs(5);
 /// Pause after a refused pin before the same engine is asked again for the same adapter version.
 const PIN_PAUSE: Duration = Duration::from_millis(100);
 /// Waiting requests of one account in one class.
@@ -86,6 +90,14 @@
     tries: u32,
 }
 
+// What became of a call for a pin.
+enum Asked {
+    Answered(PinAnswer),
+    // The controlling host still has the request.
+    Waiting,
+    Failed,
+}
+
 struct Place {
     upstream: ArcStr,
     instance: ArcStr,
@@ -654,11 +666,18 @@
         }
         let call = async move {
             match link {
-                None if local => rx.await.ok(),
-                None => None,
+                None if local => match timeout(PIN_ASK, rx).await {
+                    Ok(Ok(answer)) => Asked::Answered(answer),
+                    Ok(Err(_)) => Asked::Failed,
+                    Err(_) => Asked::Waiting,
+                },
+                None => Asked::Failed,
                 Some(link) => {
-                    let limit = wait + CALL_LIMIT;
-                    link.call(limit, |c, x| async move { c.pin(x, q).await }).await.ok().flatten()
+                    match link.call(PIN_ASK, |c, x| async move { c.pin(x, q).await }).await {
+                        Ok(Some(answer)) => Asked::Answered(answer),
+                        Err(LinkError::Timeout(..)) => Asked::Waiting,
+                        Ok(None) | Err(_) => Asked::Failed,
+                    }
                 }
             }
         };
@@ -673,26 +692,29 @@
         engine: ArcStr,
         target: Target,
         id: u64,
-        answer: Option<PinAnswer>,
+        answer: Asked,
         ctx: &mut Context<Self>,
     ) {
         let now = self.clock.now();
         let key = (engine.clone(), target.clone());
         match answer {
-            Some(PinAnswer::Pinned { instance, duration }) => {
+            Asked::Answered(PinAnswer::Pinned { instance, duration }) => {
                 self.requests.pins.remove(&key);
                 let granted = Granted { engine, target, instance, id, sent, duration };
                 if let Some(u) = self.route.pinned(now, granted) {
                     self.send_unpin(now, u, ctx);
                 }
             }
-            Some(PinAnswer::Refused { elsewhere, .. }) => {
+            Asked::Answered(PinAnswer::Refused { elsewhere, .. }) => {
                 self.requests.pins.insert(key, Some(now + PIN_PAUSE));
                 if elsewhere {
                     self.avoid(&engine, &target);
                 }
             }
-            None => {
+            Asked::Waiting => {
+                self.requests.pins.remove(&key);
+            }
+            Asked::Failed => {
                 self.requests.pins.insert(key, Some(now + PIN_PAUSE));
                 self.avoid(&engine, &target);
             }
--- a/crates/daemon/src/mesh.rs
+++ b/crates/daemon/src/mesh.rs
@@ -21,7 +21,7 @@
 };
 
 pub use self::{
-    link::{CALL_LIMIT, Link},
+    link::{CALL_LIMIT, Link, LinkError},
     server::{Answer, PeerCall, serve},
 };
 
--- a/crates/daemon/src/mesh/tests.rs
+++ b/crates/daemon/src/mesh/tests.rs
@@ -5,7 +5,7 @@
 use tokio_util::sync::CancellationToken;
 use yuccawing_core::rules::Rules;
 
-use super::{CALL_LIMIT, Link, PeerCall, link::LinkError, serve};
+use super::{CALL_LIMIT, Link, LinkError, PeerCall, serve};
 
 // Keeps calls for parts without an answer.
 #[derive(Default)]
