--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -10,7 +10,10 @@
     hash::{Hash, Hasher},
     net::SocketAddr,
     str::FromStr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -165,6 +168,18 @@
     Caller,
 }
 
+impl Outcome {
+    /// Name in the answer of `explain`.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Finished => "finished",
+            Self::Cancelled => "cancelled",
+            Self::Broken => "broken",
+            Self::NotRun(_) => "not_run",
+        }
+    }
+}
+
 /// Whether a refused or failed request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Run {
@@ -288,7 +303,7 @@
 pub enum Explain {
     /// Placement of an adapter.
     Adapter(ArcStr),
-    /// A request, waiting, running or refused a short time ago.
+    /// A request, waiting, running, or ended or refused a short time ago.
     Request(RequestId),
 }
 
@@ -326,6 +341,8 @@
     pub name: ArcStr,
     /// Address for callers, `IP:PORT`.
     pub http: ArcStr,
+    /// Failure domain.
+    pub domain: ArcStr,
     /// Share of callers that should use it, relative to the others.
     pub weight: u32,
     /// Process, in hexadecimal.
@@ -337,7 +354,8 @@
 pub struct Hosts {
     /// How long a caller may use it, in milliseconds.
     pub ttl_ms: u64,
-    /// Hosts that are alive, not leaving and hold their lease.
+    /// Hosts that are alive, not leaving and hold their lease, without overloaded ones while there
+    /// is another.
     pub hosts: Vec<HostEntry>,
 }
 
@@ -427,6 +445,7 @@
 pub struct Handle {
     control: Recipient<Call>,
     view: Arc<ArcSwap<Snapshot>>,
+    refused: Arc<AtomicU64>,
 }
 
 impl fmt::Debug for Handle {
@@ -436,9 +455,14 @@
 }
 
 impl Handle {
-    /// A handle of the actor behind `control`, which publishes to `view`.
-    pub fn new(control: Recipient<Call>, view: Arc<ArcSwap<Snapshot>>) -> Self {
-        Self { control, view }
+    /// A handle of the actor behind `control`, which publishes to `view`. Calls that its full mailbox
+    /// refuses are counted in `refused`.
+    pub fn new(
+        control: Recipient<Call>,
+        view: Arc<ArcSwap<Snapshot>>,
+        refused: Arc<AtomicU64>,
+    ) -> Self {
+        Self { control, view, refused }
     }
 
     /// The snapshot in force.
@@ -523,6 +547,7 @@
     fn send(&self, call: Call) -> Result<(), Refusal> {
         self.control.try_send(call).map_err(|e| match e {
             actix::prelude::SendError::Full(_) => {
+                self.refused.fetch_add(1, Ordering::Relaxed);
                 Refusal::not_run(Code::Overloaded, "the control thread's mailbox is full")
                     .retry(Duration::from_secs(1))
             }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -15,7 +15,7 @@
     net::TcpListener,
     path::PathBuf,
     process::ExitCode,
-    sync::{Arc, mpsc},
+    sync::{Arc, atomic::AtomicU64, mpsc},
 };
 
 use actix::{Actor, Addr};
@@ -31,7 +31,7 @@
     events::{Event, emit},
     metrics::Metrics,
     settings::Settings,
-    stop::{Gate, Signals, Stop},
+    stop::{Ended, Gate, Signals, Stop},
     tls::{Tls, TlsError},
     upstream::Timing,
 };
@@ -61,10 +61,14 @@
     Io(#[from] std::io::Error),
 }
 
+/// Exit code of a forced exit, which may have cut off requests.
+const FORCED: u8 = 2;
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match run(&args) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(Ended::Graceful) => ExitCode::SUCCESS,
+        Ok(Ended::Forced) => ExitCode::from(FORCED),
         Err(e) => {
             eprintln!("yuccawingd: {e}");
             ExitCode::FAILURE
@@ -72,10 +76,10 @@
     }
 }
 
-fn run(args: &Args) -> Result<(), Error> {
+fn run(args: &Args) -> Result<Ended, Error> {
     let settings = Arc::new(Settings::load(&args.settings)?);
     if args.check {
-        return Ok(());
+        return Ok(Ended::Graceful);
     }
     let (log, _guard) = events::logger(settings.log, &settings.name);
     let out = actix_rt::System::new().block_on(serve(settings, log.clone()));
@@ -86,19 +90,21 @@
     out
 }
 
-async fn serve(settings: Arc<Settings>, log: Logger) -> Result<(), Error> {
+async fn serve(settings: Arc<Settings>, log: Logger) -> Result<Ended, Error> {
     let mut signals = Signals::new()?;
     let tls = settings.tls.as_ref().map(Tls::load).transpose()?;
     let callers = TcpListener::bind(settings.listen.http)?;
     let peers = TcpListener::bind(settings.listen.peer)?;
     peers.set_nonblocking(true)?;
     let view = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
+    let refused = Arc::new(AtomicU64::new(0));
     let (metrics, gate, token) = (Metrics::new(), Gate::new(), CancellationToken::new());
     let control = start_control(
         control::Setup {
             settings: settings.clone(),
             incarnation: random_incarnation(),
             view: view.clone(),
+            refused: refused.clone(),
             metrics: metrics.clone(),
             log: log.clone(),
             tls: tls.clone().filter(|_| !settings.plaintext.peers),
@@ -106,7 +112,7 @@
         },
         peers,
     );
-    let handle = Handle::new(control.recipient(), view);
+    let handle = Handle::new(control.recipient(), view, refused);
     let tls_callers = match &tls {
         Some(t) if !settings.plaintext.callers => Some(t.callers()?),
         _ => None,
@@ -136,9 +142,9 @@
     }
     let http = settings.listen.http.to_string();
     emit(&log, Event::Started, &slog::b!("http" => http));
-    stop::run(stop, &mut signals).await;
+    let ended = stop::run(stop, &mut signals).await;
     token.cancel();
-    Ok(())
+    Ok(ended)
 }
 
 /// Starts the control thread, which also serves the peers.
--- /dev/null
+++ b/crates/daemon/tests/requests.rs
@@ -0,0 +1,112 @@
+//! Requests through a real host.
+
+mod support;
+
+use std::{io::Write, net::TcpStream, thread, time::Duration};
+
+use serde_json::json;
+use support::{Fleet, KEY, Plan};
+
+/// Opens a connection whose request runs for a minute.
+fn long_request(f: &Fleet) -> TcpStream {
+    let body = json!({"model": "a0", "prompt": "x", "max_tokens": 60}).to_string();
+    let mut s = TcpStream::connect(f.hosts[0].http).unwrap();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    s.write_all((head + &body).as_bytes()).unwrap();
+    while f.journal("e0", "begin").len() + f.journal("e1", "begin").len() == 0 {
+        thread::sleep(Duration::from_millis(20));
+    }
+    s
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against a supervisor that takes a forced exit, which cuts off requests, for a graceful
+    // one.
+    a_forced_exit_has_its_own_code: {
+        for second in [true, false] {
+            let mut f = Fleet::start(&Plan { token_ms: 1000, stop_s: 5, ..Plan::default() }, None);
+            let _open = long_request(&f);
+            f.terminate(0);
+            if second {
+                thread::sleep(Duration::from_millis(300));
+                f.terminate(0);
+            }
+            let limit = Duration::from_secs(if second { 2 } else { 8 });
+            assert_eq!(f.exit_code(0, limit), Some(2), "{}", f.log(0));
+            let log = f.log(0);
+            let line = log.lines().find(|l| l.contains("\"StopForced\"")).expect(&log);
+            assert!(line.contains(&format!("\"second_signal\":{second}")), "{line}");
+            assert!(log.lines().last().unwrap().contains("\"Stopped\""), "{log}");
+        }
+    }
+    // Guards against a graceful exit that is taken for a failure.
+    a_graceful_exit_has_code_0: {
+        let mut f = Fleet::start(&Plan::default(), None);
+        f.terminate(0);
+        assert_eq!(f.exit_code(0, Duration::from_secs(9)), Some(0), "{}", f.log(0));
+        assert!(!f.log(0).contains("StopForced"));
+    }
+    // Guards against requests that nobody can explain once they have ended, and against answers
+    // that programs cannot read.
+    an_ended_request_stays_explainable: {
+        let f = Fleet::start(&Plan { load_ms: 300, ..Plan::default() }, None);
+        let a = f.complete(0, "a0", 10_000);
+        assert_eq!(a.status, 200, "{a:?}");
+        let id = a.header("x-request-id").unwrap().to_owned();
+        let explain = |what: &str| f.get(0, &format!("/admin/explain?{what}")).unwrap().json();
+        let e = explain(&format!("request={id}"));
+        assert_eq!((&e["state"], &e["outcome"]), (&json!("ended"), &json!("finished")), "{e}");
+        assert_eq!(e["instance"], "a0:1", "{e}");
+        let engine = e["upstream"].as_str().unwrap();
+        assert!(f.journal(engine, "begin").iter().any(|b| b["request_id"] == id.as_str()), "{e}");
+        let ms = |name: &str| e["waited"][name].as_u64().unwrap();
+        assert!((250..2000).contains(&ms("pin_ms")), "{e}");
+        assert!(ms("tokens_ms") < 500 && ms("queue_ms") < 250, "{e}");
+        // Copies come from the engines' reports.
+        let mut copies = json!([]);
+        for _ in 0..60 {
+            copies = explain("adapter=a0")["copies"].clone();
+            if copies != json!([]) {
+                break;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        assert_eq!(copies[0]["engine"], engine, "{copies}");
+        assert!(copies[0]["fill"].is_number() && copies[0]["ejected"] == false, "{copies}");
+
+        let a = f.post(0, "/v1/completions", &[], &json!({"model": "a0", "prompt": "x", "max_tokens": 1}));
+        let id = a.header("x-request-id").unwrap().to_owned();
+        assert!(explain(&format!("request={id}"))["waited"]["pin_ms"].as_u64().unwrap() < 100);
+        let a = f.post(0, "/dead/x", &[("x-ticket", &f.ticket(0))], &json!({}));
+        let id = a.header("x-request-id").unwrap().to_owned();
+        let e = explain(&format!("request={id}"));
+        assert_eq!((&e["state"], &e["outcome"]), (&json!("ended"), &json!("not_run")), "{e}");
+        assert_eq!(e["tries"], 3, "{e}");
+        // The number of requests that are remembered has a bound.
+        for _ in 0..520 {
+            f.complete(0, "a0", 10_000);
+        }
+        let a = f.get(0, &format!("/admin/explain?request={id}")).unwrap();
+        assert_eq!(a.status, 404, "{a:?}");
+    }
+    // Guards against a ticket that is lost with a call that no service got, so that a caller cannot
+    // use it for the next attempt.
+    a_call_that_did_not_run_gives_its_ticket_back: {
+        let f = Fleet::start(&Plan::default(), None);
+        let ticket = f.ticket(0);
+        let call = |path| f.post(0, path, &[("x-ticket", &ticket)], &json!({}));
+        for _ in 0..2 {
+            assert_eq!(call("/dead/x").error(), (503, "no_upstream".into(), "not_run".into()));
+        }
+        assert_eq!(call("/once/x").status, 200);
+        assert_eq!(call("/once/x").error(), (409, "ticket_spent".into(), "ran".into()));
+        assert_eq!(f.journal("p0", "call").len(), 1, "{:?}", f.journal("p0", "call"));
+    }
+}
