--- a/crates/bench/tests/p1_versions.rs
+++ b/crates/bench/tests/p1_versions.rs
@@ -62,4 +62,18 @@
         clean(&f, &d).await?;
         drop(old);
     }
+    // Guards against hosts that go on to use the old version for requests that name none.
+    a_new_version_is_used_within_seconds: {
+        let (mut f, d, t) = fleet(Plan::new(3)).await?;
+        let a = Ask { version: None, ..ask("a1", "", 4) };
+        all_served(&[d.ask(&t[0], a.clone()).await]);
+        f.publish(|r| r.adapters.get_mut("a1").unwrap().versions.push("3".into())).await?;
+        d.version_added("3");
+        load(&d, 3, Duration::from_secs(5), |i| (t[i % 3].clone(), a.clone())).await;
+        for to in &t {
+            let o = d.ask(to, a.clone()).await;
+            assert!(o.is_ok() && o.text.starts_with("a1:3#0 "), "{o:?}");
+        }
+        clean(&f, &d).await?;
+    }
 }
--- a/crates/bench/tests/p3_keys.rs
+++ b/crates/bench/tests/p3_keys.rs
@@ -67,7 +67,7 @@
         clean(&f, &d).await?;
         all_served(&[d.ask(&t[0], ask("a0", "1", 4)).await]);
     }
-    // Guards against a key that moves to another account and is still taken for the old one.
+    // Guards against the published hash being taken for the key.
     a_key_is_known_by_its_hash_only: {
         let (f, d, t) = fleet(Plan::new(3)).await?;
         let hash = key_hash(&key("press")).to_string();
@@ -75,4 +75,21 @@
         assert_eq!(o.status, Some(401));
         clean(&f, &d).await?;
     }
+    // Guards against a key that moves to another account and still spends the old one's allowance.
+    a_moved_key_spends_its_new_accounts_allowance: {
+        let (mut f, d, t) = fleet(Plan::new(3).account("tiny", 1, 30)).await?;
+        let a = ask("a0", "1", 16);
+        for to in &t {
+            served_at(&d, to, &a, LONG).await?;
+        }
+        f.publish(|r| {
+            let keys = std::mem::take(&mut r.accounts.get_mut("press").unwrap().keys);
+            r.accounts.get_mut("tiny").unwrap().keys.extend(keys);
+        }).await?;
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let out = load(&d, 6, Duration::from_secs(3), |i| (t[i % 3].clone(), a.clone())).await;
+        // A burst of 30 tokens is enough for one request of 16 and its prompt.
+        assert!(served(&out) <= 1, "{} served", served(&out));
+        assert!(out.iter().filter(|o| !o.is_ok()).all(|o| matches!(o.status, Some(429 | 413))));
+    }
 }
--- a/crates/bench/tests/p6_refusals.rs
+++ b/crates/bench/tests/p6_refusals.rs
@@ -67,4 +67,23 @@
         assert!(served(&out) > 0);
         clean(&f, &d).await?;
     }
+    // Guards against a host that resumes and refuses what it sent before it was paused.
+    refusals_of_a_paused_host_are_true: {
+        let (f, d, t) = fleet(Plan::new(3)).await?;
+        let work = load(&d, 12, Duration::from_secs(9), |i| {
+            let a = Ask { deadline: Duration::from_secs(3), ..ask(&adapter(i % 4), "1", 60) };
+            (t[0].clone(), a)
+        });
+        let fault = async {
+            for _ in 0..2 {
+                tokio::time::sleep(Duration::from_millis(1500)).await;
+                f.pause_host(&t[0].name).unwrap();
+                tokio::time::sleep(Duration::from_millis(3500)).await;
+                f.resume_host(&t[0].name).unwrap();
+            }
+        };
+        let (out, ()) = join(work, fault).await;
+        assert!(served(&out) > 0);
+        clean(&f, &d).await?;
+    }
 }
--- a/crates/bench/tests/p7_once.rs
+++ b/crates/bench/tests/p7_once.rs
@@ -85,4 +85,24 @@
         assert!(out.iter().all(|o| !o.is_ok()), "{out:?}");
         clean(&f, &d).await?;
     }
+    // Guards against a repeat on another connection when the link breaks during the call.
+    a_call_whose_link_breaks_is_not_repeated: {
+        let plan = Plan::new(3).route("/once", |r| r.idempotent = false).proxied();
+        let (f, d, t) = fleet(plan).await?;
+        f.faults("p0", json!({"delay_ms": 600})).await?;
+        let hosts: Vec<_> = t.iter().map(|t| t.name.as_str()).collect();
+        let ticket = f.http.ticket(t[0].addr, &key("press")).await?;
+        let to = [&t[0], &t[0]];
+        let call = d.call_each(&to, once(Some(ticket)), false, false);
+        let fault = async {
+            tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+            f.links(&hosts, &["p0"], |l| l.cut = true).unwrap();
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            f.links(&hosts, &["p0"], |l| l.cut = false).unwrap();
+        };
+        let (out, ()) = join(call, fault).await;
+        assert!(out.iter().all(|o| !o.is_ok() && o.run != Some(Run::NotRun)), "{out:?}");
+        let e = clean(&f, &d).await?;
+        assert_eq!(e.plain["p0"].len(), 1);
+    }
 }
--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/support/mod.rs
@@ -23,7 +23,7 @@
 pub const LONG: Duration = Duration::from_secs(40);
 
 /// Fleets that run at once in one test binary, so that they do not slow each other down.
-const FLEETS: usize = 3;
+const FLEETS: usize = 4;
 
 static RUNNING: Mutex<usize> = Mutex::new(0);
 static ENDED: Condvar = Condvar::new();
