--- a/crates/bench/src/baseline.rs
+++ b/crates/bench/src/baseline.rs
@@ -17,11 +17,11 @@
 };
 
 /// Refusals of a scheme that keeps `buckets` buckets, each with the same part of rate and burst;
-/// `pick` tells which one a request uses. All are empty at `from_us`.
+/// `pick` tells which one a request uses. All are empty at `span.0`; requests count from `span.1` on.
 pub fn refusals<'a>(
     samples: impl Iterator<Item = &'a Sample>,
     l: Limits,
-    from_us: u64,
+    span: (u64, u64),
     buckets: u64,
     pick: impl Fn(&Sample) -> usize,
 ) -> Refusals {
@@ -33,7 +33,7 @@
     let mut decisions = Vec::new();
     for (i, s) in own.iter().enumerate() {
         let at = s.outcome.sent_us;
-        let now = |us: u64| Tick(us.saturating_sub(from_us));
+        let now = |us: u64| Tick(us.saturating_sub(span.0));
         while let Some(e) = open.first_entry().filter(|e| e.key().0 <= at) {
             let ((end, _), (b, r, unused)) = e.remove_entry();
             all[b].settle(r, unused, now(end));
@@ -49,7 +49,7 @@
         let (reserved, used) = (s.reserved(), s.used());
         decisions.push(Decision { at_us: at, end_us, reserved, used, limited });
     }
-    reference(&decisions, l, from_us)
+    reference(&decisions, l, span).refusals
 }
 
 /// Sizes of a fleet for a placement on recorded arrivals.
--- a/crates/bench/src/baseline/tests.rs
+++ b/crates/bench/src/baseline/tests.rs
@@ -41,9 +41,9 @@
     an_equal_split_refuses_wrongfully_under_skew: {
         let s: Vec<_> = (10..20).map(|i| sample(i * 1000, 0, 0)).collect();
         let l = Limits { rate: 10, burst: 40 };
-        let split = refusals(s.iter(), l, 0, 4, |s| s.host);
+        let split = refusals(s.iter(), l, (0, 0), 4, |s| s.host);
         assert!(split.wrongful >= 7, "{split:?}");
-        assert_eq!(refusals(s.iter(), l, 0, 1, |s| s.host).refused, 0);
+        assert_eq!(refusals(s.iter(), l, (0, 0), 1, |s| s.host).refused, 0);
     }
     // Guards against bounds that are not: loads of LRU are never below those of the clairvoyant.
     the_clairvoyant_loads_least: {
--- a/crates/bench/src/cmd/report.rs
+++ b/crates/bench/src/cmd/report.rs
@@ -66,6 +66,7 @@
         line("sent", r, |s| s.sent),
         line("served", r, |s| s.served),
         line("limited", r, |s| s.limited),
+        line("wrongful", r, |s| s.wrongful),
         line("refused", r, |s| s.refused),
         line("failed", r, |s| s.failed),
     ]
--- a/crates/bench/src/experiment/summary.rs
+++ b/crates/bench/src/experiment/summary.rs
@@ -30,14 +30,14 @@
     let slots: u64 = s.engines.iter().map(|e| e.count as u64 * u64::from(e.batch)).sum();
     let mut accounts = metrics::accounts(&measured, &names, s.duration_s as f64);
     let mut refusals = Refusals::default();
+    let mut wrongful = Vec::new();
     for (i, (account, limits)) in names.iter().enumerate() {
         // The reference starts with the fleet's own empty buckets, before the warm-up.
-        let decisions = decisions(&samples, i);
-        let mut found = metrics::reference(&decisions, *limits, start_us);
-        found.requests = decisions.len() as u64;
-        add(&mut refusals, &found);
+        let found = metrics::reference(&decisions(&samples, i), *limits, (start_us, span.0));
+        add(&mut refusals, &found.refusals);
+        wrongful.extend(found.wrongful);
         if let Some(a) = accounts.get_mut(account) {
-            a.refusals = found;
+            a.refusals = found.refusals;
         }
     }
     let violations = evidence.check();
@@ -73,7 +73,7 @@
             .filter(|(_, l)| l.count > 0)
             .collect(),
         baselines: baselines(s, &samples, &names, start_us, span.0),
-        timeline: metrics::timeline(&measured, span),
+        timeline: metrics::timeline(&measured, &wrongful, span),
         faults,
         violations: count,
         examples: violations.iter().take(EXAMPLES).map(example).collect(),
@@ -105,8 +105,8 @@
     let hosts = s.hosts.len() as u64;
     for (i, (_, limits)) in names.iter().enumerate() {
         let own = || samples.iter().filter(|x| x.arrival.account == i && x.arrival.plain.is_none());
-        let split = baseline::refusals(own(), *limits, start_us, hosts, |x| x.host);
-        let home = baseline::refusals(own(), *limits, start_us, 1, |_| 0);
+        let split = baseline::refusals(own(), *limits, (start_us, from_us), hosts, |x| x.host);
+        let home = baseline::refusals(own(), *limits, (start_us, from_us), 1, |_| 0);
         add(&mut out.equal_split, &split);
         add(&mut out.home_host, &home);
     }
--- a/crates/bench/src/metrics.rs
+++ b/crates/bench/src/metrics.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 pub use self::{
-    bucket::{Decision, reference},
+    bucket::{Decision, Found, reference},
     latency::{latency, percentile},
 };
 use crate::{
@@ -247,10 +247,19 @@
 }
 
 /// What happened in each second after `from_us`.
-pub fn timeline(samples: &[Sample], (from_us, until_us): (u64, u64)) -> Vec<Second> {
+pub fn timeline(
+    samples: &[Sample],
+    wrongful: &[u64],
+    (from_us, until_us): (u64, u64),
+) -> Vec<Second> {
     let n = (until_us.saturating_sub(from_us) / 1_000_000) as usize;
     let mut out = vec![Second::default(); n];
     let second = |at: u64| at.checked_sub(from_us).map(|d| (d / 1_000_000) as usize);
+    for at in wrongful {
+        if let Some(x) = second(*at).and_then(|i| out.get_mut(i)) {
+            x.wrongful += 1;
+        }
+    }
     for s in samples {
         let o = &s.outcome;
         if let Some(x) = second(o.sent_us).and_then(|i| out.get_mut(i)) {
--- a/crates/bench/src/metrics/bucket.rs
+++ b/crates/bench/src/metrics/bucket.rs
@@ -22,10 +22,20 @@
     pub limited: bool,
 }
 
-/// Counts the refusals of one account for which the reference bucket had room. The bucket is empty
-/// at `from_us` and follows the decisions: it pays for what was granted and gets refunds at the end.
-pub fn reference(decisions: &[Decision], l: Limits, from_us: u64) -> Refusals {
-    let tick = |us: u64| Tick(us.saturating_sub(from_us));
+/// Refusals of one account and the times of the wrongful ones.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Found {
+    /// Counts.
+    pub refusals: Refusals,
+    /// When each wrongfully refused request arrived.
+    pub wrongful: Vec<u64>,
+}
+
+/// Counts the refusals of one account for which the reference bucket had room, of the requests that
+/// arrived from `span.1` on. The bucket is empty at `span.0` and follows the decisions: it pays for
+/// what was granted and gets refunds at the end.
+pub fn reference(decisions: &[Decision], l: Limits, span: (u64, u64)) -> Found {
+    let tick = |us: u64| Tick(us.saturating_sub(span.0));
     let mut bucket = Bucket::new(Rate { rate: l.rate, burst: l.burst }, Tick(0));
     let mut events: Vec<(u64, bool, usize)> = Vec::new();
     for (i, d) in decisions.iter().enumerate() {
@@ -36,7 +46,7 @@
     }
     events.sort_unstable();
     let mut held: Vec<Option<Reservation>> = vec![None; decisions.len()];
-    let mut out = Refusals { requests: decisions.len() as u64, ..Refusals::default() };
+    let mut out = Found::default();
     for (at, arrives, i) in events {
         let d = &decisions[i];
         let now = tick(at);
@@ -44,17 +54,24 @@
             if let Some(r) = held[i].take() {
                 bucket.settle(r, d.reserved.saturating_sub(d.used), now);
             }
-        } else if d.limited {
-            out.refused += 1;
-            out.wrongful += u64::from(bucket.available(now) >= d.reserved);
-        } else {
+            continue;
+        }
+        let counts = at >= span.1;
+        out.refusals.requests += u64::from(counts);
+        if !d.limited {
             held[i] = bucket.take(d.reserved, now);
             if held[i].is_none() {
                 // The order of arrivals differs a little between the hosts.
                 bucket.remove(d.reserved, now);
             }
+        } else if counts {
+            out.refusals.refused += 1;
+            if bucket.available(now) >= d.reserved {
+                out.wrongful.push(at);
+            }
         }
     }
-    out.share = out.wrongful as f64 / out.requests.max(1) as f64;
+    out.refusals.wrongful = out.wrongful.len() as u64;
+    out.refusals.share = out.refusals.wrongful as f64 / out.refusals.requests.max(1) as f64;
     out
 }
--- a/crates/bench/src/metrics/tests.rs
+++ b/crates/bench/src/metrics/tests.rs
@@ -85,7 +85,9 @@
             decision(1_500_000, true),
             decision(2_100_000, true),
         ];
-        let out = reference(&d, l, 0);
-        assert_eq!((out.refused, out.wrongful), (3, 1));
+        let out = reference(&d, l, (0, 0));
+        assert_eq!((out.refusals.refused, out.refusals.wrongful), (3, 1));
+        assert_eq!(out.wrongful, [2_100_000]);
+        assert_eq!(reference(&d, l, (0, 2_000_000)).refusals.refused, 1);
     }
 }
--- a/crates/bench/src/results.rs
+++ b/crates/bench/src/results.rs
@@ -111,7 +111,7 @@
 /// Refusals for a limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Refusals {
-    /// Requests sent.
+    /// Requests sent in the measured time.
     pub requests: u64,
     /// Refused for a limit.
     pub refused: u64,
@@ -175,6 +175,9 @@
     pub served: u64,
     /// Refused for a limit.
     pub limited: u64,
+    /// Of the requests sent, those that were wrongfully refused for a limit.
+    #[serde(default)]
+    pub wrongful: u64,
     /// Refused for another reason.
     pub refused: u64,
     /// Failed.
