--- a/crates/bench/src/driver.rs
+++ b/crates/bench/src/driver.rs
@@ -69,20 +69,31 @@
     /// Sends a request for a completion; its mark is set here.
     pub async fn ask(&self, to: &Target, mut a: Ask) -> Outcome {
         a.mark = self.mark();
-        let outcome = self.http.ask(to.addr, &a).await;
         let versions = match &a.version {
             Some(v) => vec![v.clone()],
-            None => self.newest.borrow().clone(),
+            None => Vec::new(),
         };
-        self.seen.borrow_mut().asked.push(Asked {
-            mark: a.mark.clone(),
-            host: to.name.clone(),
-            tokens: a.tokens(),
-            key: a.key,
-            adapter: a.adapter,
-            versions,
-            outcome: outcome.clone(),
-        });
+        // Recorded when it is sent, so that the checker knows requests that have not ended.
+        let index = {
+            let mut seen = self.seen.borrow_mut();
+            seen.asked.push(Asked {
+                mark: a.mark.clone(),
+                host: to.name.clone(),
+                tokens: a.tokens(),
+                key: a.key.clone(),
+                adapter: a.adapter.clone(),
+                versions,
+                outcome: Outcome { sent_us: now_us(), ..Outcome::default() },
+            });
+            seen.asked.len() - 1
+        };
+        let outcome = self.http.ask(to.addr, &a).await;
+        if let Some(asked) = self.seen.borrow_mut().asked.get_mut(index) {
+            asked.outcome = outcome.clone();
+            if a.version.is_none() {
+                asked.versions.clone_from(&self.newest.borrow());
+            }
+        }
         outcome
     }
 
--- a/crates/bench/src/experiment/load.rs
+++ b/crates/bench/src/experiment/load.rs
@@ -24,8 +24,8 @@
     trace::Arrival,
 };
 
-/// Bound of the wait for open requests after the end, beyond their deadline and grace.
-const DRAIN: Duration = Duration::from_secs(45);
+/// Wait for open requests after the longest deadline has passed.
+const DRAIN: Duration = Duration::from_secs(15);
 
 /// How often callers look up the hosts' addresses.
 const LOOK_UP: Duration = Duration::from_secs(2);
@@ -84,7 +84,9 @@
         actix_rt::spawn(one(load.clone(), a));
     }
     sleep_until(start + s.warmup() + s.duration()).await;
-    let limit = Instant::now() + DRAIN;
+    let traffic = s.accounts.iter().flat_map(|a| &a.traffic);
+    let deadline = Duration::from_millis(traffic.map(|t| t.deadline_ms).max().unwrap_or(0));
+    let limit = Instant::now() + deadline + DRAIN;
     while load.open.get() > 0 && Instant::now() < limit {
         sleep(Duration::from_millis(50)).await;
     }
