Test a restart with found still set

Cause: review of the lease; a restarted process with found = true might have tried to found its running group for ever. Change: a test; it passes, the process is admitted as generation 2. Conclusion: no fault found.

--- a/crates/core/src/lease/tests.rs
+++ b/crates/core/src/lease/tests.rs
@@ -110,6 +110,15 @@
         assert!(g.holds(2));
         assert_eq!(g.generation(2), Some(Generation(2)));
     }
+    // Guards against a restarted process that tries to found its running group for ever, because
+    // `found` is still set in its settings.
+    a_restart_with_found_still_set_is_admitted: {
+        let mut g = Group::founded(5);
+        g.start(2, Some(Generation(1)));
+        g.run(10 * SECOND);
+        assert!(g.holds(2));
+        assert_eq!(g.generation(2), Some(Generation(2)));
+    }
     // Guards against a shutdown whose successor has to wait for the lease to end.
     a_release_admits_the_successor_at_once: {
         let mut g = Group::founded(5);
