--- a/crates/bench/src/metrics.rs
+++ b/crates/bench/src/metrics.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 pub use self::{
-    bucket::{Decision, reference},
+    bucket::{Decision, Found, reference},
     latency::{latency, percentile},
 };
 use crate::{
@@ -96,8 +96,8 @@
 }
 
 /// Load stalls: a request waited if the engine that ran it finished loading its instance after the
-/// request was sent; the wait is the time between the two.
-pub fn stalls(samples: &[Sample], engines: &Journals) -> Stalls {
+/// request was sent; the wait is the time between the two. Loads count from `from_us` on.
+pub fn stalls(samples: &[Sample], engines: &Journals, from_us: u64) -> Stalls {
     let sent: HashMap<&str, u64> =
         samples.iter().map(|s| (s.outcome.mark.as_str(), s.outcome.sent_us)).collect();
     let mut waits = Vec::new();
@@ -108,7 +108,7 @@
         for e in journal {
             match (e.kind.as_str(), &e.code) {
                 ("load_begin", _) => {
-                    loads += 1;
+                    loads += u64::from(e.at_us >= from_us);
                     loading.insert(e.instance.as_str());
                 }
                 ("load", None) if loading.remove(e.instance.as_str()) => {
@@ -247,10 +247,19 @@
 }
 
 /// What happened in each second after `from_us`.
-pub fn timeline(samples: &[Sample], (from_us, until_us): (u64, u64)) -> Vec<Second> {
+pub fn timeline(
+    samples: &[Sample],
+    wrongful: &[u64],
+    (from_us, until_us): (u64, u64),
+) -> Vec<Second> {
     let n = (until_us.saturating_sub(from_us) / 1_000_000) as usize;
     let mut out = vec![Second::default(); n];
     let second = |at: u64| at.checked_sub(from_us).map(|d| (d / 1_000_000) as usize);
+    for at in wrongful {
+        if let Some(x) = second(*at).and_then(|i| out.get_mut(i)) {
+            x.wrongful += 1;
+        }
+    }
     for s in samples {
         let o = &s.outcome;
         if let Some(x) = second(o.sent_us).and_then(|i| out.get_mut(i)) {
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -9,7 +9,7 @@
 use arcstr::ArcStr;
 use serde_json::json;
 use slotmap::SlotMap;
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, time::timeout};
 use yuccawing_core::{
     allowance::{Grant, Verdict},
     placement::{self, PinAnswer, PinRequest, Target, Unpin},
@@ -31,15 +31,19 @@
 };
 use crate::{
     events::{Event, emit},
-    mesh::CALL_LIMIT,
+    mesh::{CALL_LIMIT, LinkError},
 };
 
 /// How long a request waits for loans before it is refused.
 const LOAN_WAIT: Duration = Duration::from_millis(400);
 /// Upstreams that one request may be sent to.
 const MAX_TRIES: u32 = 6;
-/// Longest wait for a pin. A request that still waits asks again, elsewhere if need be.
-const PIN_WAIT: Duration = Duration::from_secs(10);
+/// How long a controlling host keeps a request for a pin. It exceeds [`PIN_ASK`], so that a request
+/// that is asked again keeps its place among the loads.
+const PIN_WAIT: Duration = Duration::from_secs(15);
+/// Deadline of one call for a pin; the request is asked again as long as it is needed, so that the
+/// loss of a controlling host is noticed.
+const PIN_ASK: Duration = Duration::from_secs(5);
 /// Pause after a refused pin before the same engine is asked again for the same adapter version.
 const PIN_PAUSE: Duration = Duration::from_millis(100);
 /// Waiting requests of one account in one class.
@@ -91,6 +95,14 @@
     clock: Phases,
 }
 
+// What became of a call for a pin.
+enum Asked {
+    Answered(PinAnswer),
+    // The controlling host still has the request.
+    Waiting,
+    Failed,
+}
+
 /// Where a request spent its time before it was sent to an upstream.
 #[derive(Clone, Copy, Debug, Default)]
 struct Phases {
@@ -165,8 +177,8 @@
     Spread,
 }
 
-// A pin request.
-struct Asked {
+// A call for a pin.
+struct PinCall {
     sent: Tick,
     engine: ArcStr,
     target: Target,
@@ -846,28 +858,35 @@
         }
         let call = async move {
             match link {
-                None if local => rx.await.ok(),
-                None => None,
+                None if local => match timeout(PIN_ASK, rx).await {
+                    Ok(Ok(answer)) => Asked::Answered(answer),
+                    Ok(Err(_)) => Asked::Failed,
+                    Err(_) => Asked::Waiting,
+                },
+                None => Asked::Failed,
                 Some(link) => {
-                    let limit = wait + CALL_LIMIT;
-                    link.call(limit, |c, x| async move { c.pin(x, q).await }).await.ok().flatten()
+                    match link.call(PIN_ASK, |c, x| async move { c.pin(x, q).await }).await {
+                        Ok(Some(answer)) => Asked::Answered(answer),
+                        Err(LinkError::Timeout(..)) => Asked::Waiting,
+                        Ok(None) | Err(_) => Asked::Failed,
+                    }
                 }
             }
         };
         ctx.spawn(call.into_actor(self).map(move |answer, act, ctx| {
-            act.pin_answered(Asked { sent: now, engine, target, id, why }, answer, ctx);
+            act.pin_answered(PinCall { sent: now, engine, target, id, why }, answer, ctx);
         }));
     }
 
-    fn pin_answered(&mut self, asked: Asked, answer: Option<PinAnswer>, ctx: &mut Context<Self>) {
+    fn pin_answered(&mut self, call: PinCall, answer: Asked, ctx: &mut Context<Self>) {
         let now = self.clock.now();
-        if asked.why == Why::Load {
-            self.learn_load(now, &asked, answer.as_ref());
+        if call.why == Why::Load {
+            self.learn_load(now, &call, &answer);
         }
-        let Asked { sent, engine, target, id, .. } = asked;
+        let PinCall { sent, engine, target, id, .. } = call;
         let key = (engine.clone(), target.clone());
         match answer {
-            Some(PinAnswer::Pinned { instance, duration }) => {
+            Asked::Answered(PinAnswer::Pinned { instance, duration }) => {
                 self.requests.pins.remove(&key);
                 for o in self.requests.open.values_mut().filter(|o| o.waits_for(&target)) {
                     o.clock.pinned(now);
@@ -877,13 +896,16 @@
                     self.send_unpin(now, u, ctx);
                 }
             }
-            Some(PinAnswer::Refused { elsewhere, .. }) => {
+            Asked::Answered(PinAnswer::Refused { elsewhere, .. }) => {
                 self.requests.pins.insert(key, Some(now + PIN_PAUSE));
                 if elsewhere {
                     self.avoid(&engine, &target);
                 }
             }
-            None => {
+            Asked::Waiting => {
+                self.requests.pins.remove(&key);
+            }
+            Asked::Failed => {
                 self.requests.pins.insert(key, Some(now + PIN_PAUSE));
                 self.avoid(&engine, &target);
             }
@@ -891,22 +913,21 @@
         self.drive(now, ctx);
     }
 
-    // Learns from the answer to a pin request how long loads take. Requests of one adapter version
-    // may have waited for several of them.
-    fn learn_load(&mut self, now: Tick, asked: &Asked, answer: Option<&PinAnswer>) {
-        let waits = self.requests.open.values().filter(|o| o.stalled && o.waits_for(&asked.target));
+    // Learns from a call for a pin how long loads take. A load may last for several calls.
+    fn learn_load(&mut self, now: Tick, call: &PinCall, answer: &Asked) {
+        let waits = self.requests.open.values().filter(|o| o.stalled && o.waits_for(&call.target));
         let longest = waits.map(|o| o.waited(now).pin.saturating_sub(o.clock.pin)).max();
-        let wait = now.since(asked.sent).max(longest.unwrap_or_default());
+        let wait = now.since(call.sent).max(longest.unwrap_or_default());
         match answer {
-            Some(PinAnswer::Pinned { .. }) => self.requests.loads.ended(now, wait),
-            // The other reasons concern one engine or one adapter and say nothing about loads.
-            Some(PinAnswer::Refused {
+            Asked::Answered(PinAnswer::Pinned { .. }) => self.requests.loads.ended(now, wait),
+            Asked::Waiting
+            | Asked::Answered(PinAnswer::Refused {
                 reason:
                     placement::Reason::Full | placement::Reason::Busy | placement::Reason::Expired,
                 ..
-            })
-            | None => self.requests.loads.open(now, wait),
-            Some(PinAnswer::Refused { .. }) => {}
+            }) => self.requests.loads.open(now, wait),
+            // Other reasons concern one engine or adapter and say nothing about loads.
+            Asked::Answered(PinAnswer::Refused { .. }) | Asked::Failed => {}
         }
     }
 
