--- a/crates/core/examples/placement_figures/hosts.rs
+++ b/crates/core/examples/placement_figures/hosts.rs
@@ -366,6 +366,7 @@
         let mut passed: BTreeMap<Target, (u32, Choice, bool)> = BTreeMap::new();
         loop {
             let mut chosen = None;
+            let mut more = None;
             let Host { route, queue, avoid, .. } = &mut self.hosts[h];
             let targets = &self.t.requests;
             let random = &mut self.random;
@@ -392,11 +393,13 @@
                 };
                 match route.pick(now, &need, random.next()) {
                     Choice::Run { engine, instance } => {
+                        more = route.spread(now, &need, Duration::ZERO);
                         chosen = Some((engine, instance, target));
                         true
                     }
                     Choice::Wait => {
-                        let spread = route.spread(now, &need);
+                        let waited = Duration::from_micros(at - targets[i].at);
+                        let spread = route.spread(now, &need, waited);
                         let c = spread
                             .map_or(Choice::Wait, |engine| Choice::Pin { engine, load: true });
                         passed.insert(target, (1, c, false));
@@ -412,6 +415,9 @@
             };
             let (i, running) = (popped.item.data, popped.running);
             let Some((engine, instance, target)) = chosen else { break };
+            if let Some(engine) = more {
+                self.ask(h, target.clone(), engine, 0, false);
+            }
             let host = &mut self.hosts[h];
             host.route.started(now, &engine, &target);
             host.running.insert(i, running);
@@ -447,7 +453,7 @@
             engine,
             model: ArcStr::from("m"),
             target,
-            wait: Duration::from_secs(60),
+            wait: Duration::from_secs(if requests > 0 { 60 } else { 2 }),
             requests,
         };
         self.post(PEER_US, What::Pin(holder, r));
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -28,6 +28,10 @@
 /// Share of an engine's batch that the requests of one adapter fill before it gets another replica.
 const REPLICA_FILL: f64 = 0.6;
 
+/// A request that has waited this long for a slot of full engines is worth a load elsewhere, which
+/// takes about half of this time.
+pub const SPREAD_WAIT: Duration = Duration::from_millis(500);
+
 /// Engines whose load is above the mean by this factor are passed over for cold loads.
 const BOUNDED_LOAD: f64 = 1.25;
 
@@ -249,14 +253,16 @@
         Choice::Wait
     }
 
-    /// Engine on which another replica is worth a load, when the demand fills the present ones.
-    pub fn spread(&self, now: Tick, need: &Need<'_>) -> Option<ArcStr> {
+    /// Engine on which another replica is worth a load: when the demand fills the present ones, or
+    /// when a request has waited for [`SPREAD_WAIT`] because their engines are full.
+    pub fn spread(&self, now: Tick, need: &Need<'_>, waited: Duration) -> Option<ArcStr> {
         let all = || self.engines.iter().filter(|(_, v)| v.serves(need.model));
         let having: Vec<&View> =
             all().filter(|(_, v)| v.has(need.target)).map(|(_, v)| v).collect();
         let batch: u32 = having.iter().map(|v| v.spec.batch).sum();
         let demand: f64 = having.iter().map(|v| v.demand(need.target)).sum();
-        if having.is_empty() || demand <= REPLICA_FILL * f64::from(batch) {
+        let full = waited >= SPREAD_WAIT && having.iter().all(|v| !v.room(now, need.class));
+        if having.is_empty() || !full && demand <= REPLICA_FILL * f64::from(batch) {
             return None;
         }
         let rest: Vec<(&ArcStr, &View)> =
