--- a/crates/core/examples/placement_figures.rs
+++ b/crates/core/examples/placement_figures.rs
@@ -1,7 +1,7 @@
 //! Load stalls and batch efficiency of the placement, route and queue decisions on a small model of
 //! engines and hosts, against full-view baselines on the same trace.
 //!
-//! `cargo run --release -p yuccawing-core --example placement_figures -- [stalls|batch] [SEED]`
+//! `cargo run --release -p yuccawing-core --example placement_figures -- [stalls|blind|batch] [SEED]`
 
 #[path = "placement_figures/central.rs"]
 mod central;
@@ -17,6 +17,7 @@
     let seed = args.get(1).and_then(|s| s.parse().ok()).unwrap_or(1);
     match args.first().map_or("stalls", String::as_str) {
         "stalls" => stalls(seed),
+        "blind" => blind(seed),
         "batch" => batch(seed),
         other => {
             eprintln!("unknown command {other}");
@@ -26,7 +27,7 @@
 }
 
 fn stalls(seed: u64) {
-    println!("requests per trace 12000 to 30000, 20 engines x 8 slots, 3000 adapters, 4 loads/s");
+    println!("20 engines x 8 slots, 3000 adapters, 4 loads/s, 1800 s, the first 300 s not counted");
     for (zipf, rate, shift) in [(1.2, 12.0, 0.1), (1.0, 7.0, 0.1), (1.4, 16.0, 0.1)] {
         let load = Load { zipf, rate, shift, seconds: 1800, mean_ms: 4000, seed };
         let t = Trace::new(&load);
@@ -37,8 +38,18 @@
     }
 }
 
+// At a rate at which a router that ignores residency does not exceed the load rate.
+fn blind(seed: u64) {
+    let load = Load { zipf: 1.2, rate: 4.0, shift: 0.1, seconds: 900, mean_ms: 4000, seed };
+    let t = Trace::new(&load);
+    println!("zipf 1.2, 4 requests/s, 0.1 of the popular adapters change every 120 s");
+    run_all(&t, &Shape::default());
+    let o = central::run(&t, &Shape::default(), central::Policy::Blind);
+    println!("{}", o.line("least-loaded engine, LRU, full view"));
+}
+
 fn batch(seed: u64) {
-    for (zipf, rate) in [(1.4, 34.0), (1.2, 30.0)] {
+    for (zipf, rate) in [(1.4, 26.0), (1.4, 34.0)] {
         let load = Load { zipf, rate, shift: 0.0, seconds: 400, mean_ms: 4000, seed };
         let t = Trace::new(&load);
         println!("\nzipf {zipf}, {rate} requests/s, capacity 40 requests/s");
--- a/crates/core/examples/placement_figures/hosts.rs
+++ b/crates/core/examples/placement_figures/hosts.rs
@@ -264,9 +264,10 @@
                 for h in 0..self.s.hosts {
                     self.hosts[h].route.report(now, &r);
                 }
-                let holder = self.engine(&r.engine) % self.s.hosts;
                 let r = placement::Report { engine: r.engine, boot: r.boot, resident: r.resident };
-                self.tell(holder, Event::Report(r));
+                for h in 0..self.s.hosts {
+                    self.tell(h, Event::Report(r.clone()));
+                }
             }
             What::ReportNow => {
                 for e in 0..self.s.engines {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -9,7 +9,11 @@
 #[cfg(test)]
 mod tests;
 
-use std::{collections::BTreeMap, fmt, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    time::Duration,
+};
 
 use arcstr::ArcStr;
 use serde::{Deserialize, Serialize};
@@ -55,6 +59,9 @@
 /// A permit request without an answer is repeated after this time.
 const ASK_LIMIT: Duration = Duration::from_secs(2);
 
+/// A report without a successor is not used for the number of replicas after this time.
+const COPIES_LIFE: Duration = Duration::from_secs(30);
+
 /// Pin requests that wait at once. Further ones are refused and their hosts try elsewhere.
 const MAX_WAITERS: usize = 4096;
 
@@ -209,7 +216,8 @@
     /// A process of a host has ended. Its pins stay until they expire, because its requests may
     /// still run on engines.
     Ended(Incarnation),
-    /// An engine reported.
+    /// An engine reported, controlled by this host or not: the others' residents tell where replicas
+    /// are.
     Report(Report),
     /// An engine answered a request with "unknown instance".
     Missing {
@@ -401,6 +409,8 @@
     asked: Option<Tick>,
     ask_after: Tick,
     scores: Scores,
+    // Resident adapter versions of every engine that reports.
+    copies: BTreeMap<ArcStr, (Tick, BTreeSet<Target>)>,
 }
 
 /// State of an instance, for operators.
@@ -438,6 +448,7 @@
             asked: None,
             ask_after: Tick(0),
             scores: Scores::default(),
+            copies: BTreeMap::new(),
         }
     }
 
@@ -584,8 +595,16 @@
     }
 
     fn report(&mut self, now: Tick, r: &Report) {
-        let Some(e) = self.engines.get_mut(&r.engine) else { return };
-        e.report(now, r);
+        // An instance name tells by its form whether the engine checks fencing numbers.
+        let copies = r
+            .resident
+            .iter()
+            .filter_map(|(n, _)| Target::parse(n, false).or_else(|| Target::parse(n, true)))
+            .collect();
+        self.copies.insert(r.engine.clone(), (now, copies));
+        if let Some(e) = self.engines.get_mut(&r.engine) {
+            e.report(now, r);
+        }
     }
 
     fn loaded(&mut self, now: Tick, command: u64, result: LoadResult, random: u64) {
@@ -687,6 +706,7 @@
         // A failure is forgotten once its back-off is over by as long again.
         self.failures.retain(|_, f| now <= f.retry + BACKOFF_MAX);
         self.scores.trim(now);
+        self.copies.retain(|_, (t, _)| now.since(*t) < COPIES_LIFE);
     }
 
     // Answers what can be answered and starts the loads that can start.
@@ -814,14 +834,20 @@
         }
         let wanted = &self.wants;
         let name = &key.0;
-        let room = e.room(now, a.generation, &mut self.scores, |t| {
-            wanted.contains_key(&(name.clone(), t.clone()))
-        });
-        let worth =
-            |victim: f64, scores: &mut Scores| !prefetch || victim < scores.get(now, &key.1);
+        let (scores, copies) = (&self.scores, &self.copies);
+        // With other replicas, an eviction costs the share of its requests that run here.
+        let cost = |t: &Target| {
+            if wanted.contains_key(&(name.clone(), t.clone())) {
+                return None;
+            }
+            let others = copies.iter().filter(|(n, (_, c))| *n != name && c.contains(t)).count();
+            Some(scores.get(now, t) / (1 + others) as f64)
+        };
+        let room = e.room(now, a.generation, cost);
+        let worth = |victim: f64| !prefetch || victim < self.scores.get(now, &key.1);
         let victim = match room {
             Room::Free => None,
-            Room::Evict { instance, score } if worth(score, &mut self.scores) => Some(instance),
+            Room::Evict { instance, score } if worth(score) => Some(instance),
             Room::Evict { .. } | Room::None => return Step::Refused(Reason::Full),
         };
         let flying = self.loading() + self.wants.values().filter(|w| w.evicting.is_some()).count();
--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -4,7 +4,7 @@
 
 use arcstr::ArcStr;
 
-use super::{PIN, Report, SETTLE, Spec, Target, score::Scores};
+use super::{PIN, Report, SETTLE, Spec, Target};
 use crate::{
     ids::{Generation, Incarnation},
     time::{Tick, plus_drift},
@@ -214,13 +214,12 @@
         self.removed.retain(|_, t| now.since(*t) < SETTLE);
     }
 
-    /// A free slot or the instance whose eviction costs least.
+    /// A free slot or the instance whose eviction costs least; `None` from `cost` keeps an instance.
     pub(super) fn room(
         &self,
         now: Tick,
         generation: Generation,
-        scores: &mut Scores,
-        wanted: impl Fn(&Target) -> bool,
+        cost: impl Fn(&Target) -> Option<f64>,
     ) -> Room {
         if self.instances.len() < self.spec.slots as usize {
             return Room::Free;
@@ -233,8 +232,10 @@
             let score = match &i.target {
                 // Nobody can use an instance of an earlier generation.
                 Some(t) if t.instance(self.spec.fencing, generation) != *name => -1.0,
-                Some(t) if wanted(t) => continue,
-                Some(t) => scores.get(now, t),
+                Some(t) => match cost(t) {
+                    Some(c) => c,
+                    None => continue,
+                },
                 None => -1.0,
             };
             if best.is_none_or(|(s, used, _)| (score, i.used) < (s, used)) {
