--- a/crates/bench/src/driver.rs
+++ b/crates/bench/src/driver.rs
@@ -71,7 +71,7 @@
         a.mark = self.mark();
         let versions = match &a.version {
             Some(v) => vec![v.clone()],
-            None => Vec::new(),
+            None => self.newest.borrow().clone(),
         };
         // Recorded when it is sent, so that the checker knows requests that have not ended.
         let index = {
