Let requests wait up to 1 s for tokens

Change: up to 32 requests of an account wait up to 1 s for tokens, first come first served. Queued requests whose replicas are full ask for another replica.

--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -34,8 +34,12 @@
     mesh::{CALL_LIMIT, LinkError},
 };
 
-/// How long a request waits for loans before it is refused.
-const LOAN_WAIT: Duration = Duration::from_millis(400);
+/// How long a request waits for tokens before it is refused: for loans, and for the refill of an
+/// allowance that is used up for a moment.
+const TOKEN_WAIT: Duration = Duration::from_secs(1);
+/// Requests of one account that wait for tokens. Beyond it they are refused at once, so that an
+/// account far above its rate does not fill the host.
+const TOKEN_QUEUE: usize = 32;
 /// Upstreams that one request may be sent to.
 const MAX_TRIES: u32 = 6;
 /// How long a controlling host keeps a request for a pin. It exceeds [`PIN_ASK`], so that a request
@@ -64,8 +68,8 @@
 pub(super) struct Requests {
     open: SlotMap<Flight, Open>,
     ids: HashMap<RequestId, Flight>,
-    // Requests that wait for loans, oldest first.
-    pending: VecDeque<RequestId>,
+    // Requests that wait for tokens, by account, oldest first.
+    pending: BTreeMap<ArcStr, VecDeque<RequestId>>,
     refused: VecDeque<(RequestId, Refusal)>,
     ended: VecDeque<Past>,
     // Engines asked for a pin: `None` while the answer is awaited, else when to ask again.
@@ -83,7 +87,7 @@
     account: Option<ArcStr>,
     cost: u64,
     deadline: Tick,
-    loan_limit: Tick,
+    token_limit: Tick,
     grant: Option<Grant>,
     work: Work,
     avoid: Vec<ArcStr>,
@@ -95,6 +99,14 @@
     clock: Phases,
 }
 
+// What became of a reservation of tokens.
+enum Reserved {
+    Granted,
+    // It waits for loans or for the refill.
+    Wait,
+    Refused,
+}
+
 // What became of a call for a pin.
 enum Asked {
     Answered(PinAnswer),
@@ -423,12 +435,13 @@
         reply: Reply<Result<Dispatch, Refusal>>,
         ctx: &mut Context<Self>,
     ) {
+        let payer = account.clone();
         let o = Open {
             id,
             account,
             cost,
             deadline: self.clock.tick(deadline),
-            loan_limit: now + LOAN_WAIT,
+            token_limit: now + TOKEN_WAIT,
             grant: None,
             work,
             avoid: Vec::new(),
@@ -441,33 +454,53 @@
         };
         let flight = self.requests.open.insert(o);
         self.requests.ids.insert(id, flight);
-        if self.reserve(now, flight) {
-            self.enqueue(now, flight, ctx);
-        } else if self.requests.open.contains_key(flight) {
-            self.requests.pending.push_back(id);
-            self.poll_loans(now, ctx);
+        // Requests that arrived earlier have the first claim on the account's tokens.
+        let reserved = match &payer {
+            Some(a) if cost > 0 && self.requests.pending.contains_key(a) => Reserved::Wait,
+            _ => self.reserve(now, flight),
+        };
+        match (reserved, payer) {
+            (Reserved::Granted, _) => self.enqueue(now, flight, ctx),
+            (Reserved::Wait, Some(a)) => self.wait_for_tokens(now, flight, a, ctx),
+            (Reserved::Wait, None) | (Reserved::Refused, _) => {}
+        }
+    }
+
+    fn wait_for_tokens(
+        &mut self,
+        now: Tick,
+        flight: Flight,
+        account: ArcStr,
+        ctx: &mut Context<Self>,
+    ) {
+        let Some(id) = self.requests.open.get(flight).map(|o| o.id) else { return };
+        let waiting = self.requests.pending.entry(account).or_default();
+        if waiting.len() >= TOKEN_QUEUE {
+            return self.close(now, flight, used_up(TOKEN_WAIT));
         }
+        waiting.push_back(id);
+        self.poll_loans(now, ctx);
     }
 
-    /// Reserves the tokens of a request. False: it waits for loans, or it was refused.
-    fn reserve(&mut self, now: Tick, flight: Flight) -> bool {
+    fn reserve(&mut self, now: Tick, flight: Flight) -> Reserved {
         let authority = self.authority(now);
-        let Some(o) = self.requests.open.get_mut(flight) else { return false };
-        let Some(account) = o.account.as_ref().filter(|_| o.cost > 0) else { return true };
+        let Some(o) = self.requests.open.get_mut(flight) else { return Reserved::Refused };
+        let Some(account) = o.account.as_ref().filter(|_| o.cost > 0) else {
+            return Reserved::Granted;
+        };
+        let may_wait = now < o.token_limit;
         let refusal = match self.allowance.reserve(now, authority, account, o.cost) {
             Verdict::Granted(g) => {
                 o.grant = Some(g);
                 o.clock.granted(now);
-                return true;
-            }
-            Verdict::Pending if now < o.loan_limit => return false,
-            Verdict::Pending => {
-                Refusal::not_run(Code::RateLimited, "the account's allowance is used up")
-                    .retry(LOAN_WAIT)
+                return Reserved::Granted;
             }
-            Verdict::Refused { retry: Some(t) } => {
-                Refusal::not_run(Code::RateLimited, "the account's allowance is used up").retry(t)
+            Verdict::Pending if may_wait => return Reserved::Wait,
+            Verdict::Refused { retry: Some(t) } if may_wait && t <= TOKEN_WAIT => {
+                return Reserved::Wait;
             }
+            Verdict::Pending => used_up(TOKEN_WAIT),
+            Verdict::Refused { retry: Some(t) } => used_up(t),
             Verdict::Refused { retry: None } => Refusal::not_run(
                 Code::OverBurst,
                 "the request can cost more tokens than the account's burst",
@@ -477,21 +510,34 @@
             }
         };
         self.close(now, flight, refusal);
-        false
+        Reserved::Refused
     }
 
-    /// Tries again for the requests that wait for loans.
+    /// Tries again for the requests that wait for tokens, and for a load permit.
     pub(super) fn retry_pending(&mut self, now: Tick, ctx: &mut Context<Self>) {
         if self.commands.permit_pending {
             self.take_permit(now, ctx);
         }
-        for _ in 0..self.requests.pending.len() {
-            let Some(id) = self.requests.pending.pop_front() else { return };
-            let Some(flight) = self.requests.ids.get(&id).copied() else { continue };
-            if self.reserve(now, flight) {
-                self.enqueue(now, flight, ctx);
-            } else if self.requests.open.contains_key(flight) {
-                self.requests.pending.push_back(id);
+        for account in self.requests.pending.keys().cloned().collect::<Vec<_>>() {
+            self.retry_account(now, &account, ctx);
+        }
+        self.requests.pending.retain(|_, ids| !ids.is_empty());
+    }
+
+    fn retry_account(&mut self, now: Tick, account: &ArcStr, ctx: &mut Context<Self>) {
+        let waiting = |s: &Self| s.requests.pending.get(account)?.front().copied();
+        while let Some(id) = waiting(self) {
+            let known = self.requests.ids.get(&id).copied();
+            // A request whose caller has gone is unknown.
+            let reserved = known.map_or(Reserved::Refused, |f| self.reserve(now, f));
+            if matches!(reserved, Reserved::Wait) {
+                return;
+            }
+            if let Some(ids) = self.requests.pending.get_mut(account) {
+                ids.pop_front();
+            }
+            if let (Reserved::Granted, Some(f)) = (reserved, known) {
+                self.enqueue(now, f, ctx);
             }
         }
     }
@@ -588,17 +634,26 @@
                         return true;
                     }
                     Choice::Pin { engine, load } => {
-                        wants.push((engine, target.clone(), model.clone(), load));
+                        let why = if load { Why::Load } else { Why::Run };
+                        wants.push((engine, target.clone(), model.clone(), why));
                     }
                     Choice::Nowhere => nowhere.push(item.data),
-                    Choice::Wait => {}
+                    Choice::Wait => {
+                        let waited = now.since(o.clock.since);
+                        if let Some(engine) = route.spread(now, &need, waited) {
+                            wants.push((engine, target.clone(), model.clone(), Why::Spread));
+                        }
+                    }
                 }
                 blocked.insert(key);
                 false
             });
-            for (engine, target, model, load) in wants {
-                self.mark_waiting(now, &target, load);
-                let why = if load { Why::Load } else { Why::Run };
+            for (engine, target, model, why) in wants {
+                match why {
+                    Why::Load => self.mark_waiting(now, &target, true),
+                    Why::Run => self.mark_waiting(now, &target, false),
+                    Why::Spread => {}
+                }
                 self.ask_pin(now, engine, target, model, why, ctx);
             }
             for id in nowhere {
@@ -667,6 +722,7 @@
             flight,
         };
         o.at = Some(Place { upstream: engine.clone(), instance });
+        let waited = p.waited;
         o.clock.left_queue(now);
         self.route.started(now, &engine, &target);
         let sent = o.reply.take().is_some_and(|r| r.send(Ok(d)).is_ok());
@@ -682,7 +738,7 @@
         }
         let need =
             Need { model: &model, target: &target, class, deadline, avoid: &[], prefix: None };
-        if let Some(extra) = self.route.spread(now, &need) {
+        if let Some(extra) = self.route.spread(now, &need, waited) {
             self.ask_pin(now, extra, target, model, Why::Spread, ctx);
         }
     }
@@ -1052,6 +1108,10 @@
     }
 }
 
+fn used_up(retry: Duration) -> Refusal {
+    Refusal::not_run(Code::RateLimited, "the account's allowance is used up").retry(retry)
+}
+
 fn denied(d: Denied) -> Refusal {
     let (code, run) = match d {
         // The process that issued it may have run the request.
