Move waits and past requests to a module of their own

Cause: requests.rs had grown to a thousand lines, every pass over the queue marked the open requests once per wanted pin, and a request between two upstreams counted its time on the first one as a wait in the queue. Further tests with real hosts: sampling parameters on the engine, an overloaded host that leaves the address look-up of all hosts. Conclusion: no change for callers but truer waits in explain.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -6,6 +6,7 @@
 mod allowances;
 mod commands;
 mod group;
+mod history;
 mod loads;
 pub mod messages;
 mod requests;
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -23,6 +23,7 @@
 use super::{
     Control,
     commands::controller,
+    history::{End, History, Past, Place, Waits},
     loads::Loads,
     messages::{
         Admit, AdmitPlain, Again, Call, Code, Dispatch, Done, Flight, NotRun, Outcome, Refusal,
@@ -52,9 +53,6 @@
 const TOTAL: usize = 4096;
 /// Tokens per second of one running request before any has been measured: 40 ms per token.
 const SPEED: u64 = 25;
-/// Requests that `explain` remembers: so many that ended, and so many that were refused on arrival,
-/// so that a flood of refusals does not push out the others.
-const REMEMBERED: usize = 512;
 /// Prefixes whose engine is remembered, about 0.5 MB. All are dropped when it is exceeded; they
 /// are only a hint.
 const PREFIXES: usize = 8192;
@@ -66,8 +64,7 @@
     ids: HashMap<RequestId, Flight>,
     // Requests that wait for loans, oldest first.
     pending: VecDeque<RequestId>,
-    refused: VecDeque<(RequestId, Refusal)>,
-    ended: VecDeque<Past>,
+    history: History,
     // Engines asked for a pin: `None` while the answer is awaited, else when to ask again.
     pins: BTreeMap<(ArcStr, Target), Option<Tick>>,
     last_pin: u64,
@@ -92,7 +89,7 @@
     running: Option<Running>,
     stalled: bool,
     tries: u32,
-    clock: Phases,
+    waits: Waits,
 }
 
 // What became of a call for a pin.
@@ -103,69 +100,6 @@
     Failed,
 }
 
-/// Where a request spent its time before it was sent to an upstream.
-#[derive(Clone, Copy, Debug, Default)]
-struct Phases {
-    // Start of the present wait and, while a pin is missing, of the wait for it.
-    since: Tick,
-    pin_since: Option<Tick>,
-    tokens: Duration,
-    queue: Duration,
-    pin: Duration,
-}
-
-impl Phases {
-    fn new(now: Tick) -> Self {
-        Self { since: now, ..Self::default() }
-    }
-
-    fn granted(&mut self, now: Tick) {
-        self.tokens += now.since(self.since);
-        self.since = now;
-    }
-
-    /// Ends the wait for a pin and returns its length.
-    fn pinned(&mut self, now: Tick) -> Option<Duration> {
-        let start = self.pin_since.take()?.max(self.since);
-        let wait = now.since(start);
-        self.queue += start.since(self.since);
-        self.pin += wait;
-        self.since = now;
-        Some(wait)
-    }
-
-    fn left_queue(&mut self, now: Tick) {
-        self.pinned(now);
-        self.queue += now.since(self.since);
-        self.since = now;
-    }
-
-    fn json(&self) -> serde_json::Value {
-        json!({
-            "tokens_ms": self.tokens.as_millis(), "queue_ms": self.queue.as_millis(),
-            "pin_ms": self.pin.as_millis(),
-        })
-    }
-}
-
-// A request that has ended, for `explain`.
-struct Past {
-    id: RequestId,
-    account: Option<ArcStr>,
-    tokens: u64,
-    used: u64,
-    place: Option<Place>,
-    avoid: Vec<ArcStr>,
-    tries: u32,
-    waited: Phases,
-    end: End,
-}
-
-enum End {
-    Refused(Refusal),
-    Done(Outcome),
-}
-
 /// Why a pin is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Why {
@@ -186,12 +120,6 @@
     why: Why,
 }
 
-#[derive(Clone)]
-struct Place {
-    upstream: ArcStr,
-    instance: ArcStr,
-}
-
 #[derive(Clone)]
 enum Work {
     Completion { target: Target, model: ArcStr, class: Class, weight: u32, prefix: u64 },
@@ -204,15 +132,19 @@
         self.account.is_some() && self.cost > 0
     }
 
+    // Whether it has its tokens and no upstream.
+    fn is_queued(&self) -> bool {
+        self.at.is_none() && (self.grant.is_some() || !self.is_metered())
+    }
+
     // Whether it is in the queue for an adapter version.
     fn waits_for(&self, target: &Target) -> bool {
-        let queued = self.at.is_none() && (self.grant.is_some() || !self.is_metered());
-        queued && matches!(&self.work, Work::Completion { target: t, .. } if t == target)
+        self.is_queued() && matches!(&self.work, Work::Completion { target: t, .. } if t == target)
     }
 
     // Its waits, with the present one.
-    fn waited(&self, now: Tick) -> Phases {
-        let mut p = self.clock;
+    fn waited(&self, now: Tick) -> Waits {
+        let mut p = self.waits;
         match (&self.at, &self.grant) {
             (Some(_), _) => {}
             (None, None) if self.is_metered() => p.granted(now),
@@ -221,33 +153,9 @@
         p
     }
 
-    fn past(self, waited: Phases, place: Option<Place>, used: u64, end: End) -> Past {
+    fn past(self, waits: Waits, place: Option<Place>, used: u64, end: End) -> Past {
         let Self { id, account, cost: tokens, avoid, tries, .. } = self;
-        Past { id, account, tokens, used, place, avoid, tries, waited, end }
-    }
-}
-
-impl Past {
-    fn json(&self) -> serde_json::Value {
-        let mut v = json!({
-            "request": self.id.to_string(), "account": self.account, "tokens": self.tokens,
-            "used": self.used, "upstream": self.place.as_ref().map(|p| &p.upstream),
-            "instance": self.place.as_ref().map(|p| &p.instance), "tries": self.tries,
-            "avoid": self.avoid, "waited": self.waited.json(),
-        });
-        match &self.end {
-            End::Refused(r) => {
-                v["state"] = json!("refused");
-                v["code"] = json!(r.code);
-                v["message"] = json!(r.message);
-                v["run"] = json!(r.run);
-            }
-            End::Done(outcome) => {
-                v["state"] = json!("ended");
-                v["outcome"] = json!(outcome.name());
-            }
-        }
-        v
+        Past { id, account, tokens, used, place, avoid, tries, waits, end }
     }
 }
 
@@ -311,14 +219,7 @@
                 "avoid": o.avoid, "waited": o.waited(now).json(),
             }));
         }
-        if let Some(p) = self.requests.ended.iter().rev().find(|p| p.id == id) {
-            return Some(p.json());
-        }
-        let (_, r) = self.requests.refused.iter().rev().find(|(i, _)| *i == id)?;
-        Some(json!({
-            "request": id.to_string(), "state": "refused", "code": r.code,
-            "message": r.message, "run": r.run,
-        }))
+        self.requests.history.explain(id)
     }
 
     fn admit(
@@ -437,7 +338,7 @@
             running: None,
             stalled: false,
             tries: 0,
-            clock: Phases::new(now),
+            waits: Waits::new(now),
         };
         let flight = self.requests.open.insert(o);
         self.requests.ids.insert(id, flight);
@@ -457,7 +358,7 @@
         let refusal = match self.allowance.reserve(now, authority, account, o.cost) {
             Verdict::Granted(g) => {
                 o.grant = Some(g);
-                o.clock.granted(now);
+                o.waits.granted(now);
                 return true;
             }
             Verdict::Pending if now < o.loan_limit => return false,
@@ -498,7 +399,7 @@
 
     fn enqueue(&mut self, now: Tick, flight: Flight, ctx: &mut Context<Self>) {
         let Some(o) = self.requests.open.get_mut(flight) else { return };
-        o.clock.since = now;
+        o.waits.restart(now);
         match &o.work {
             Work::Plain { upstreams } => {
                 let upstreams = upstreams.clone();
@@ -596,8 +497,8 @@
                 blocked.insert(key);
                 false
             });
+            self.mark_waiting(now, &wants);
             for (engine, target, model, load) in wants {
-                self.mark_waiting(now, &target, load);
                 let why = if load { Why::Load } else { Why::Run };
                 self.ask_pin(now, engine, target, model, why, ctx);
             }
@@ -631,11 +532,21 @@
         self.close(now, flight, r.retry(Duration::from_secs(1)));
     }
 
-    // The requests for the adapter version wait for a pin, with `load` for a load as well.
-    fn mark_waiting(&mut self, now: Tick, target: &Target, load: bool) {
-        for o in self.requests.open.values_mut().filter(|o| o.waits_for(target)) {
-            o.clock.pin_since.get_or_insert(now);
-            o.stalled |= load;
+    // The requests for these adapter versions wait for a pin, or for a load as well.
+    fn mark_waiting(&mut self, now: Tick, wants: &[(ArcStr, Target, ArcStr, bool)]) {
+        if wants.is_empty() {
+            return;
+        }
+        let mut loads: BTreeMap<&Target, bool> = BTreeMap::new();
+        for (_, target, _, load) in wants {
+            *loads.entry(target).or_default() |= load;
+        }
+        for o in self.requests.open.values_mut().filter(|o| o.is_queued()) {
+            let Work::Completion { target, .. } = &o.work else { continue };
+            if let Some(load) = loads.get(target) {
+                o.waits.needs_pin(now);
+                o.stalled |= load;
+            }
         }
     }
 
@@ -667,7 +578,7 @@
             flight,
         };
         o.at = Some(Place { upstream: engine.clone(), instance });
-        o.clock.left_queue(now);
+        o.waits.left_queue(now);
         self.route.started(now, &engine, &target);
         let sent = o.reply.take().is_some_and(|r| r.send(Ok(d)).is_ok());
         if !sent {
@@ -785,14 +696,14 @@
         self.leave_upstream(now, flight, d.used, outcome, gone, ctx);
         self.requests.ids.remove(&d.id);
         let Some(mut o) = self.requests.open.remove(flight) else { return };
-        let waited = if place.is_some() { o.clock } else { o.waited(now) };
+        let waited = if place.is_some() { o.waits } else { o.waited(now) };
         if let Some(g) = o.grant.take() {
             self.allowance.settle(now, g, d.used);
         }
         if place.is_none() {
             self.queue.retain(|i| i.data != d.id);
         }
-        self.remember(o.past(waited, place, d.used, End::Done(d.outcome)));
+        self.requests.history.end(o.past(waited, place, d.used, End::Done(d.outcome)));
         self.drive(now, ctx);
     }
 
@@ -808,6 +719,7 @@
     ) {
         let Some(o) = self.requests.open.get_mut(flight) else { return };
         let (Some(p), running) = (o.at.take(), o.running.take()) else { return };
+        o.waits.restart(now);
         match o.work.clone() {
             Work::Plain { .. } => {
                 if let Some(n) = self.requests.plain.get_mut(&p.upstream) {
@@ -889,7 +801,7 @@
             Asked::Answered(PinAnswer::Pinned { instance, duration }) => {
                 self.requests.pins.remove(&key);
                 for o in self.requests.open.values_mut().filter(|o| o.waits_for(&target)) {
-                    o.clock.pinned(now);
+                    o.waits.pinned(now);
                 }
                 let granted = Granted { engine, target, instance, id, sent, duration };
                 if let Some(u) = self.route.pinned(now, granted) {
@@ -916,7 +828,7 @@
     // Learns from a call for a pin how long loads take. A load may last for several calls.
     fn learn_load(&mut self, now: Tick, call: &PinCall, answer: &Asked) {
         let waits = self.requests.open.values().filter(|o| o.stalled && o.waits_for(&call.target));
-        let longest = waits.map(|o| o.waited(now).pin.saturating_sub(o.clock.pin)).max();
+        let longest = waits.map(|o| o.waits.without_pin(now)).max();
         let wait = now.since(call.sent).max(longest.unwrap_or_default());
         match answer {
             Asked::Answered(PinAnswer::Pinned { .. }) => self.requests.loads.ended(now, wait),
@@ -1030,24 +942,14 @@
         }
         let waited = o.waited(now);
         let grant = o.grant.take();
-        self.remember(o.past(waited, None, 0, End::Refused(r)));
+        self.requests.history.end(o.past(waited, None, 0, End::Refused(r)));
         if let Some(g) = grant {
             self.allowance.settle(now, g, 0);
         }
     }
 
-    fn remember(&mut self, p: Past) {
-        if self.requests.ended.len() == REMEMBERED {
-            self.requests.ended.pop_front();
-        }
-        self.requests.ended.push_back(p);
-    }
-
     fn refuse(&mut self, id: RequestId, reply: Reply<Result<Dispatch, Refusal>>, r: Refusal) {
-        if self.requests.refused.len() == REMEMBERED {
-            self.requests.refused.pop_front();
-        }
-        self.requests.refused.push_back((id, r.clone()));
+        self.requests.history.refuse(id, r.clone());
         let _ = reply.send(Err(r));
     }
 }
--- a/crates/daemon/src/edge/tests/fake.rs
+++ b/crates/daemon/src/edge/tests/fake.rs
@@ -7,7 +7,7 @@
     io::{self, Write},
     net::{SocketAddr, TcpListener},
     rc::Rc,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::AtomicU64},
     time::Duration,
 };
 
@@ -413,6 +413,7 @@
     pub(super) log: Arc<Mutex<Log>>,
     pub(super) view: Arc<ArcSwap<Snapshot>>,
     pub(super) handle: Handle,
+    pub(super) refused: Arc<AtomicU64>,
     pub(super) server: ServerHandle,
     pub(super) gate: Arc<Gate>,
     pub(super) metrics: Metrics,
@@ -480,7 +481,8 @@
             log: log.clone(),
         };
         let view = Arc::new(ArcSwap::from_pointee(snapshot()));
-        let handle = Handle::new(control.start().recipient(), view.clone(), Arc::default());
+        let refused = Arc::<AtomicU64>::default();
+        let handle = Handle::new(control.start().recipient(), view.clone(), refused.clone());
         let (lines, gate, metrics) = (Lines::default(), Gate::new(), Metrics::new());
         let drain = Mutex::new(slog_json::Json::default(lines.clone())).fuse();
         let logger = Logger::root(drain, o!());
@@ -506,6 +508,7 @@
             log,
             view,
             handle,
+            refused,
             server: handle_of_server,
             gate,
             metrics,
--- a/crates/daemon/src/edge/tests/http.rs
+++ b/crates/daemon/src/edge/tests/http.rs
@@ -237,6 +237,15 @@
         }
         assert!(w.get("/metrics").await.body.contains("yuccawing_lease_held 0"));
     }
+    // Guards against a control thread that is too busy without anybody noticing.
+    refusals_of_the_full_mailbox_are_counted: {
+        let w = World::start();
+        let calls = futures::future::join_all((0..5000).map(|_| w.handle.status())).await;
+        let full = calls.iter().filter(|c| c.as_ref().is_err_and(|r| r.code == Code::Overloaded));
+        let full = full.count() as u64;
+        assert!(full > 0);
+        assert_eq!(w.refused.load(std::sync::atomic::Ordering::Relaxed), full);
+    }
     // Guards against bodies that fill the memory, with and without a stated length.
     a_large_body_is_refused: {
         let up = Upstream::start(0);
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -2,13 +2,18 @@
 
 mod support;
 
-use std::{io::Write, net::TcpStream, thread, time::Duration};
+use std::{
+    io::Write,
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
 
 use serde_json::json;
 use support::{Fleet, KEY, Plan};
 
-/// Opens a connection whose request runs for a minute.
-fn long_request(f: &Fleet) -> TcpStream {
+/// Opens a connection and sends a request that runs for a minute.
+fn send_long(f: &Fleet) -> TcpStream {
     let body = json!({"model": "a0", "prompt": "x", "max_tokens": 60}).to_string();
     let mut s = TcpStream::connect(f.hosts[0].http).unwrap();
     let head = format!(
@@ -16,6 +21,12 @@
         body.len()
     );
     s.write_all((head + &body).as_bytes()).unwrap();
+    s
+}
+
+/// As [`send_long`], after which the request runs.
+fn long_request(f: &Fleet) -> TcpStream {
+    let s = send_long(f);
     while f.journal("e0", "begin").len() + f.journal("e1", "begin").len() == 0 {
         thread::sleep(Duration::from_millis(20));
     }
@@ -115,6 +126,43 @@
             assert_eq!(probe.join().unwrap().error(), (504, "deadline".into(), "not_run".into()));
         });
     }
+    // Guards against a request that the real engine gets without its sampling parameters, or with
+    // other fields of the caller.
+    an_engine_gets_the_sampling_parameters: {
+        let f = Fleet::start(&Plan::default(), None);
+        let body = json!({"model": "a0", "prompt": "x", "max_tokens": 2, "temperature": 0.3,
+            "stop": ["."], "user": "someone", "metadata": {"a": 1}});
+        assert_eq!(f.post(0, "/v1/completions", &[("x-tag", "someone")], &body).status, 200);
+        let seen = [f.journal("e0", "request"), f.journal("e1", "request")].concat();
+        let got: serde_json::Value = serde_json::from_str(seen[0]["body"].as_str().unwrap()).unwrap();
+        let names: Vec<&str> = got.as_object().unwrap().keys().map(String::as_str).collect();
+        let want = ["max_tokens", "model", "priority", "prompt", "request_id", "stop", "stream", "temperature"];
+        assert_eq!(names, want);
+        assert_eq!((&got["temperature"], &got["stop"]), (&body["temperature"], &body["stop"]));
+        assert!(!seen[0].to_string().contains("someone"), "{seen:?}");
+    }
+    // Guards against callers that are sent to a host whose queue is long, by that host or another.
+    an_overloaded_host_leaves_the_address_look_up: {
+        let f = Fleet::start(&Plan { hosts: 3, token_ms: 1000, ..Plan::default() }, None);
+        let hosts = |i| f.get(i, "/v1/hosts").unwrap().json()["hosts"].as_array().unwrap().clone();
+        let all = |n| (0..3).all(|i| hosts(i).len() == n);
+        let wait = |n| {
+            let start = Instant::now();
+            while !all(n) {
+                assert!(start.elapsed() < Duration::from_secs(5), "{:?}", hosts(1));
+                thread::sleep(Duration::from_millis(50));
+            }
+        };
+        wait(3);
+        assert!(hosts(1).iter().all(|h| h["weight"] == 100), "{:?}", hosts(1));
+        assert_eq!((&hosts(1)[2]["name"], &hosts(1)[2]["domain"]), (&json!("h2"), &json!("d2")));
+        // 16 run; 6,000 tokens wait for 16 places of 25 tokens/s.
+        let _open: Vec<_> = (0..116).map(|_| send_long(&f)).collect();
+        wait(2);
+        for i in 0..3 {
+            assert!(hosts(i).iter().all(|h| h["name"] != "h0"), "{:?}", hosts(i));
+        }
+    }
     // Guards against a ticket that is lost with a call that no service got, so that a caller cannot
     // use it for the next attempt.
     a_call_that_did_not_run_gives_its_ticket_back: {
