--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -396,7 +396,7 @@
     // bounded by the accounts that are active.
     fn prune(&mut self, l: usize) {
         let level = &mut self.levels[l];
-        let busy = self.running > 0;
+        let busy = self.running > 0 || self.len > 0;
         let at = level.virtual_now;
         level.flows.retain(|_, f| !f.items.is_empty() || (busy && f.start > at));
     }
--- a/crates/core/src/queue/tests.rs
+++ b/crates/core/src/queue/tests.rs
@@ -62,6 +62,21 @@
         // Another account has its own share and is not refused for this account's backlog.
         assert!(q.push(at(0), item("b", Class::Interactive, 100, at(5_000), 3)).is_ok());
     }
+    // Guards against counting what was reserved instead of what was used: an account with a large
+    // `max_tokens` and short answers would get a tenth of its share.
+    unused_tokens_are_given_back_to_the_share: {
+        let mut q = Queue::new(Limits { slots: 1, reserved: 0, ..LIMITS });
+        let mut served = BTreeMap::new();
+        for i in 0..400 {
+            for (account, tokens) in [("a", 100), ("b", 10)] {
+                let _ = q.push(at(i), item(account, Class::Interactive, tokens, at(600_000), 0));
+            }
+            let p = q.pop(at(i), |_| true).unwrap();
+            *served.entry(p.item.account).or_insert(0) += 10;
+            q.done(at(i + 1), p.running, 10);
+        }
+        assert!(served["a"] >= 1900 && served["b"] >= 1900, "{served:?}");
+    }
     // Guards against a queue that grows without bound.
     the_bounds_hold: {
         let mut q = Queue::new(Limits { per_account: 3, ..LIMITS });
