--- a/crates/core/examples/placement_figures.rs
+++ b/crates/core/examples/placement_figures.rs
@@ -49,7 +49,7 @@
 }
 
 fn batch(seed: u64) {
-    for (zipf, rate) in [(1.4, 26.0), (1.4, 34.0)] {
+    for (zipf, rate) in [(1.4, 26.0), (1.7, 34.0), (1.7, 39.0), (1.4, 34.0)] {
         let load = Load { zipf, rate, shift: 0.0, seconds: 400, mean_ms: 4000, seed };
         let t = Trace::new(&load);
         println!("\nzipf {zipf}, {rate} requests/s, capacity 40 requests/s");
--- a/crates/core/examples/placement_figures/hosts.rs
+++ b/crates/core/examples/placement_figures/hosts.rs
@@ -28,6 +28,8 @@
 const POLL_EVERY: u64 = 100_000;
 /// An engine that refused a pin for an adapter is left out for it.
 const AVOID: u64 = 1_000_000;
+/// A host asks for another replica of an adapter at most once in this time.
+const SPREAD_EVERY: u64 = 500_000;
 
 enum What {
     Arrives(usize),
@@ -45,13 +47,30 @@
     Poll,
 }
 
+/// Why a pin is asked for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Warm,
+    Cold,
+    Urgent,
+    Prefetch,
+}
+
+impl Kind {
+    fn spread(self) -> bool {
+        matches!(self, Self::Urgent | Self::Prefetch)
+    }
+}
+
 struct Host {
     route: Route,
     queue: Queue<usize>,
-    pending: BTreeMap<u64, (ArcStr, Target, Tick, u32)>,
+    pending: BTreeMap<u64, (ArcStr, Target, Tick, Kind)>,
     avoid: BTreeMap<Target, Vec<(ArcStr, u64)>>,
     running: BTreeMap<usize, Running>,
     next: u64,
+    // When another replica was last asked for.
+    spread: BTreeMap<Target, u64>,
 }
 
 struct Engine {
@@ -160,6 +179,7 @@
                 avoid: BTreeMap::new(),
                 running: BTreeMap::new(),
                 next: 1,
+                spread: BTreeMap::new(),
             });
             self.holders.push(Placement::new());
             let specs = (0..self.s.engines)
@@ -364,7 +384,7 @@
     fn pump(&mut self, h: usize) {
         let now = self.tick();
         let model = ArcStr::from("m");
-        let mut passed: BTreeMap<Target, (u32, Choice, bool)> = BTreeMap::new();
+        let mut passed: BTreeMap<Target, (u32, ArcStr, Kind)> = BTreeMap::new();
         loop {
             let mut chosen = None;
             let mut more = None;
@@ -394,22 +414,24 @@
                 };
                 match route.pick(now, &need, random.next()) {
                     Choice::Run { engine, instance } => {
-                        more = route.spread(now, &need, Duration::ZERO);
+                        more = route.spread(now, &need, Duration::ZERO).map(|s| s.engine);
                         chosen = Some((engine, instance, target));
                         true
                     }
                     Choice::Wait => {
                         let waited = Duration::from_micros(at - targets[i].at);
-                        let spread = route.spread(now, &need, waited);
-                        let c = spread
-                            .map_or(Choice::Wait, |engine| Choice::Pin { engine, load: true });
-                        passed.insert(target, (1, c, false));
+                        if let Some(s) = route.spread(now, &need, waited) {
+                            let kind = if s.urgent { Kind::Urgent } else { Kind::Prefetch };
+                            passed.insert(target, (1, s.engine, kind));
+                        }
                         false
                     }
-                    c => {
-                        passed.insert(target, (1, c, true));
+                    Choice::Pin { engine, load } => {
+                        let kind = if load { Kind::Cold } else { Kind::Warm };
+                        passed.insert(target, (1, engine, kind));
                         false
                     }
+                    Choice::Nowhere => false,
                 }
             }) else {
                 break;
@@ -417,7 +439,7 @@
             let (i, running) = (popped.item.data, popped.running);
             let Some((engine, instance, target)) = chosen else { break };
             if let Some(engine) = more {
-                self.ask(h, target.clone(), engine, 0, false);
+                self.ask(h, target.clone(), engine, 0, Kind::Prefetch);
             }
             let host = &mut self.hosts[h];
             host.route.started(now, &engine, &target);
@@ -425,28 +447,32 @@
             let e = self.engine(&engine);
             self.post(ENGINE_US, What::Start(e, i, instance));
         }
-        for (target, (requests, choice, cold)) in passed {
-            let requests = if cold { requests } else { 0 };
-            if let Choice::Pin { engine, load } = choice {
-                self.ask(h, target, engine, requests, load);
-            }
+        for (target, (requests, engine, kind)) in passed {
+            self.ask(h, target, engine, requests, kind);
         }
     }
 
-    fn ask(&mut self, h: usize, target: Target, engine: ArcStr, requests: u32, load: bool) {
+    fn ask(&mut self, h: usize, target: Target, engine: ArcStr, requests: u32, kind: Kind) {
         let now = self.tick();
-        if load && requests > 0 {
+        let requests = if kind == Kind::Prefetch { 0 } else { requests };
+        if kind == Kind::Cold {
             for i in self.hosts[h].waiting_for(&target, self.t) {
                 self.stalled[i] = true;
             }
         }
         let host = &mut self.hosts[h];
-        if host.pending.values().any(|(_, t, _, n)| *t == target && (*n == 0) == (requests == 0)) {
+        if host.pending.values().any(|(_, t, _, k)| *t == target && k.spread() == kind.spread()) {
             return;
         }
+        if kind.spread() {
+            if host.spread.get(&target).is_some_and(|t| self.now < t + SPREAD_EVERY) {
+                return;
+            }
+            host.spread.insert(target.clone(), self.now);
+        }
         let id = host.next;
         host.next += 1;
-        host.pending.insert(id, (engine.clone(), target.clone(), now, requests));
+        host.pending.insert(id, (engine.clone(), target.clone(), now, kind));
         let holder = self.engine(&engine) % self.s.hosts;
         let r = PinRequest {
             host: Incarnation(h as u64),
@@ -464,12 +490,12 @@
         let now = self.tick();
         let at = self.now;
         let host = &mut self.hosts[h];
-        let Some((engine, target, sent, _)) = host.pending.remove(&id) else { return };
+        let Some((engine, target, sent, kind)) = host.pending.remove(&id) else { return };
         match answer {
             PinAnswer::Pinned { instance, duration } => {
                 host.avoid.remove(&target);
                 // A pin that took as long as a load was one, whatever the view said.
-                if now.since(sent) > Duration::from_millis(100) {
+                if !kind.spread() && now.since(sent) > Duration::from_millis(100) {
                     for i in self.hosts[h].waiting_for(&target, self.t) {
                         self.stalled[i] = true;
                     }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -129,6 +129,16 @@
     pub duration: Duration,
 }
 
+/// Where another replica is worth a load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spread {
+    /// Engine.
+    pub engine: ArcStr,
+    /// Whether a request waits for it. Otherwise the pin request is a prefetch, which evicts only
+    /// less popular adapters: a cold adapter on an engine that stays full would wait for ever.
+    pub urgent: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Pin {
     instance: ArcStr,
@@ -255,7 +265,7 @@
 
     /// Engine on which another replica is worth a load: when the demand fills the present ones, or
     /// when a request has waited for [`SPREAD_WAIT`] because their engines are full.
-    pub fn spread(&self, now: Tick, need: &Need<'_>, waited: Duration) -> Option<ArcStr> {
+    pub fn spread(&self, now: Tick, need: &Need<'_>, waited: Duration) -> Option<Spread> {
         let all = || self.engines.iter().filter(|(_, v)| v.serves(need.model));
         let having: Vec<&View> =
             all().filter(|(_, v)| v.has(need.target)).map(|(_, v)| v).collect();
@@ -267,7 +277,8 @@
         }
         let rest: Vec<(&ArcStr, &View)> =
             all().filter(|(n, v)| !v.has(need.target) && !need.avoid.contains(n)).collect();
-        self.home(now, need, &rest).cloned()
+        let engine = self.home(now, need, &rest)?.clone();
+        Some(Spread { engine, urgent: full })
     }
 
     /// A request starts on an engine. It runs under the pin if there is one.
--- a/crates/core/src/route/tests.rs
+++ b/crates/core/src/route/tests.rs
@@ -148,6 +148,26 @@
         assert!(matches!(pick(&r, at(88_400), &target, 1), Choice::Run { .. }));
         assert!(matches!(pick(&r, at(88_600), &target, 1), Choice::Pin { .. }));
     }
+    // Guards against a cold adapter that waits for ever because its only replica is on an engine that
+    // popular adapters keep full.
+    a_request_that_waits_for_a_full_engine_is_worth_a_replica: {
+        let mut r = fleet(2);
+        r.report(at(0), &report("e0", 4, &[("a:1", 0), ("b:1", 4)]));
+        r.report(at(0), &report("e1", 1, &[]));
+        let (model, target) = (ArcStr::from("m"), target("a"));
+        assert_eq!(pick(&r, at(1), &target, 1), Choice::Wait);
+        let need = Need {
+            model: &model,
+            target: &target,
+            class: Class::Interactive,
+            deadline: at(60_000),
+            avoid: &[],
+            prefix: None,
+        };
+        assert_eq!(r.spread(at(1), &need, Duration::ZERO), None);
+        let s = r.spread(at(501), &need, Duration::from_millis(500)).unwrap();
+        assert!(s.engine == "e1" && s.urgent);
+    }
     // Guards against ejecting every replica of an adapter.
     at_most_half_of_the_replicas_are_ejected: {
         let mut r = fleet(3);
