--- a/crates/bench/src/experiment/summary.rs
+++ b/crates/bench/src/experiment/summary.rs
@@ -58,7 +58,7 @@
         requests: Counts { dropped, ..metrics::counts(completions()) },
         calls: metrics::counts(measured.iter().filter(|x| x.arrival.plain.is_some())),
         metrics: Metrics {
-            stalls: metrics::stalls(&measured, &evidence.engines, span.0),
+            stalls: metrics::stalls(&measured, &evidence.engines, span),
             batch: metrics::batch(&measured, &evidence.engines, slots, span),
             worst: metrics::worst(&accounts),
             refusals,
--- a/crates/bench/src/metrics.rs
+++ b/crates/bench/src/metrics.rs
@@ -96,8 +96,9 @@
 }
 
 /// Load stalls: a request waited if the engine that ran it finished loading its instance after the
-/// request was sent; the wait is the time between the two. Loads count from `from_us` on.
-pub fn stalls(samples: &[Sample], engines: &Journals, from_us: u64) -> Stalls {
+/// request was sent; the wait is the time between the two. Loads count if they began in
+/// `span`.
+pub fn stalls(samples: &[Sample], engines: &Journals, span: (u64, u64)) -> Stalls {
     let sent: HashMap<&str, u64> =
         samples.iter().map(|s| (s.outcome.mark.as_str(), s.outcome.sent_us)).collect();
     let mut waits = Vec::new();
@@ -108,7 +109,7 @@
         for e in journal {
             match (e.kind.as_str(), &e.code) {
                 ("load_begin", _) => {
-                    loads += u64::from(e.at_us >= from_us);
+                    loads += u64::from((span.0..=span.1).contains(&e.at_us));
                     loading.insert(e.instance.as_str());
                 }
                 ("load", None) if loading.remove(e.instance.as_str()) => {
--- a/crates/bench/src/metrics/tests.rs
+++ b/crates/bench/src/metrics/tests.rs
@@ -60,7 +60,7 @@
             entry(501_000, "request", "late"),
         ];
         let s = [sample("early", 100_000, 900_000), sample("late", 400_000, 900_000)];
-        let out = stalls(&s, &[("e0".to_owned(), j)].into(), 0);
+        let out = stalls(&s, &[("e0".to_owned(), j)].into(), (0, 1_000_000));
         assert_eq!((out.count, out.loads), (1, 1));
         assert_eq!((out.p50_ms, out.seconds_per_1000), (200.0, 100.0));
     }
