--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -23,6 +23,7 @@
 use super::{
     Control,
     commands::controller,
+    loads::Loads,
     messages::{
         Admit, AdmitPlain, Again, Call, Code, Dispatch, Done, Flight, NotRun, Outcome, Refusal,
         Reply, RequestId, Run,
@@ -33,8 +34,12 @@
     mesh::{CALL_LIMIT, LinkError},
 };
 
-/// How long a request waits for loans before it is refused.
-const LOAN_WAIT: Duration = Duration::from_millis(400);
+/// How long a request waits for tokens before it is refused: for loans, and for the refill of an
+/// allowance that is used up for a moment.
+const TOKEN_WAIT: Duration = Duration::from_secs(1);
+/// Requests of one account that wait for tokens. Beyond it they are refused at once, so that an
+/// account far above its rate does not fill the host.
+const TOKEN_QUEUE: usize = 32;
 /// Upstreams that one request may be sent to.
 const MAX_TRIES: u32 = 6;
 /// How long a controlling host keeps a request for a pin. It exceeds [`PIN_ASK`], so that a request
@@ -51,7 +56,8 @@
 const TOTAL: usize = 4096;
 /// Tokens per second of one running request before any has been measured: 40 ms per token.
 const SPEED: u64 = 25;
-/// Refusals that `explain` remembers.
+/// Requests that `explain` remembers: so many that ended, and so many that were refused on arrival,
+/// so that a flood of refusals does not push out the others.
 const REMEMBERED: usize = 512;
 /// Prefixes whose engine is remembered, about 0.5 MB. All are dropped when it is exceeded; they
 /// are only a hint.
@@ -62,12 +68,14 @@
 pub(super) struct Requests {
     open: SlotMap<Flight, Open>,
     ids: HashMap<RequestId, Flight>,
-    // Requests that wait for loans, oldest first.
-    pending: VecDeque<RequestId>,
+    // Requests that wait for tokens, by account, oldest first.
+    pending: BTreeMap<ArcStr, VecDeque<RequestId>>,
     refused: VecDeque<(RequestId, Refusal)>,
+    ended: VecDeque<Past>,
     // Engines asked for a pin: `None` while the answer is awaited, else when to ask again.
     pins: BTreeMap<(ArcStr, Target), Option<Tick>>,
     last_pin: u64,
+    loads: Loads,
     prefixes: HashMap<u64, ArcStr>,
     plain: BTreeMap<ArcStr, u32>,
     turn: usize,
@@ -79,7 +87,7 @@
     account: Option<ArcStr>,
     cost: u64,
     deadline: Tick,
-    loan_limit: Tick,
+    token_limit: Tick,
     grant: Option<Grant>,
     work: Work,
     avoid: Vec<ArcStr>,
@@ -88,6 +96,15 @@
     running: Option<Running>,
     stalled: bool,
     tries: u32,
+    clock: Phases,
+}
+
+// What became of a reservation of tokens.
+enum Reserved {
+    Granted,
+    // It waits for loans or for the refill.
+    Wait,
+    Refused,
 }
 
 // What became of a call for a pin.
@@ -98,6 +115,90 @@
     Failed,
 }
 
+/// Where a request spent its time before it was sent to an upstream.
+#[derive(Clone, Copy, Debug, Default)]
+struct Phases {
+    // Start of the present wait and, while a pin is missing, of the wait for it.
+    since: Tick,
+    pin_since: Option<Tick>,
+    tokens: Duration,
+    queue: Duration,
+    pin: Duration,
+}
+
+impl Phases {
+    fn new(now: Tick) -> Self {
+        Self { since: now, ..Self::default() }
+    }
+
+    fn granted(&mut self, now: Tick) {
+        self.tokens += now.since(self.since);
+        self.since = now;
+    }
+
+    /// Ends the wait for a pin and returns its length.
+    fn pinned(&mut self, now: Tick) -> Option<Duration> {
+        let start = self.pin_since.take()?.max(self.since);
+        let wait = now.since(start);
+        self.queue += start.since(self.since);
+        self.pin += wait;
+        self.since = now;
+        Some(wait)
+    }
+
+    fn left_queue(&mut self, now: Tick) {
+        self.pinned(now);
+        self.queue += now.since(self.since);
+        self.since = now;
+    }
+
+    fn json(&self) -> serde_json::Value {
+        json!({
+            "tokens_ms": self.tokens.as_millis(), "queue_ms": self.queue.as_millis(),
+            "pin_ms": self.pin.as_millis(),
+        })
+    }
+}
+
+// A request that has ended, for `explain`.
+struct Past {
+    id: RequestId,
+    account: Option<ArcStr>,
+    tokens: u64,
+    used: u64,
+    place: Option<Place>,
+    avoid: Vec<ArcStr>,
+    tries: u32,
+    waited: Phases,
+    end: End,
+}
+
+enum End {
+    Refused(Refusal),
+    Done(Outcome),
+}
+
+/// Why a pin is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Why {
+    /// A request waits for it; the adapter version is resident.
+    Run,
+    /// A request waits for it and probably for a load.
+    Load,
+    /// Another replica is worth a load.
+    Spread,
+}
+
+// A call for a pin.
+struct PinCall {
+    sent: Tick,
+    engine: ArcStr,
+    target: Target,
+    id: u64,
+    why: Why,
+}
+
+#[derive(Clone)]
 struct Place {
     upstream: ArcStr,
     instance: ArcStr,
@@ -109,6 +210,59 @@
     Plain { upstreams: Vec<ArcStr> },
 }
 
+impl Open {
+    // Whether it needs tokens of an account.
+    fn is_metered(&self) -> bool {
+        self.account.is_some() && self.cost > 0
+    }
+
+    // Whether it is in the queue for an adapter version.
+    fn waits_for(&self, target: &Target) -> bool {
+        let queued = self.at.is_none() && (self.grant.is_some() || !self.is_metered());
+        queued && matches!(&self.work, Work::Completion { target: t, .. } if t == target)
+    }
+
+    // Its waits, with the present one.
+    fn waited(&self, now: Tick) -> Phases {
+        let mut p = self.clock;
+        match (&self.at, &self.grant) {
+            (Some(_), _) => {}
+            (None, None) if self.is_metered() => p.granted(now),
+            (None, _) => p.left_queue(now),
+        }
+        p
+    }
+
+    fn past(self, waited: Phases, place: Option<Place>, used: u64, end: End) -> Past {
+        let Self { id, account, cost: tokens, avoid, tries, .. } = self;
+        Past { id, account, tokens, used, place, avoid, tries, waited, end }
+    }
+}
+
+impl Past {
+    fn json(&self) -> serde_json::Value {
+        let mut v = json!({
+            "request": self.id.to_string(), "account": self.account, "tokens": self.tokens,
+            "used": self.used, "upstream": self.place.as_ref().map(|p| &p.upstream),
+            "instance": self.place.as_ref().map(|p| &p.instance), "tries": self.tries,
+            "avoid": self.avoid, "waited": self.waited.json(),
+        });
+        match &self.end {
+            End::Refused(r) => {
+                v["state"] = json!("refused");
+                v["code"] = json!(r.code);
+                v["message"] = json!(r.message);
+                v["run"] = json!(r.run);
+            }
+            End::Done(outcome) => {
+                v["state"] = json!("ended");
+                v["outcome"] = json!(outcome.name());
+            }
+        }
+        v
+    }
+}
+
 impl Control {
     /// Takes a call of a traffic thread.
     pub(super) fn traffic_call(&mut self, now: Tick, call: Call, ctx: &mut Context<Self>) {
@@ -142,25 +296,36 @@
         }
     }
 
+    /// Time until everything that waits in the classes above drafting is served. Drafting requests
+    /// may wait, so they do not count as overload.
+    pub(super) fn backlog(&self) -> Duration {
+        let all = u64::from(u32::MAX);
+        self.queue.expected_wait(&ArcStr::new(), 1, Class::Interactive, all)
+    }
+
     /// Open requests.
     pub(super) fn open_requests(&self) -> usize {
         self.requests.open.len()
     }
 
     /// Where a request stands, or why it was refused.
-    pub(super) fn explain_request(&self, id: RequestId) -> Option<serde_json::Value> {
+    pub(super) fn explain_request(&self, now: Tick, id: RequestId) -> Option<serde_json::Value> {
         if let Some(o) = self.requests.ids.get(&id).and_then(|f| self.requests.open.get(*f)) {
             let state = match (&o.at, &o.grant) {
                 (Some(_), _) => "running",
                 (None, Some(_)) => "waiting for an upstream",
                 (None, None) => "waiting for tokens",
             };
-            let upstream = o.at.as_ref().map(|p| p.upstream.clone());
             return Some(json!({
                 "request": id.to_string(), "state": state, "account": o.account,
-                "tokens": o.cost, "upstream": upstream, "tries": o.tries, "avoid": o.avoid,
+                "tokens": o.cost, "upstream": o.at.as_ref().map(|p| &p.upstream),
+                "instance": o.at.as_ref().map(|p| &p.instance), "tries": o.tries,
+                "avoid": o.avoid, "waited": o.waited(now).json(),
             }));
         }
+        if let Some(p) = self.requests.ended.iter().rev().find(|p| p.id == id) {
+            return Some(p.json());
+        }
         let (_, r) = self.requests.refused.iter().rev().find(|(i, _)| *i == id)?;
         Some(json!({
             "request": id.to_string(), "state": "refused", "code": r.code,
@@ -270,12 +435,13 @@
         reply: Reply<Result<Dispatch, Refusal>>,
         ctx: &mut Context<Self>,
     ) {
+        let payer = account.clone();
         let o = Open {
             id,
             account,
             cost,
             deadline: self.clock.tick(deadline),
-            loan_limit: now + LOAN_WAIT,
+            token_limit: now + TOKEN_WAIT,
             grant: None,
             work,
             avoid: Vec::new(),
@@ -284,35 +450,57 @@
             running: None,
             stalled: false,
             tries: 0,
+            clock: Phases::new(now),
         };
         let flight = self.requests.open.insert(o);
         self.requests.ids.insert(id, flight);
-        if self.reserve(now, flight) {
-            self.enqueue(now, flight, ctx);
-        } else if self.requests.open.contains_key(flight) {
-            self.requests.pending.push_back(id);
-            self.poll_loans(now, ctx);
+        // Requests that arrived earlier have the first claim on the account's tokens.
+        let reserved = match &payer {
+            Some(a) if cost > 0 && self.requests.pending.contains_key(a) => Reserved::Wait,
+            _ => self.reserve(now, flight),
+        };
+        match (reserved, payer) {
+            (Reserved::Granted, _) => self.enqueue(now, flight, ctx),
+            (Reserved::Wait, Some(a)) => self.wait_for_tokens(now, flight, a, ctx),
+            (Reserved::Wait, None) | (Reserved::Refused, _) => {}
+        }
+    }
+
+    fn wait_for_tokens(
+        &mut self,
+        now: Tick,
+        flight: Flight,
+        account: ArcStr,
+        ctx: &mut Context<Self>,
+    ) {
+        let Some(id) = self.requests.open.get(flight).map(|o| o.id) else { return };
+        let waiting = self.requests.pending.entry(account).or_default();
+        if waiting.len() >= TOKEN_QUEUE {
+            return self.close(now, flight, used_up(TOKEN_WAIT));
         }
+        waiting.push_back(id);
+        self.poll_loans(now, ctx);
     }
 
-    /// Reserves the tokens of a request. False: it waits for loans, or it was refused.
-    fn reserve(&mut self, now: Tick, flight: Flight) -> bool {
+    fn reserve(&mut self, now: Tick, flight: Flight) -> Reserved {
         let authority = self.authority(now);
-        let Some(o) = self.requests.open.get_mut(flight) else { return false };
-        let Some(account) = o.account.as_ref().filter(|_| o.cost > 0) else { return true };
+        let Some(o) = self.requests.open.get_mut(flight) else { return Reserved::Refused };
+        let Some(account) = o.account.as_ref().filter(|_| o.cost > 0) else {
+            return Reserved::Granted;
+        };
+        let may_wait = now < o.token_limit;
         let refusal = match self.allowance.reserve(now, authority, account, o.cost) {
             Verdict::Granted(g) => {
                 o.grant = Some(g);
-                return true;
-            }
-            Verdict::Pending if now < o.loan_limit => return false,
-            Verdict::Pending => {
-                Refusal::not_run(Code::RateLimited, "the account's allowance is used up")
-                    .retry(LOAN_WAIT)
+                o.clock.granted(now);
+                return Reserved::Granted;
             }
-            Verdict::Refused { retry: Some(t) } => {
-                Refusal::not_run(Code::RateLimited, "the account's allowance is used up").retry(t)
+            Verdict::Pending if may_wait => return Reserved::Wait,
+            Verdict::Refused { retry: Some(t) } if may_wait && t <= TOKEN_WAIT => {
+                return Reserved::Wait;
             }
+            Verdict::Pending => used_up(TOKEN_WAIT),
+            Verdict::Refused { retry: Some(t) } => used_up(t),
             Verdict::Refused { retry: None } => Refusal::not_run(
                 Code::OverBurst,
                 "the request can cost more tokens than the account's burst",
@@ -322,37 +510,58 @@
             }
         };
         self.close(now, flight, refusal);
-        false
+        Reserved::Refused
     }
 
-    /// Tries again for the requests that wait for loans.
+    /// Tries again for the requests that wait for tokens, and for a load permit.
     pub(super) fn retry_pending(&mut self, now: Tick, ctx: &mut Context<Self>) {
         if self.commands.permit_pending {
             self.take_permit(now, ctx);
         }
-        for _ in 0..self.requests.pending.len() {
-            let Some(id) = self.requests.pending.pop_front() else { return };
-            let Some(flight) = self.requests.ids.get(&id).copied() else { continue };
-            if self.reserve(now, flight) {
-                self.enqueue(now, flight, ctx);
-            } else if self.requests.open.contains_key(flight) {
-                self.requests.pending.push_back(id);
+        for account in self.requests.pending.keys().cloned().collect::<Vec<_>>() {
+            self.retry_account(now, &account, ctx);
+        }
+        self.requests.pending.retain(|_, ids| !ids.is_empty());
+    }
+
+    fn retry_account(&mut self, now: Tick, account: &ArcStr, ctx: &mut Context<Self>) {
+        let waiting = |s: &Self| s.requests.pending.get(account)?.front().copied();
+        while let Some(id) = waiting(self) {
+            let known = self.requests.ids.get(&id).copied();
+            // A request whose caller has gone is unknown.
+            let reserved = known.map_or(Reserved::Refused, |f| self.reserve(now, f));
+            if matches!(reserved, Reserved::Wait) {
+                return;
+            }
+            if let Some(ids) = self.requests.pending.get_mut(account) {
+                ids.pop_front();
+            }
+            if let (Reserved::Granted, Some(f)) = (reserved, known) {
+                self.enqueue(now, f, ctx);
             }
         }
     }
 
     fn enqueue(&mut self, now: Tick, flight: Flight, ctx: &mut Context<Self>) {
-        let Some(o) = self.requests.open.get(flight) else { return };
+        let Some(o) = self.requests.open.get_mut(flight) else { return };
+        o.clock.since = now;
         match &o.work {
             Work::Plain { upstreams } => {
                 let upstreams = upstreams.clone();
                 self.dispatch_plain(now, flight, &upstreams);
             }
             Work::Completion { class, weight, .. } => {
+                let (class, weight) = (*class, *weight);
+                if let Err(retry) = self.expect_load(now, flight) {
+                    let text = "loads take longer than the time left";
+                    let refusal = Refusal::not_run(Code::Overloaded, text).retry(retry);
+                    return self.close(now, flight, refusal);
+                }
+                let Some(o) = self.requests.open.get(flight) else { return };
                 let item = Item {
                     account: o.account.clone().unwrap_or_default(),
-                    weight: *weight,
-                    class: *class,
+                    weight,
+                    class,
                     tokens: o.cost,
                     deadline: o.deadline,
                     data: o.id,
@@ -370,6 +579,26 @@
         }
     }
 
+    // Refuses a request that needs a load if recent loads took longer than the time that it has
+    // left. The error is when another attempt makes sense.
+    fn expect_load(&mut self, now: Tick, flight: Flight) -> Result<(), Duration> {
+        let Some(o) = self.requests.open.get(flight) else { return Ok(()) };
+        let Work::Completion { target, model, class, .. } = &o.work else { return Ok(()) };
+        let left = o.deadline.since(now);
+        if self.requests.loads.expected(now) <= left {
+            return Ok(());
+        }
+        let (class, deadline, avoid) = (*class, o.deadline, &o.avoid);
+        let need = Need { model, target, class, deadline, avoid, prefix: None };
+        match self.route.pick(now, &need, self.random.next()) {
+            Choice::Pin { load: true, .. } => self.requests.loads.admit(now, left),
+            Choice::Pin { load: false, .. }
+            | Choice::Run { .. }
+            | Choice::Wait
+            | Choice::Nowhere => Ok(()),
+        }
+    }
+
     /// Starts the waiting requests that can start, and asks for the pins that others need.
     pub(super) fn drive(&mut self, now: Tick, ctx: &mut Context<Self>) {
         // One answer per adapter version, class and set of avoided engines is enough in one pass.
@@ -405,19 +634,27 @@
                         return true;
                     }
                     Choice::Pin { engine, load } => {
-                        wants.push((engine, target.clone(), model.clone(), load));
+                        let why = if load { Why::Load } else { Why::Run };
+                        wants.push((engine, target.clone(), model.clone(), why));
                     }
                     Choice::Nowhere => nowhere.push(item.data),
-                    Choice::Wait => {}
+                    Choice::Wait => {
+                        let waited = now.since(o.clock.since);
+                        if let Some(engine) = route.spread(now, &need, waited) {
+                            wants.push((engine, target.clone(), model.clone(), Why::Spread));
+                        }
+                    }
                 }
                 blocked.insert(key);
                 false
             });
-            for (engine, target, model, load) in wants {
-                if load {
-                    self.mark_stalled(&target);
+            for (engine, target, model, why) in wants {
+                match why {
+                    Why::Load => self.mark_waiting(now, &target, true),
+                    Why::Run => self.mark_waiting(now, &target, false),
+                    Why::Spread => {}
                 }
-                self.ask_pin(now, engine, target, model, 1, ctx);
+                self.ask_pin(now, engine, target, model, why, ctx);
             }
             for id in nowhere {
                 self.give_up(now, id);
@@ -449,11 +686,11 @@
         self.close(now, flight, r.retry(Duration::from_secs(1)));
     }
 
-    fn mark_stalled(&mut self, target: &Target) {
-        for o in self.requests.open.values_mut().filter(|o| o.at.is_none()) {
-            if matches!(&o.work, Work::Completion { target: t, .. } if t == target) {
-                o.stalled = true;
-            }
+    // The requests for the adapter version wait for a pin, with `load` for a load as well.
+    fn mark_waiting(&mut self, now: Tick, target: &Target, load: bool) {
+        for o in self.requests.open.values_mut().filter(|o| o.waits_for(target)) {
+            o.clock.pin_since.get_or_insert(now);
+            o.stalled |= load;
         }
     }
 
@@ -485,6 +722,8 @@
             flight,
         };
         o.at = Some(Place { upstream: engine.clone(), instance });
+        let waited = p.waited;
+        o.clock.left_queue(now);
         self.route.started(now, &engine, &target);
         let sent = o.reply.take().is_some_and(|r| r.send(Ok(d)).is_ok());
         if !sent {
@@ -499,8 +738,8 @@
         }
         let need =
             Need { model: &model, target: &target, class, deadline, avoid: &[], prefix: None };
-        if let Some(extra) = self.route.spread(now, &need) {
-            self.ask_pin(now, extra, target, model, 0, ctx);
+        if let Some(extra) = self.route.spread(now, &need, waited) {
+            self.ask_pin(now, extra, target, model, Why::Spread, ctx);
         }
     }
 
@@ -579,8 +818,14 @@
 
     fn done(&mut self, now: Tick, d: Done, ctx: &mut Context<Self>) {
         if let Some(t) = self.requests.spent.remove(&d.id) {
-            let ran = matches!(d.outcome, Outcome::Finished);
-            self.tickets.finish(t, if ran { Fate::Ran } else { Fate::Unknown });
+            match d.outcome {
+                Outcome::Finished => self.tickets.finish(t, Fate::Ran),
+                // After a silence a late start is possible.
+                Outcome::NotRun(NotRun::Silent) | Outcome::Cancelled | Outcome::Broken => {
+                    self.tickets.finish(t, Fate::Unknown);
+                }
+                Outcome::NotRun(_) => self.tickets.restore(t),
+            }
         }
         let known = || self.requests.ids.get(&d.id).copied();
         let Some(flight) = d.flight.or_else(known) else { return };
@@ -592,15 +837,18 @@
             Outcome::Cancelled | Outcome::NotRun(_) => route::Outcome::Neutral,
         };
         let gone = matches!(d.outcome, Outcome::NotRun(NotRun::UnknownInstance));
+        let place = self.requests.open.get(flight).and_then(|o| o.at.clone());
         self.leave_upstream(now, flight, d.used, outcome, gone, ctx);
         self.requests.ids.remove(&d.id);
-        let Some(o) = self.requests.open.remove(flight) else { return };
-        if let Some(g) = o.grant {
+        let Some(mut o) = self.requests.open.remove(flight) else { return };
+        let waited = if place.is_some() { o.clock } else { o.waited(now) };
+        if let Some(g) = o.grant.take() {
             self.allowance.settle(now, g, d.used);
         }
-        if o.at.is_none() {
+        if place.is_none() {
             self.queue.retain(|i| i.data != d.id);
         }
+        self.remember(o.past(waited, place, d.used, End::Done(d.outcome)));
         self.drive(now, ctx);
     }
 
@@ -642,7 +890,7 @@
         engine: ArcStr,
         target: Target,
         model: ArcStr,
-        requests: u32,
+        why: Why,
         ctx: &mut Context<Self>,
     ) {
         let key = (engine.clone(), target.clone());
@@ -652,7 +900,7 @@
         self.requests.pins.insert(key, None);
         self.requests.last_pin += 1;
         let (id, host) = (self.requests.last_pin, self.setup.incarnation);
-        let wait = PIN_WAIT;
+        let (wait, requests) = (PIN_WAIT, u32::from(why != Why::Spread));
         let q = PinRequest { host, id, engine, model, target, wait, requests };
         let hosts = self.config.rules().map_or(1, |r| r.hosts);
         let by = controller(&q.engine, hosts);
@@ -682,24 +930,23 @@
             }
         };
         ctx.spawn(call.into_actor(self).map(move |answer, act, ctx| {
-            act.pin_answered(now, engine, target, id, answer, ctx);
+            act.pin_answered(PinCall { sent: now, engine, target, id, why }, answer, ctx);
         }));
     }
 
-    fn pin_answered(
-        &mut self,
-        sent: Tick,
-        engine: ArcStr,
-        target: Target,
-        id: u64,
-        answer: Asked,
-        ctx: &mut Context<Self>,
-    ) {
+    fn pin_answered(&mut self, call: PinCall, answer: Asked, ctx: &mut Context<Self>) {
         let now = self.clock.now();
+        if call.why == Why::Load {
+            self.learn_load(now, &call, &answer);
+        }
+        let PinCall { sent, engine, target, id, .. } = call;
         let key = (engine.clone(), target.clone());
         match answer {
             Asked::Answered(PinAnswer::Pinned { instance, duration }) => {
                 self.requests.pins.remove(&key);
+                for o in self.requests.open.values_mut().filter(|o| o.waits_for(&target)) {
+                    o.clock.pinned(now);
+                }
                 let granted = Granted { engine, target, instance, id, sent, duration };
                 if let Some(u) = self.route.pinned(now, granted) {
                     self.send_unpin(now, u, ctx);
@@ -722,6 +969,24 @@
         self.drive(now, ctx);
     }
 
+    // Learns from a call for a pin how long loads take. A load may last for several calls.
+    fn learn_load(&mut self, now: Tick, call: &PinCall, answer: &Asked) {
+        let waits = self.requests.open.values().filter(|o| o.stalled && o.waits_for(&call.target));
+        let longest = waits.map(|o| o.waited(now).pin.saturating_sub(o.clock.pin)).max();
+        let wait = now.since(call.sent).max(longest.unwrap_or_default());
+        match answer {
+            Asked::Answered(PinAnswer::Pinned { .. }) => self.requests.loads.ended(now, wait),
+            Asked::Waiting
+            | Asked::Answered(PinAnswer::Refused {
+                reason:
+                    placement::Reason::Full | placement::Reason::Busy | placement::Reason::Expired,
+                ..
+            }) => self.requests.loads.open(now, wait),
+            // Other reasons concern one engine or adapter and say nothing about loads.
+            Asked::Answered(PinAnswer::Refused { .. }) | Asked::Failed => {}
+        }
+    }
+
     // Requests that wait for the adapter version go elsewhere.
     fn avoid(&mut self, engine: &ArcStr, target: &Target) {
         for o in self.requests.open.values_mut().filter(|o| o.at.is_none()) {
@@ -811,17 +1076,27 @@
 
     // Ends a request that was not sent anywhere, with a refusal.
     fn close(&mut self, now: Tick, flight: Flight, r: Refusal) {
-        let Some(o) = self.requests.open.remove(flight) else { return };
+        let Some(mut o) = self.requests.open.remove(flight) else { return };
         self.requests.ids.remove(&o.id);
         if let Some(t) = self.requests.spent.remove(&o.id) {
             self.tickets.restore(t);
         }
-        if let Some(g) = o.grant {
+        if let Some(reply) = o.reply.take() {
+            let _ = reply.send(Err(r.clone()));
+        }
+        let waited = o.waited(now);
+        let grant = o.grant.take();
+        self.remember(o.past(waited, None, 0, End::Refused(r)));
+        if let Some(g) = grant {
             self.allowance.settle(now, g, 0);
         }
-        if let Some(reply) = o.reply {
-            self.refuse(o.id, reply, r);
+    }
+
+    fn remember(&mut self, p: Past) {
+        if self.requests.ended.len() == REMEMBERED {
+            self.requests.ended.pop_front();
         }
+        self.requests.ended.push_back(p);
     }
 
     fn refuse(&mut self, id: RequestId, reply: Reply<Result<Dispatch, Refusal>>, r: Refusal) {
@@ -833,6 +1108,10 @@
     }
 }
 
+fn used_up(retry: Duration) -> Refusal {
+    Refusal::not_run(Code::RateLimited, "the account's allowance is used up").retry(retry)
+}
+
 fn denied(d: Denied) -> Refusal {
     let (code, run) = match d {
         // The process that issued it may have run the request.
