--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -120,7 +120,10 @@
     /// A request waits for it and probably for a load.
     Load,
     /// Another replica is worth a load.
-    Spread,
+    Spread {
+        /// Whether requests wait for it, because the present replicas are full.
+        urgent: bool,
+    },
 }
 
 // A call for a pin.
@@ -541,8 +544,9 @@
                     Choice::Nowhere => nowhere.push(item.data),
                     Choice::Wait => {
                         let waited = o.waits.lasts(now);
-                        if let Some(engine) = route.spread(now, &need, waited) {
-                            wants.push((engine, target.clone(), model.clone(), Why::Spread));
+                        if let Some(s) = route.spread(now, &need, waited) {
+                            let why = Why::Spread { urgent: s.urgent };
+                            wants.push((s.engine, target.clone(), model.clone(), why));
                         }
                     }
                 }
@@ -593,7 +597,7 @@
             match why {
                 Why::Load => *loads.entry(target).or_default() = true,
                 Why::Run => *loads.entry(target).or_default() |= false,
-                Why::Spread => {}
+                Why::Spread { .. } => {}
             }
         }
         for o in self.requests.open.values_mut().filter(|o| o.is_queued()) {
@@ -649,8 +653,9 @@
         }
         let need =
             Need { model: &model, target: &target, class, deadline, avoid: &[], prefix: None };
-        if let Some(extra) = self.route.spread(now, &need, waited) {
-            self.ask_pin(now, extra, target, model, Why::Spread, ctx);
+        if let Some(s) = self.route.spread(now, &need, waited) {
+            let why = Why::Spread { urgent: s.urgent };
+            self.ask_pin(now, s.engine, target, model, why, ctx);
         }
     }
 
@@ -812,7 +817,7 @@
         self.requests.pins.insert(key, None);
         self.requests.last_pin += 1;
         let (id, host) = (self.requests.last_pin, self.setup.incarnation);
-        let (wait, requests) = (PIN_WAIT, u32::from(why != Why::Spread));
+        let (wait, requests) = (PIN_WAIT, u32::from(why != Why::Spread { urgent: false }));
         let q = PinRequest { host, id, engine, model, target, wait, requests };
         let hosts = self.config.rules().map_or(1, |r| r.hosts);
         let by = controller(&q.engine, hosts);
