Give the placement the reports of all engines

Cause: the eviction choice counts replicas on other engines, but the control thread passed only reports of engines that it controls. Change: it passes all reports. Conclusion: the choice sees all replicas.

--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -223,11 +223,9 @@
         }
         let boot = number(&boot);
         let resident: Vec<_> = r.resident.into_iter().map(|i| (i.name, i.running)).collect();
-        if self.controlled.iter().any(|s| s.name == engine) {
-            let report =
-                placement::Report { engine: engine.clone(), boot, resident: resident.clone() };
-            self.place(now, placement::Event::Report(report), ctx);
-        }
+        // Reports of engines that other hosts control count replicas.
+        let report = placement::Report { engine: engine.clone(), boot, resident: resident.clone() };
+        self.place(now, placement::Event::Report(report), ctx);
         let (running, waiting) = (r.running, r.waiting);
         self.route.report(now, &route::Report { engine, boot, running, waiting, resident });
         self.drive(now, ctx);
