--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -3,7 +3,7 @@
 //! For each ordinal at most one process at a time has authority. A process that wants an ordinal
 //! first asks its peers for the generations they know ([`Step::Query`]), then asks them to admit
 //! it under the next one ([`Step::Admit`]), and from then on renews the lease
-//! ([`Step::Renew`]). A generation is written down by a majority before it is used, so of two
+//! ([`Step::Renew`]), first without its own vote. A generation is written down by a majority before it is used, so of two
 //! candidates with the same generation at most one is admitted.
 //!
 //! A voter that was replaced without noticing must not be counted. Every vote therefore carries
@@ -178,7 +178,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Candidate,
-    Admitted { generation: Generation, votes_from: Tick },
+    Admitted { generation: Generation, votes_from: Tick, confirmed: bool },
     Ended,
 }
 
@@ -227,7 +227,7 @@
 
     /// The right to use the ordinal, `None` when this process does not hold it now.
     pub fn authority(&self, now: Tick) -> Option<Authority> {
-        let State::Admitted { generation, .. } = self.state else { return None };
+        let State::Admitted { generation, confirmed: true, .. } = self.state else { return None };
         if now >= self.until || !self.member() {
             return None;
         }
@@ -418,10 +418,10 @@
 
     fn consider(&self, now: Tick, q: &LeaseRequest) -> Option<Refusal> {
         let i = index(q.ordinal);
-        let State::Admitted { votes_from, .. } = self.state else {
+        let State::Admitted { votes_from, confirmed, .. } = self.state else {
             return Some(Refusal::NotAdmitted);
         };
-        if now < votes_from {
+        if now < votes_from || !confirmed {
             return Some(Refusal::Quarantined);
         }
         if q.version < self.setup.version {
@@ -473,12 +473,12 @@
     fn count(&mut self, now: Tick, out: &mut Vec<Effect>) {
         let sizes = self.required();
         let all = self.round.granted(&self.known).with(self.setup.ordinal);
-        let own = self.round.step == Step::Renew;
+        let own = matches!(self.state, State::Admitted { confirmed: true, .. });
         let voters = if own { all } else { all.without(self.setup.ordinal) };
         let single = self.setup.hosts == 1 && !self.resizing();
         let enough = match self.round.step {
             Step::Found => all.len() == self.setup.hosts,
-            Step::Query | Step::Admit if single => true,
+            _ if single => true,
             _ => sizes.all_have_majority(voters),
         };
         let overtaken = self.round.step != Step::Query
@@ -507,20 +507,40 @@
         }
     }
 
+    // A new process does not know which configuration its predecessor had confirmed. So its own
+    // vote counts, and its authority starts, only after a round without its own vote that was sent
+    // after the admission. Otherwise an older configuration could get a majority again.
     fn admit(&mut self, now: Tick, out: &mut Vec<Effect>) {
         let generation = self.round.generation;
+        let found = self.round.step == Step::Found;
         // At a first start there are no grants of predecessors to wait for.
-        let votes_from = if self.round.step == Step::Found { now } else { now + plus_drift(LEASE) };
+        let votes_from = if found { now } else { now + plus_drift(LEASE) };
         self.known[index(self.setup.ordinal)] = generation;
-        self.state = State::Admitted { generation, votes_from };
-        self.until = self.round.sent + less_drift(LEASE);
-        self.held = self.authority(now).is_some();
-        self.next = self.round.sent + RENEW;
-        out.push(Effect::Admitted(generation));
+        self.state = State::Admitted { generation, votes_from, confirmed: found };
+        self.next = now + RENEW;
+        if found {
+            self.hold(now, Effect::Admitted(generation), out);
+        } else {
+            self.ask(Step::Renew, generation, now, out);
+        }
     }
 
-    fn renew(&mut self, now: Tick, out: &mut Vec<Effect>) {
+    fn hold(&mut self, now: Tick, effect: Effect, out: &mut Vec<Effect>) {
         self.until = self.until.max(self.round.sent + less_drift(LEASE));
+        if !self.held && self.authority(now).is_some() {
+            self.held = true;
+            out.push(effect);
+        }
+    }
+
+    fn renew(&mut self, now: Tick, out: &mut Vec<Effect>) {
+        let mut effect = Effect::Regained;
+        if let State::Admitted { generation, confirmed, .. } = &mut self.state
+            && !std::mem::replace(confirmed, true)
+        {
+            effect = Effect::Admitted(*generation);
+        }
+        self.hold(now, effect, out);
         if self.resizing() && self.agreed.is_none() {
             let same = self.round.votes_with(self.setup.version).with(self.setup.ordinal);
             let voters = self.round.granted(&self.known).with(self.setup.ordinal).both(same);
@@ -528,10 +548,6 @@
                 self.agreed = Some(now);
             }
         }
-        if !self.held && self.authority(now).is_some() {
-            self.held = true;
-            out.push(Effect::Regained);
-        }
     }
 
     // Group sizes whose majority the round needs: this host's and, while it may be that hosts with
--- a/crates/core/src/lease/tests.rs
+++ b/crates/core/src/lease/tests.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 
-use super::{Effect, Lease, LeaseRequest, RENEW, Refusal, Setup, Step};
+use super::{Effect, LEASE, Lease, LeaseRequest, RENEW, Refusal, Setup, Step};
 use crate::{
     ids::{Generation, Incarnation, Ordinal},
-    time::Tick,
+    time::{Tick, less_drift},
 };
 
 const SECOND: u64 = 1_000_000;
@@ -214,6 +214,62 @@
         a.voted(late, Ordinal(1), vote, &mut out);
         assert!(a.authority(late).is_none());
     }
+    // Guards against a lease that is counted from the votes instead of the request.
+    a_lease_is_counted_from_its_request: {
+        let mut g = Group::founded(3);
+        g.now = g.now + RENEW;
+        let (sent, mut out) = (g.now, Vec::new());
+        g.hosts[0].as_mut().unwrap().poll(sent, &mut out);
+        g.now = g.now + Duration::from_millis(400);
+        g.deliver(0, out);
+        let until = g.hosts[0].as_ref().unwrap().authority(g.now).unwrap().until;
+        assert_eq!(until, sent + less_drift(LEASE));
+    }
+    // Guards against two processes that are admitted under the same generation one after the other.
+    a_generation_is_granted_to_one_process: {
+        let mut g = Group::founded(3);
+        g.now = g.now + Duration::from_secs(4);
+        let mut q = LeaseRequest {
+            ordinal: Ordinal(1),
+            incarnation: Incarnation(98),
+            generation: Generation(2),
+            round: 1,
+            step: Step::Admit,
+            version: 1,
+        };
+        let voter = g.hosts[0].as_mut().unwrap();
+        assert_eq!(voter.vote(g.now, &q).refusal, None);
+        g.now = g.now + Duration::from_secs(4);
+        q.incarnation = Incarnation(99);
+        assert_eq!(voter.vote(g.now, &q).refusal, Some(Refusal::Replaced));
+    }
+    // Guards against an older configuration that gets a majority again: the new process was granted
+    // its admission before the voters had the new version, and may not count its own vote yet.
+    a_new_process_confirms_its_configuration: {
+        let mut g = Group::founded(3);
+        let (mut out, mut asks) = (Vec::new(), Vec::new());
+        g.hosts[1] = None;
+        g.now = g.now + Duration::from_secs(4);
+        let setup = g.setup(1, None);
+        let mut new = Lease::new(setup, g.now);
+        new.poll(g.now, &mut out);
+        for step in [Step::Query, Step::Admit, Step::Renew] {
+            asks.clear();
+            asks.append(&mut out);
+            if step == Step::Renew {
+                g.hosts[0].as_mut().unwrap().configure(g.now, 2, 3);
+            }
+            for e in &asks {
+                let Effect::Ask { to, request } = e else { continue };
+                assert_eq!(request.step, step);
+                let vote = g.hosts[usize::from(to.0)].as_mut().unwrap().vote(g.now, request);
+                new.voted(g.now, *to, vote, &mut out);
+            }
+        }
+        assert_eq!(new.admitted(), Some(Generation(2)));
+        assert!(new.authority(g.now).is_none());
+        assert!(out.contains(&Effect::Behind { from: Ordinal(0), version: 2 }));
+    }
     // Guards against a new voter that does not know its predecessor's grants.
     a_new_voter_is_quarantined: {
         let mut g = Group::founded(3);
