--- a/crates/core/examples/placement_figures/hosts.rs
+++ b/crates/core/examples/placement_figures/hosts.rs
@@ -264,9 +264,10 @@
                 for h in 0..self.s.hosts {
                     self.hosts[h].route.report(now, &r);
                 }
-                let holder = self.engine(&r.engine) % self.s.hosts;
                 let r = placement::Report { engine: r.engine, boot: r.boot, resident: r.resident };
-                self.tell(holder, Event::Report(r));
+                for h in 0..self.s.hosts {
+                    self.tell(h, Event::Report(r.clone()));
+                }
             }
             What::ReportNow => {
                 for e in 0..self.s.engines {
@@ -363,9 +364,10 @@
     fn pump(&mut self, h: usize) {
         let now = self.tick();
         let model = ArcStr::from("m");
-        let mut passed: BTreeMap<Target, (u32, Choice)> = BTreeMap::new();
+        let mut passed: BTreeMap<Target, (u32, Choice, bool)> = BTreeMap::new();
         loop {
             let mut chosen = None;
+            let mut more = None;
             let Host { route, queue, avoid, .. } = &mut self.hosts[h];
             let targets = &self.t.requests;
             let random = &mut self.random;
@@ -374,7 +376,7 @@
                 let i = item.data;
                 let adapter = ArcStr::from(format!("a{}", targets[i].adapter));
                 let target = Target { adapter, version: ArcStr::from("1") };
-                if let Some((n, _)) = passed.get_mut(&target) {
+                if let Some((n, _, _)) = passed.get_mut(&target) {
                     *n += 1;
                     return false;
                 }
@@ -392,18 +394,20 @@
                 };
                 match route.pick(now, &need, random.next()) {
                     Choice::Run { engine, instance } => {
+                        more = route.spread(now, &need, Duration::ZERO);
                         chosen = Some((engine, instance, target));
                         true
                     }
                     Choice::Wait => {
-                        let spread = route.spread(now, &need);
+                        let waited = Duration::from_micros(at - targets[i].at);
+                        let spread = route.spread(now, &need, waited);
                         let c = spread
                             .map_or(Choice::Wait, |engine| Choice::Pin { engine, load: true });
-                        passed.insert(target, (0, c));
+                        passed.insert(target, (1, c, false));
                         false
                     }
                     c => {
-                        passed.insert(target, (1, c));
+                        passed.insert(target, (1, c, true));
                         false
                     }
                 }
@@ -412,13 +416,17 @@
             };
             let (i, running) = (popped.item.data, popped.running);
             let Some((engine, instance, target)) = chosen else { break };
+            if let Some(engine) = more {
+                self.ask(h, target.clone(), engine, 0, false);
+            }
             let host = &mut self.hosts[h];
             host.route.started(now, &engine, &target);
             host.running.insert(i, running);
             let e = self.engine(&engine);
             self.post(ENGINE_US, What::Start(e, i, instance));
         }
-        for (target, (requests, choice)) in passed {
+        for (target, (requests, choice, cold)) in passed {
+            let requests = if cold { requests } else { 0 };
             if let Choice::Pin { engine, load } = choice {
                 self.ask(h, target, engine, requests, load);
             }
@@ -446,7 +454,7 @@
             engine,
             model: ArcStr::from("m"),
             target,
-            wait: Duration::from_secs(60),
+            wait: Duration::from_secs(if requests > 0 { 60 } else { 2 }),
             requests,
         };
         self.post(PEER_US, What::Pin(holder, r));
--- a/crates/daemon/src/control/history.rs
+++ b/crates/daemon/src/control/history.rs
@@ -65,6 +65,11 @@
         self.since = now;
     }
 
+    /// How long the present wait has lasted.
+    pub(super) fn present(&self, now: Tick) -> Duration {
+        now.since(self.since)
+    }
+
     /// How long the present wait for a pin has lasted.
     pub(super) fn without_pin(&self, now: Tick) -> Duration {
         self.pin_since.map_or(Duration::ZERO, |t| now.since(t.max(self.since)))
