--- a/crates/daemon/src/control/history.rs
+++ b/crates/daemon/src/control/history.rs
@@ -33,6 +33,11 @@
         Self { since: now, ..Self::default() }
     }
 
+    /// Length of the present wait.
+    pub(super) fn lasts(&self, now: Tick) -> Duration {
+        now.since(self.since)
+    }
+
     /// The present wait begins; what was before it is not counted.
     pub(super) fn restart(&mut self, now: Tick) {
         self.since = now;
@@ -65,11 +70,6 @@
         self.since = now;
     }
 
-    /// How long the present wait has lasted.
-    pub(super) fn present(&self, now: Tick) -> Duration {
-        now.since(self.since)
-    }
-
     /// How long the present wait for a pin has lasted.
     pub(super) fn without_pin(&self, now: Tick) -> Duration {
         self.pin_since.map_or(Duration::ZERO, |t| now.since(t.max(self.since)))
