--- a/crates/bench/tests/p7_once.rs
+++ b/crates/bench/tests/p7_once.rs
@@ -89,13 +89,14 @@
     a_call_whose_link_breaks_is_not_repeated: {
         let plan = Plan::new(3).route("/once", |r| r.idempotent = false).proxied();
         let (f, d, t) = fleet(plan).await?;
-        f.faults("p0", json!({"delay_ms": 600})).await?;
+        f.faults("p0", json!({"delay_ms": 4000})).await?;
         let hosts: Vec<_> = t.iter().map(|t| t.name.as_str()).collect();
         let ticket = f.http.ticket(t[0].addr, &key("press")).await?;
         let to = [&t[0], &t[0]];
         let call = d.call_each(&to, once(Some(ticket)), false, false);
         let fault = async {
-            tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+            let runs = || async { f.journal("p0").await.is_ok_and(|j| !j.is_empty()) };
+            eventually("the call's run", LONG, runs).await.unwrap();
             f.links(&hosts, &["p0"], |l| l.cut = true).unwrap();
             tokio::time::sleep(std::time::Duration::from_millis(100)).await;
             f.links(&hosts, &["p0"], |l| l.cut = false).unwrap();
