Read reports of unused engines less often; limit requests for replicas

Cause: a report costs about 370 bytes; with 55 engines in a group a host spent 20.7 KB/s on reports, against a budget of 9 KB/s. Near capacity, hosts asked for further replicas in vain. Change: engines that a host neither controls nor uses are read every 4 s; a further replica of an adapter version is asked for at most twice a second.

--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -27,10 +27,15 @@
     mesh::Answer,
 };
 
-/// Interval between two reports of an engine that this host controls.
+/// Interval between two reports of an engine that this host controls and uses.
 const REPORT_OWN: Duration = Duration::from_millis(500);
-/// Interval between two reports of another engine.
+/// Interval between two reports of an engine that this host either controls or uses.
 const REPORT_OTHER: Duration = Duration::from_secs(1);
+/// Interval between two reports of any other engine. A report costs about 370 bytes, and a group
+/// has 55 engines at the design size.
+const REPORT_IDLE: Duration = Duration::from_secs(4);
+/// An engine is in use for this long after a request was sent to it.
+const IN_USE: Duration = Duration::from_secs(10);
 /// Deadline of a report.
 const REPORT_LIMIT: Duration = Duration::from_secs(1);
 /// Deadline of a load or unload command.
@@ -50,6 +55,8 @@
     // When the next report of an engine is due; `None` while one is in progress.
     reports: BTreeMap<ArcStr, Option<Tick>>,
     boots: BTreeMap<ArcStr, ArcStr>,
+    /// When a request was last sent to an engine.
+    pub(super) used: BTreeMap<ArcStr, Tick>,
     /// Whether the placement waits for a load permit that has to be borrowed.
     pub(super) permit_pending: bool,
     // Clients keep their connection; one that failed is dropped with it.
@@ -190,6 +197,7 @@
         for engine in due {
             let Some(addr) = self.engine_addr(&engine) else {
                 self.commands.reports.remove(&engine);
+                self.commands.used.remove(&engine);
                 continue;
             };
             self.commands.reports.insert(engine.clone(), None);
@@ -201,7 +209,13 @@
                     act.commands.clients.remove(&engine);
                 }
                 let own = act.controlled.iter().any(|s| s.name == engine);
-                let pause = if own { REPORT_OWN } else { REPORT_OTHER };
+                let used = act.commands.used.get(&engine);
+                let used = used.is_some_and(|t| now.since(*t) < IN_USE);
+                let pause = match (own, used) {
+                    (true, true) => REPORT_OWN,
+                    (true, false) | (false, true) => REPORT_OTHER,
+                    (false, false) => REPORT_IDLE,
+                };
                 act.commands.reports.insert(engine.clone(), Some(now + pause));
                 if let Some(r) = r {
                     act.reported(now, engine, r, ctx);
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -51,6 +51,9 @@
 const PIN_ASK: Duration = Duration::from_secs(5);
 /// Pause after a refused pin before the same engine is asked again for the same adapter version.
 const PIN_PAUSE: Duration = Duration::from_millis(100);
+/// Shortest time between two requests for a further replica of an adapter version. Near capacity
+/// nearly all of them are refused.
+const SPREAD_PAUSE: Duration = Duration::from_millis(500);
 /// Waiting requests of one account in one class.
 const PER_ACCOUNT: usize = 1024;
 /// Waiting requests of a host: about 4 MB.
@@ -71,6 +74,8 @@
     history: History,
     // Engines asked for a pin: `None` while the answer is awaited, else when to ask again.
     pins: BTreeMap<(ArcStr, Target), Option<Tick>>,
+    // When a further replica was last asked for.
+    spread: BTreeMap<Target, Tick>,
     last_pin: u64,
     loads: Loads,
     prefixes: HashMap<u64, ArcStr>,
@@ -649,6 +654,7 @@
         o.at = Some(Place { upstream: engine.clone(), instance });
         let waited = p.waited;
         o.waits.left_queue(now);
+        self.commands.used.insert(engine.clone(), now);
         self.route.started(now, &engine, &target);
         let sent = o.reply.take().is_some_and(|r| r.send(Ok(d)).is_ok());
         if !sent {
@@ -824,6 +830,12 @@
         if self.requests.pins.get(&key).is_some_and(|t| t.is_none_or(|t| now < t)) {
             return;
         }
+        if matches!(why, Why::Spread { .. }) {
+            if self.requests.spread.contains_key(&target) {
+                return;
+            }
+            self.requests.spread.insert(target.clone(), now);
+        }
         self.requests.pins.insert(key, None);
         self.requests.last_pin += 1;
         let (id, host) = (self.requests.last_pin, self.setup.incarnation);
@@ -933,6 +945,7 @@
             self.send_unpin(now, u, ctx);
         }
         self.requests.pins.retain(|_, t| t.is_none_or(|t| now < t));
+        self.requests.spread.retain(|_, t| now.since(*t) < SPREAD_PAUSE);
     }
 
     fn send_unpin(&mut self, now: Tick, u: Unpin, ctx: &mut Context<Self>) {
