--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -1,5 +1,9 @@
 //! Admitted requests: allowance, queue, pins and dispatch.
 
+mod pins;
+mod plain;
+mod tokens;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
@@ -9,51 +13,36 @@
 use arcstr::ArcStr;
 use serde_json::json;
 use slotmap::SlotMap;
-use tokio::{sync::oneshot, time::timeout};
 use yuccawing_core::{
-    allowance::{Grant, Verdict},
-    placement::{self, PinAnswer, PinRequest, Target, Unpin},
+    allowance::Grant,
+    placement::{self, Target},
     queue::{Item, Limits, Popped, Reason, Running},
-    route::{self, Choice, Granted, Need},
-    rules::{Class, Rules, Upstream},
-    ticket::{Denied, Fate, Ticket},
+    route::{self, Choice, Need},
+    rules::{Class, Rules},
+    ticket::{Fate, Ticket},
     time::Tick,
 };
 
+use self::{
+    pins::Why,
+    tokens::{Reserved, TOKEN_WAIT},
+};
 use super::{
     Control,
-    commands::controller,
     history::{End, History, Past, Place, Waits},
     loads::Loads,
     messages::{
-        Admit, AdmitPlain, Again, Call, Code, Dispatch, Done, Flight, NotRun, Outcome, Refusal,
-        Reply, RequestId, Run,
+        Admit, Again, Call, Code, Dispatch, Done, Flight, NotRun, Outcome, Refusal, Reply,
+        RequestId,
     },
 };
 use crate::{
     events::{Event, emit},
-    mesh::{CALL_LIMIT, LinkError},
+    mesh::CALL_LIMIT,
 };
 
-/// How long a request waits for tokens before it is refused: for loans, and for the refill of an
-/// allowance that is used up for a moment.
-const TOKEN_WAIT: Duration = Duration::from_secs(1);
-/// Requests of one account that wait for tokens. Beyond it they are refused at once, so that an
-/// account far above its rate does not fill the host.
-const TOKEN_QUEUE: usize = 32;
 /// Upstreams that one request may be sent to.
 const MAX_TRIES: u32 = 6;
-/// How long a controlling host keeps a request for a pin. It exceeds [`PIN_ASK`], so that a request
-/// that is asked again keeps its place among the loads.
-const PIN_WAIT: Duration = Duration::from_secs(15);
-/// Deadline of one call for a pin; the request is asked again as long as it is needed, so that the
-/// loss of a controlling host is noticed.
-const PIN_ASK: Duration = Duration::from_secs(5);
-/// Pause after a refused pin before the same engine is asked again for the same adapter version.
-const PIN_PAUSE: Duration = Duration::from_millis(100);
-/// Shortest time between two requests for a further replica of an adapter version. Near capacity
-/// nearly all of them are refused.
-const SPREAD_PAUSE: Duration = Duration::from_millis(500);
 /// Waiting requests of one account in one class.
 const PER_ACCOUNT: usize = 1024;
 /// Waiting requests of a host: about 4 MB.
@@ -101,45 +90,6 @@
     waits: Waits,
 }
 
-// What became of a reservation of tokens.
-enum Reserved {
-    Granted,
-    // It waits for loans or for the refill.
-    Wait,
-    Refused,
-}
-
-// What became of a call for a pin.
-enum Asked {
-    Answered(PinAnswer),
-    // The controlling host still has the request.
-    Waiting,
-    Failed,
-}
-
-/// Why a pin is asked for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Why {
-    /// A request waits for it; the adapter version is resident.
-    Run,
-    /// A request waits for it and probably for a load.
-    Load,
-    /// Another replica is worth a load.
-    Spread {
-        /// Whether requests wait for it, because the present replicas are full.
-        urgent: bool,
-    },
-}
-
-// A call for a pin.
-struct PinCall {
-    sent: Tick,
-    engine: ArcStr,
-    target: Target,
-    id: u64,
-    why: Why,
-}
-
 #[derive(Clone)]
 enum Work {
     Completion { target: Target, model: ArcStr, class: Class, weight: u32, prefix: u64 },
@@ -272,50 +222,6 @@
         self.open(now, a.id, Some(a.account), a.cost, a.deadline, work, reply, ctx);
     }
 
-    fn admit_plain(
-        &mut self,
-        now: Tick,
-        a: AdmitPlain,
-        reply: Reply<Result<Dispatch, Refusal>>,
-        ctx: &mut Context<Self>,
-    ) {
-        // An open route needs no allowance, so it works without a lease as well.
-        let rules = match (&a.account, self.config.rules()) {
-            (None, Some(r)) => Ok(r.clone()),
-            _ => self.usable_rules(now),
-        };
-        let rules = match rules {
-            Ok(r) => r,
-            Err(r) => return self.refuse(a.id, reply, r),
-        };
-        let Some(route) = rules.routes.get(&a.route) else {
-            let r = Refusal::not_run(Code::NotFound, "no such route");
-            return self.refuse(a.id, reply, r);
-        };
-        if !route.idempotent
-            && let Err(r) = self.spend(now, &a)
-        {
-            return self.refuse(a.id, reply, r);
-        }
-        let work = Work::Plain { upstreams: route.upstreams.clone() };
-        self.open(now, a.id, a.account, a.cost, a.deadline, work, reply, ctx);
-    }
-
-    fn spend(&mut self, now: Tick, a: &AdmitPlain) -> Result<(), Refusal> {
-        let needed = || Refusal::not_run(Code::TicketNeeded, "this route needs a ticket");
-        let ticket = a.ticket.as_ref().ok_or_else(needed)?;
-        let ticket: Ticket = ticket
-            .parse()
-            .map_err(|e| Refusal::not_run(Code::BadRequest, format!("ticket: {e}")))?;
-        match self.tickets.spend(now, a.account.as_ref(), ticket) {
-            Ok(()) => {
-                self.requests.spent.insert(a.id, ticket);
-                Ok(())
-            }
-            Err(d) => Err(denied(d)),
-        }
-    }
-
     fn usable_rules(&self, now: Tick) -> Result<std::sync::Arc<Rules>, Refusal> {
         let not_ready = || Refusal::not_run(Code::NotReady, "this host is starting");
         let rules = self.config.rules().ok_or_else(not_ready)?;
@@ -375,92 +281,6 @@
         }
     }
 
-    fn wait_for_tokens(
-        &mut self,
-        now: Tick,
-        flight: Flight,
-        account: ArcStr,
-        ctx: &mut Context<Self>,
-    ) {
-        let Some(id) = self.requests.open.get(flight).map(|o| o.id) else { return };
-        let waiting = self.requests.pending.entry(account).or_default();
-        if waiting.len() >= TOKEN_QUEUE {
-            return self.close(now, flight, used_up(TOKEN_WAIT));
-        }
-        waiting.push_back(id);
-        self.poll_loans(now, ctx);
-    }
-
-    fn reserve(&mut self, now: Tick, flight: Flight) -> Reserved {
-        let authority = self.authority(now);
-        let Some(o) = self.requests.open.get_mut(flight) else { return Reserved::Refused };
-        let Some(account) = o.account.as_ref().filter(|_| o.cost > 0) else {
-            return Reserved::Granted;
-        };
-        let may_wait = now < o.token_limit;
-        let refusal = match self.allowance.reserve(now, authority, account, o.cost) {
-            Verdict::Granted(g) => {
-                o.grant = Some(g);
-                o.waits.granted(now);
-                return Reserved::Granted;
-            }
-            Verdict::Pending if may_wait => return Reserved::Wait,
-            Verdict::Refused { retry: Some(t) } if may_wait && t <= TOKEN_WAIT => {
-                return Reserved::Wait;
-            }
-            Verdict::Pending => used_up(TOKEN_WAIT),
-            Verdict::Refused { retry: Some(t) } => used_up(t),
-            Verdict::Refused { retry: None } => Refusal::not_run(
-                Code::OverBurst,
-                "the request can cost more tokens than the account's burst",
-            ),
-            Verdict::NoAuthority => {
-                Refusal::not_run(Code::NoLease, "this host does not hold its lease")
-            }
-        };
-        self.close(now, flight, refusal);
-        Reserved::Refused
-    }
-
-    /// Tries again for the requests that wait for tokens, and for a load permit.
-    pub(super) fn retry_pending(&mut self, now: Tick, ctx: &mut Context<Self>) {
-        if self.commands.permit_pending {
-            self.take_permit(now, ctx);
-        }
-        for account in self.requests.pending.keys().cloned().collect::<Vec<_>>() {
-            self.retry_account(now, &account, ctx);
-        }
-        self.requests.pending.retain(|_, ids| !ids.is_empty());
-    }
-
-    /// Drives loans while requests wait for tokens.
-    pub(super) fn wake_pending(&mut self, ctx: &mut Context<Self>) {
-        if self.requests.pending.is_empty() && !self.commands.permit_pending {
-            return;
-        }
-        let now = self.clock.now();
-        self.poll_loans(now, ctx);
-        self.retry_pending(now, ctx);
-    }
-
-    fn retry_account(&mut self, now: Tick, account: &ArcStr, ctx: &mut Context<Self>) {
-        let waiting = |s: &Self| s.requests.pending.get(account)?.front().copied();
-        while let Some(id) = waiting(self) {
-            let known = self.requests.ids.get(&id).copied();
-            // A request whose caller has gone is unknown.
-            let reserved = known.map_or(Reserved::Refused, |f| self.reserve(now, f));
-            if matches!(reserved, Reserved::Wait) {
-                return;
-            }
-            if let Some(ids) = self.requests.pending.get_mut(account) {
-                ids.pop_front();
-            }
-            if let (Reserved::Granted, Some(f)) = (reserved, known) {
-                self.enqueue(now, f, ctx);
-            }
-        }
-    }
-
     fn enqueue(&mut self, now: Tick, flight: Flight, ctx: &mut Context<Self>) {
         let Some(o) = self.requests.open.get_mut(flight) else { return };
         o.waits.restart(now);
@@ -675,47 +495,6 @@
         }
     }
 
-    fn dispatch_plain(&mut self, now: Tick, flight: Flight, upstreams: &[ArcStr]) {
-        let rules = self.config.rules().cloned();
-        self.requests.turn = self.requests.turn.wrapping_add(1);
-        let turn = self.requests.turn;
-        let Some(o) = self.requests.open.get_mut(flight) else { return };
-        let plain = &mut self.requests.plain;
-        let free = |u: &&ArcStr| {
-            let limit = match rules.as_ref().and_then(|r| r.upstreams.get(*u)) {
-                Some(Upstream::Plain { limit, .. }) => *limit,
-                _ => 0,
-            };
-            plain.get(*u).copied().unwrap_or(0) < limit
-        };
-        let known: Vec<_> = upstreams
-            .iter()
-            .filter(|u| !o.avoid.contains(u) && !self.membership.is_upstream_leaving(u))
-            .collect();
-        let open: Vec<_> = known.iter().copied().filter(free).collect();
-        // The least busy one, and by turns among equals.
-        let least = (0..open.len())
-            .map(|i| open[(i + turn) % open.len()])
-            .min_by_key(|u| plain.get(*u).copied().unwrap_or(0));
-        let addr = |u: &ArcStr| rules.as_ref()?.upstreams.get(u)?.addr().parse().ok();
-        let Some((upstream, addr)) = least.and_then(|u| Some((u.clone(), addr(u)?))) else {
-            let r = if known.is_empty() {
-                Refusal::not_run(Code::NoUpstream, "no upstream can take the call")
-            } else {
-                Refusal::not_run(Code::Overloaded, "all upstreams of the route are busy")
-            };
-            return self.close(now, flight, r.retry(Duration::from_secs(1)));
-        };
-        *plain.entry(upstream.clone()).or_default() += 1;
-        o.tries += 1;
-        let instance = ArcStr::new();
-        o.at = Some(Place { upstream: upstream.clone(), instance: instance.clone() });
-        let d = Dispatch { upstream, addr, instance, priority: 0, flight };
-        if let Some(r) = o.reply.take() {
-            let _ = r.send(Ok(d));
-        }
-    }
-
     fn again(
         &mut self,
         now: Tick,
@@ -817,150 +596,6 @@
         }
     }
 
-    fn ask_pin(
-        &mut self,
-        now: Tick,
-        engine: ArcStr,
-        target: Target,
-        model: ArcStr,
-        why: Why,
-        ctx: &mut Context<Self>,
-    ) {
-        let key = (engine.clone(), target.clone());
-        if self.requests.pins.get(&key).is_some_and(|t| t.is_none_or(|t| now < t)) {
-            return;
-        }
-        if matches!(why, Why::Spread { .. }) {
-            if self.requests.spread.contains_key(&target) {
-                return;
-            }
-            self.requests.spread.insert(target.clone(), now);
-        }
-        self.requests.pins.insert(key, None);
-        self.requests.last_pin += 1;
-        let (id, host) = (self.requests.last_pin, self.setup.incarnation);
-        let (wait, requests) = (PIN_WAIT, u32::from(why != Why::Spread { urgent: false }));
-        let q = PinRequest { host, id, engine, model, target, wait, requests };
-        let hosts = self.config.rules().map_or(1, |r| r.hosts);
-        let by = controller(&q.engine, hosts);
-        let (engine, target) = (q.engine.clone(), q.target.clone());
-        let local = by == self.ordinal();
-        let link = if local { None } else { self.ordinal_link(now, by) };
-        let (tx, rx) = oneshot::channel();
-        if local {
-            self.commands.waiters.insert((host, id), tx);
-            self.place(now, placement::Event::Pin(q.clone()), ctx);
-        }
-        let call = async move {
-            match link {
-                None if local => match timeout(PIN_ASK, rx).await {
-                    Ok(Ok(answer)) => Asked::Answered(answer),
-                    Ok(Err(_)) => Asked::Failed,
-                    Err(_) => Asked::Waiting,
-                },
-                None => Asked::Failed,
-                Some(link) => {
-                    match link.call(PIN_ASK, |c, x| async move { c.pin(x, q).await }).await {
-                        Ok(Some(answer)) => Asked::Answered(answer),
-                        Err(LinkError::Timeout(..)) => Asked::Waiting,
-                        Ok(None) | Err(_) => Asked::Failed,
-                    }
-                }
-            }
-        };
-        ctx.spawn(call.into_actor(self).map(move |answer, act, ctx| {
-            act.pin_answered(PinCall { sent: now, engine, target, id, why }, answer, ctx);
-        }));
-    }
-
-    fn pin_answered(&mut self, call: PinCall, answer: Asked, ctx: &mut Context<Self>) {
-        let now = self.clock.now();
-        if call.why == Why::Load {
-            self.learn_load(now, &call, &answer);
-        }
-        let PinCall { sent, engine, target, id, .. } = call;
-        let key = (engine.clone(), target.clone());
-        match answer {
-            Asked::Answered(PinAnswer::Pinned { instance, duration }) => {
-                self.requests.pins.remove(&key);
-                for o in self.requests.open.values_mut().filter(|o| o.waits_for(&target)) {
-                    o.waits.pinned(now);
-                }
-                let granted = Granted { engine, target, instance, id, sent, duration };
-                if let Some(u) = self.route.pinned(now, granted) {
-                    self.send_unpin(now, u, ctx);
-                }
-            }
-            Asked::Answered(PinAnswer::Refused { elsewhere, .. }) => {
-                self.requests.pins.insert(key, Some(now + PIN_PAUSE));
-                if elsewhere {
-                    self.avoid(&engine, &target);
-                }
-            }
-            Asked::Waiting => {
-                self.requests.pins.remove(&key);
-            }
-            Asked::Failed => {
-                self.requests.pins.insert(key, Some(now + PIN_PAUSE));
-                self.avoid(&engine, &target);
-            }
-        }
-        self.drive(now, ctx);
-    }
-
-    // Learns from a call for a pin how long loads take. A load may last for several calls.
-    fn learn_load(&mut self, now: Tick, call: &PinCall, answer: &Asked) {
-        let waits = self.requests.open.values().filter(|o| o.stalled && o.waits_for(&call.target));
-        let longest = waits.map(|o| o.waits.without_pin(now)).max();
-        let wait = now.since(call.sent).max(longest.unwrap_or_default());
-        match answer {
-            Asked::Answered(PinAnswer::Pinned { .. }) => self.requests.loads.ended(now, wait),
-            Asked::Waiting
-            | Asked::Answered(PinAnswer::Refused {
-                reason:
-                    placement::Reason::Full | placement::Reason::Busy | placement::Reason::Expired,
-                ..
-            }) => self.requests.loads.open(now, wait),
-            // Other reasons concern one engine or adapter and say nothing about loads.
-            Asked::Answered(PinAnswer::Refused { .. }) | Asked::Failed => {}
-        }
-    }
-
-    // Requests that wait for the adapter version go elsewhere.
-    fn avoid(&mut self, engine: &ArcStr, target: &Target) {
-        for o in self.requests.open.values_mut().filter(|o| o.at.is_none()) {
-            if matches!(&o.work, Work::Completion { target: t, .. } if t == target)
-                && !o.avoid.contains(engine)
-            {
-                o.avoid.push(engine.clone());
-            }
-        }
-    }
-
-    /// Releases pins without requests; all of them when `all` is set.
-    pub(super) fn release_pins(&mut self, now: Tick, all: bool, ctx: &mut Context<Self>) {
-        let mut out = Vec::new();
-        self.route.release(now, all, &mut out);
-        for u in out {
-            self.send_unpin(now, u, ctx);
-        }
-        self.requests.pins.retain(|_, t| t.is_none_or(|t| now < t));
-        self.requests.spread.retain(|_, t| now.since(*t) < SPREAD_PAUSE);
-    }
-
-    fn send_unpin(&mut self, now: Tick, u: Unpin, ctx: &mut Context<Self>) {
-        let hosts = self.config.rules().map_or(1, |r| r.hosts);
-        let by = controller(&u.engine, hosts);
-        if by == self.ordinal() {
-            return self.place(now, placement::Event::Unpin(u), ctx);
-        }
-        let Some(link) = self.ordinal_link(now, by) else { return };
-        // A lost unpin only delays an eviction until the pin ends.
-        actix_rt::spawn(async move {
-            let _ = link.call(CALL_LIMIT, |c, x| async move { c.unpin(x, u).await }).await;
-        });
-    }
-
     /// Refuses the requests whose deadline has passed and tries again for those that wait.
     pub(super) fn expire_requests(&mut self, now: Tick, ctx: &mut Context<Self>) {
         let mut late = Vec::new();
@@ -1037,18 +672,3 @@
         let _ = reply.send(Err(r));
     }
 }
-
-fn used_up(retry: Duration) -> Refusal {
-    Refusal::not_run(Code::RateLimited, "the account's allowance is used up").retry(retry)
-}
-
-fn denied(d: Denied) -> Refusal {
-    let (code, run) = match d {
-        // The process that issued it may have run the request.
-        Denied::Foreign => (Code::TicketUnknown, Run::Unknown),
-        Denied::Unknown => (Code::TicketUnknown, Run::Unknown),
-        Denied::Spent(Fate::Ran) => (Code::TicketSpent, Run::Yes),
-        Denied::Spent(Fate::Unknown) => (Code::TicketSpent, Run::Unknown),
-    };
-    Refusal { code, message: d.to_string(), run, retry_after: None }
-}
