Keep pins that requests wait for, and load replicas only where there is room

Change: pins of adapter versions that queued requests need do not count as idle; a further replica goes only to an engine with room.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -8,7 +8,10 @@
 mod tests;
 mod view;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use arcstr::ArcStr;
 
@@ -275,8 +278,11 @@
         if having.is_empty() || !full && demand <= REPLICA_FILL * f64::from(batch) {
             return None;
         }
-        let rest: Vec<(&ArcStr, &View)> =
-            all().filter(|(n, v)| !v.has(need.target) && !need.avoid.contains(n)).collect();
+        // A replica on a full engine helps nobody and evicts an adapter that others use.
+        let useful = |n: &ArcStr, v: &View| {
+            !v.has(need.target) && !need.avoid.contains(n) && v.room(now, need.class)
+        };
+        let rest: Vec<(&ArcStr, &View)> = all().filter(|(n, v)| useful(n, v)).collect();
         let engine = self.home(now, need, &rest)?.clone();
         Some(Spread { engine, urgent: full })
     }
@@ -313,6 +319,16 @@
         }
     }
 
+    /// Requests wait for an adapter version: its pins do not count as idle. Otherwise an adapter that
+    /// has been loaded on a busy engine is evicted before its requests get a place there.
+    pub fn wanted(&mut self, now: Tick, targets: &BTreeSet<Target>) {
+        for ((_, target), p) in &mut self.pins {
+            if targets.contains(target) {
+                p.idle = now;
+            }
+        }
+    }
+
     /// Releases pins that are idle, and all idle ones when `all` is set (shutdown).
     pub fn release(&mut self, now: Tick, all: bool, out: &mut Vec<Unpin>) {
         let host = self.host;
--- a/crates/core/src/route/tests.rs
+++ b/crates/core/src/route/tests.rs
@@ -168,6 +168,18 @@
         let s = r.spread(at(501), &need, Duration::from_millis(500)).unwrap();
         assert!(s.engine == "e1" && s.urgent);
     }
+    // Guards against evicting an adapter while its requests wait for a place on its busy engine: in
+    // deployment B hosts loaded 95 adapters 235 times in 85 s.
+    a_pin_that_requests_wait_for_is_not_idle: {
+        let mut r = fleet(1);
+        grant(&mut r, 0, 1);
+        let mut out = Vec::new();
+        r.wanted(at(900), &[target("a")].into());
+        r.release(at(1500), false, &mut out);
+        assert_eq!(out, []);
+        r.release(at(1901), false, &mut out);
+        assert_eq!(out.len(), 1);
+    }
     // Guards against ejecting every replica of an adapter.
     at_most_half_of_the_replicas_are_ejected: {
         let mut r = fleet(3);
--- a/crates/daemon/src/control/requests/pins.rs
+++ b/crates/daemon/src/control/requests/pins.rs
@@ -192,6 +192,12 @@
         ctx: &mut Context<Self>,
     ) {
         let mut out = Vec::new();
+        let waiting = self.requests.open.values().filter(|o| o.is_queued());
+        let targets = waiting.filter_map(|o| match &o.work {
+            Work::Completion { target, .. } => Some(target.clone()),
+            Work::Plain { .. } => None,
+        });
+        self.route.wanted(now, &targets.collect());
         self.route.release(now, all, &mut out);
         for u in out {
             self.send_unpin(now, u, ctx);
