Narrow the visibility of the request path's parts

Cause: the split of control/requests.rs left items visible that one module uses, and methods without a doc comment. Change: visibility and comments only. Conclusion: no change of behaviour; the daemon's unit tests pass.

--- a/crates/daemon/src/control/requests/pins.rs
+++ b/crates/daemon/src/control/requests/pins.rs
@@ -20,17 +20,18 @@
 
 /// How long a controlling host keeps a request for a pin. It exceeds [`PIN_ASK`], so that a request
 /// that is asked again keeps its place among the loads.
-pub(super) const PIN_WAIT: Duration = Duration::from_secs(15);
+const PIN_WAIT: Duration = Duration::from_secs(15);
 /// Deadline of one call for a pin; the request is asked again as long as it is needed, so that the
 /// loss of a controlling host is noticed.
-pub(super) const PIN_ASK: Duration = Duration::from_secs(5);
+const PIN_ASK: Duration = Duration::from_secs(5);
 /// Pause after a refused pin before the same engine is asked again for the same adapter version.
-pub(super) const PIN_PAUSE: Duration = Duration::from_millis(100);
+const PIN_PAUSE: Duration = Duration::from_millis(100);
 /// Shortest time between two requests for a further replica of an adapter version. Near capacity
 /// nearly all of them are refused.
-pub(super) const SPREAD_PAUSE: Duration = Duration::from_millis(500);
+const SPREAD_PAUSE: Duration = Duration::from_millis(500);
+
 // What became of a call for a pin.
-pub(super) enum Asked {
+enum Asked {
     Answered(PinAnswer),
     // The controlling host still has the request.
     Waiting,
@@ -52,7 +53,7 @@
 }
 
 // A call for a pin.
-pub(super) struct PinCall {
+struct PinCall {
     sent: Tick,
     engine: ArcStr,
     target: Target,
@@ -61,6 +62,7 @@
 }
 
 impl Control {
+    /// Asks the controlling host of an engine for a pin, unless that is under way.
     pub(super) fn ask_pin(
         &mut self,
         now: Tick,
@@ -120,7 +122,7 @@
         }));
     }
 
-    pub(super) fn pin_answered(&mut self, call: PinCall, answer: Asked, ctx: &mut Context<Self>) {
+    fn pin_answered(&mut self, call: PinCall, answer: Asked, ctx: &mut Context<Self>) {
         let now = self.clock.now();
         if call.why == Why::Load {
             self.learn_load(now, &call, &answer);
@@ -156,7 +158,7 @@
     }
 
     // Learns from a call for a pin how long loads take. A load may last for several calls.
-    pub(super) fn learn_load(&mut self, now: Tick, call: &PinCall, answer: &Asked) {
+    fn learn_load(&mut self, now: Tick, call: &PinCall, answer: &Asked) {
         let waits = self.requests.open.values().filter(|o| o.stalled && o.waits_for(&call.target));
         let longest = waits.map(|o| o.waits.without_pin(now)).max();
         let wait = now.since(call.sent).max(longest.unwrap_or_default());
@@ -174,7 +176,7 @@
     }
 
     // Requests that wait for the adapter version go elsewhere.
-    pub(super) fn avoid(&mut self, engine: &ArcStr, target: &Target) {
+    fn avoid(&mut self, engine: &ArcStr, target: &Target) {
         for o in self.requests.open.values_mut().filter(|o| o.at.is_none()) {
             if matches!(&o.work, Work::Completion { target: t, .. } if t == target)
                 && !o.avoid.contains(engine)
@@ -206,7 +208,7 @@
         self.requests.spread.retain(|_, t| now.since(*t) < SPREAD_PAUSE);
     }
 
-    pub(super) fn send_unpin(&mut self, now: Tick, u: Unpin, ctx: &mut Context<Self>) {
+    fn send_unpin(&mut self, now: Tick, u: Unpin, ctx: &mut Context<Self>) {
         let hosts = self.config.rules().map_or(1, |r| r.hosts);
         let by = controller(&u.engine, hosts);
         if by == self.ordinal() {
--- a/crates/daemon/src/control/requests/plain.rs
+++ b/crates/daemon/src/control/requests/plain.rs
@@ -18,6 +18,7 @@
 };
 
 impl Control {
+    /// Admits a call to a plain service; spends its ticket if the call must not be repeated.
     pub(super) fn admit_plain(
         &mut self,
         now: Tick,
@@ -47,7 +48,7 @@
         self.open(now, a.id, a.account, a.cost, a.deadline, work, reply, ctx);
     }
 
-    pub(super) fn spend(&mut self, now: Tick, a: &AdmitPlain) -> Result<(), Refusal> {
+    fn spend(&mut self, now: Tick, a: &AdmitPlain) -> Result<(), Refusal> {
         let needed = || Refusal::not_run(Code::TicketNeeded, "this route needs a ticket");
         let ticket = a.ticket.as_ref().ok_or_else(needed)?;
         let ticket: Ticket = ticket
@@ -62,6 +63,7 @@
         }
     }
 
+    /// Sends a call to the least busy upstream of its route.
     pub(super) fn dispatch_plain(&mut self, now: Tick, flight: Flight, upstreams: &[ArcStr]) {
         let rules = self.config.rules().cloned();
         self.requests.turn = self.requests.turn.wrapping_add(1);
@@ -104,7 +106,7 @@
     }
 }
 
-pub(super) fn denied(d: Denied) -> Refusal {
+fn denied(d: Denied) -> Refusal {
     let (code, run) = match d {
         // The process that issued it may have run the request.
         Denied::Foreign => (Code::TicketUnknown, Run::Unknown),
--- a/crates/daemon/src/control/requests/tokens.rs
+++ b/crates/daemon/src/control/requests/tokens.rs
@@ -16,16 +16,20 @@
 pub(super) const TOKEN_WAIT: Duration = Duration::from_secs(1);
 /// Requests of one account that wait for tokens. Beyond it they are refused at once, so that an
 /// account far above its rate does not fill the host.
-pub(super) const TOKEN_QUEUE: usize = 32;
-// What became of a reservation of tokens.
+const TOKEN_QUEUE: usize = 32;
+
+/// What became of a reservation of tokens.
 pub(super) enum Reserved {
+    /// The tokens are reserved.
     Granted,
-    // It waits for loans or for the refill.
+    /// It waits for loans or for the refill.
     Wait,
+    /// The request has been refused.
     Refused,
 }
 
 impl Control {
+    /// Puts a request behind the others of its account that wait, or refuses it.
     pub(super) fn wait_for_tokens(
         &mut self,
         now: Tick,
@@ -42,6 +46,7 @@
         self.poll_loans(now, ctx);
     }
 
+    /// Reserves the tokens of a request.
     pub(super) fn reserve(&mut self, now: Tick, flight: Flight) -> Reserved {
         let authority = self.authority(now);
         let Some(o) = self.requests.open.get_mut(flight) else { return Reserved::Refused };
@@ -94,7 +99,7 @@
         self.retry_pending(now, ctx);
     }
 
-    pub(super) fn retry_account(&mut self, now: Tick, account: &ArcStr, ctx: &mut Context<Self>) {
+    fn retry_account(&mut self, now: Tick, account: &ArcStr, ctx: &mut Context<Self>) {
         let waiting = |s: &Self| s.requests.pending.get(account)?.front().copied();
         while let Some(id) = waiting(self) {
             let known = self.requests.ids.get(&id).copied();
@@ -113,6 +118,6 @@
     }
 }
 
-pub(super) fn used_up(retry: Duration) -> Refusal {
+fn used_up(retry: Duration) -> Refusal {
     Refusal::not_run(Code::RateLimited, "the account's allowance is used up").retry(retry)
 }
