--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! What the integration tests share.
-#![allow(dead_code, unused_macros, unused_imports)]
+#![allow(dead_code, unused_macros, unused_imports, reason = "each test file uses a part of it")]
 
 use std::{
     sync::{Condvar, Mutex, PoisonError},
--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -169,7 +169,7 @@
             let (result, event) = match answer {
                 Some((StatusCode::OK, _)) => (UnloadResult::Unloaded, Event::AdapterUnloaded),
                 Some((_, code)) if code == "fenced" => (UnloadResult::Fenced, Event::CommandFenced),
-                Some(_) | None => (UnloadResult::Unknown, Event::LoadFailed),
+                Some(_) | None => (UnloadResult::Unknown, Event::UnloadFailed),
             };
             let f = slog::b!("engine" => engine.as_str(), "instance" => instance.as_str());
             emit(&act.setup.log, event, &f);
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -86,6 +86,7 @@
     702 LoadFailed Warning "A load failed.";
     703 CommandFenced Warning "An engine rejected a command with an old fencing number.";
     704 EngineRestarted Warning "An engine restarted and lost its adapters.";
+    705 UnloadFailed Warning "An unload had no answer or an error; its instance name is not used for a while.";
     800 TlsLoaded Info "Certificates were loaded.";
     801 TlsRejected Error "Changed certificates cannot be used; the old ones stay in use.";
 }
