Add the decisions of a host on a platform that keeps nothing

Cause: ordinals, majority leases and pins need hosts that are known and mostly alive; on the platform any number of hosts may be lost and a single survivor has to serve. Change: core::fleet has membership from seeds, one owner a replica by rendezvous hashing with the replica's own count of orders as arbiter, one bucket an account for the whole fleet, adapter places, outlier detection and the choice of a replica by expected time to the first event.

--- /dev/null
+++ b/crates/core/src/fleet/catalog.rs
@@ -0,0 +1,68 @@
+//! Index of one configuration for the traffic threads.
+
+#[cfg(test)]
+mod tests;
+
+use std::{collections::HashMap, sync::Arc};
+
+use arcstr::ArcStr;
+
+use super::inventory::{Account, Inventory, Route};
+
+/// A configuration with its routes by host and its accounts by key.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    /// The configuration.
+    pub inventory: Inventory,
+    // Longest prefix first.
+    hosts: HashMap<ArcStr, Vec<Arc<Route>>>,
+    keys: HashMap<ArcStr, usize>,
+}
+
+impl Catalog {
+    /// Indexes `inventory`.
+    pub fn new(inventory: Inventory) -> Self {
+        let mut hosts: HashMap<ArcStr, Vec<Arc<Route>>> = HashMap::new();
+        for r in &inventory.routes {
+            hosts.entry(r.host.clone()).or_default().push(Arc::new(r.clone()));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        }
+        let accounts = inventory.accounts.iter().enumerate();
+        let keys = accounts.flat_map(|(i, a)| a.keys.iter().map(move |k| (k.clone(), i))).collect();
+        Self { inventory, hosts, keys }
+    }
+
+    /// The route of a request. `host` may carry a port.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self.hosts.get(name).or_else(|| {
+            // Host names do not distinguish case.
+            self.hosts.get(name.to_ascii_lowercase().as_str())
+        })?;
+        routes.iter().find(|r| path.starts_with(r.prefix.as_str()))
+    }
+
+    /// The account that holds `key`.
+    pub fn account(&self, key: &str) -> Option<&Account> {
+        self.keys.get(key).map(|i| &self.inventory.accounts[*i])
+    }
+
+    /// Picks a service of `route`: the same one for the same `id`.
+    pub fn service(route: &Route, id: &str) -> Option<ArcStr> {
+        let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut at = super::hash(&["split", id]) % total;
+        for t in &route.targets {
+            let weight = u64::from(t.weight);
+            if at < weight {
+                return Some(t.service.clone());
+            }
+            at -= weight;
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/dispatch.rs
@@ -0,0 +1,560 @@
+//! Which replica a request goes to.
+//!
+//! The expected time to the first event at a replica is made of the reading that was admitted by
+//! all hosts and is not done, the load of the adapter if it is not in place, and the reading of this
+//! prompt less what the replica keeps of it. Time within the aim costs little, time beyond it much,
+//! and a load costs what it takes from the others: the weight store's time and a place. The least
+//! cost wins, so an adapter gets another copy only when its engines would be late.
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use arcstr::ArcStr;
+use slotmap::{SlotMap, new_key_type};
+
+use super::{
+    ask::{Ask, Demand},
+    digest::{Digest, Kept, Load, Use},
+    hash, hash32,
+    health::{Outcome, Standing},
+    inventory::{EngineSpec, Inventory, Kind, VersionMark},
+    replicas::{Replica, ReplicaKey, Replicas},
+    report::Resident,
+};
+use crate::time::Tick;
+
+new_key_type! {
+    /// A request at a replica.
+    pub struct RunKey;
+}
+
+/// Prompt tokens that an engine reads in a millisecond, from the platform's data sheet.
+const READ_PER_MS: f64 = 38.7;
+
+/// Milliseconds that a million pairs of tokens add to the reading of a prompt, from the same.
+const PAIRS_MS: f64 = 0.737;
+
+/// Time of a step with its share of other streams, and of the way there and back, in ms.
+const STEP_MS: f64 = 15.0;
+
+/// Time of a load from the weight store with its orders, in ms.
+const COLD_MS: f64 = 300.0;
+
+/// Loads from the weight store that are as fast as one, over all engines.
+const PARALLEL: f64 = 8.0;
+
+/// Cost of a load from the weight store, in ms of lateness: it delays other loads and takes a place
+/// that another adapter needs.
+const COLD_COST_MS: f64 = 250.0;
+
+/// Cost of a load of an adapter that the engine held lately, for the place.
+const WARM_COST_MS: f64 = 60.0;
+
+/// Cost of a millisecond of expected time within the aim.
+const EARLY_COST: f64 = 0.15;
+
+/// Cost of a millisecond of expected time beyond the aim.
+const LATE_COST: f64 = 2.0;
+
+/// Part of the aim that may be planned with; the rest is for what is not known.
+const AIM_SHARE: f64 = 0.6;
+
+/// Time of a load of an adapter that the engine held lately, in ms.
+const WARM_MS: f64 = 60.0;
+
+/// Cost of another zone, in ms: its delay and the price of the bytes.
+const ZONE_MS: f64 = 5.0;
+
+/// Largest preference between engines for an adapter that is in place nowhere, in ms. It leads all
+/// hosts to the same engines, which keep the adapter in their host's memory.
+const HOME_MS: f64 = 60.0;
+
+/// Largest random part of a cost, in ms, so that hosts with the same old view spread.
+const SPREAD_MS: f64 = 6.0;
+
+/// Cost of an engine whose batch is full, in ms.
+const FULL_MS: f64 = 400.0;
+
+/// Part of an engine's memory above which it preempts streams.
+const MEMORY_SHARE: f64 = 0.9;
+
+/// Duration of a plain request before any was seen, in ms.
+const PLAIN_MS: f64 = 40.0;
+
+/// Weight of a new observation in running means.
+const GAIN: f64 = 0.2;
+
+/// Largest ratio between observed and expected times that is learned.
+const MAX_PACE: f64 = 8.0;
+
+/// Time to the first event, in expected times, after which a request moves on, if it may.
+const PATIENCE: f64 = 2.5;
+
+/// Shortest time after which a stream without a first event moves on.
+const STREAM_PATIENCE: Duration = Duration::from_millis(1500);
+
+/// Shortest time after which a plain request without an answer moves on.
+const PLAIN_PATIENCE: Duration = Duration::from_millis(120);
+
+/// Longest part of a caller's time that a refusal asks it to wait; callers ignore more.
+const BACK_SHARE: u32 = 3;
+
+/// Shortest wait that a refusal asks for.
+const BACK_MIN: Duration = Duration::from_millis(200);
+
+/// A request that was given a replica.
+#[derive(Clone, Debug)]
+pub struct Grant {
+    /// Identifies the run.
+    pub run: RunKey,
+    /// The replica.
+    pub replica: ReplicaKey,
+    /// Its id.
+    pub id: ArcStr,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Version of the adapter, if one is known.
+    pub version: Option<u64>,
+    /// Time to the first event or the whole answer after which the request may move on.
+    pub patience: Duration,
+    /// Expected time to the first event, for logs.
+    pub expected: Duration,
+    /// Adapter that has to be loaded first.
+    pub load: Option<Resident>,
+}
+
+/// Why a request gets no replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No replica of the service may be used.
+    NoReplica,
+    /// All places for adapters are in use.
+    NoPlace,
+    /// None could answer in time.
+    Late,
+}
+
+impl Refusal {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoReplica => "no_replica",
+            Self::NoPlace => "no_place",
+            Self::Late => "late",
+        }
+    }
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug)]
+pub enum Choice {
+    /// It goes to a replica.
+    Granted(Box<Grant>),
+    /// It is not run.
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// When the caller may come back.
+        retry: Duration,
+    },
+}
+
+#[derive(Debug)]
+struct Run {
+    replica: ReplicaKey,
+    artifact: Option<u32>,
+    reading: f64,
+    memory: u32,
+    expected: f64,
+    started: Tick,
+    first: bool,
+}
+
+/// Replicas and the requests there.
+#[derive(Debug)]
+pub struct Dispatcher {
+    /// The replicas.
+    pub replicas: Replicas,
+    zone: ArcStr,
+    runs: SlotMap<RunKey, Run>,
+    engines: HashMap<ArcStr, EngineSpec>,
+    versions: HashMap<ArcStr, u64>,
+    uses: HashMap<Ipv4Addr, HashSet<Use>>,
+    // Parts sent since the last digest and in the one before.
+    kept: [Vec<Kept>; 2],
+}
+
+impl Dispatcher {
+    /// A host in `zone` that knows no replica.
+    pub fn new(zone: ArcStr) -> Self {
+        Self {
+            replicas: Replicas::default(),
+            zone,
+            runs: SlotMap::with_key(),
+            engines: HashMap::new(),
+            versions: HashMap::new(),
+            uses: HashMap::new(),
+            kept: [Vec::new(), Vec::new()],
+        }
+    }
+
+    /// Takes a configuration.
+    pub fn configure(&mut self, inventory: &Inventory) {
+        let engines = inventory.services.iter();
+        self.engines = engines.filter_map(|s| Some((s.name.clone(), s.engine.clone()?))).collect();
+    }
+
+    /// Takes the newest versions of adapters. Returns those that rose.
+    pub fn versions(&mut self, marks: Vec<VersionMark>) -> Vec<VersionMark> {
+        let mut out = Vec::new();
+        for m in marks {
+            let known = self.versions.entry(m.artifact.clone()).or_default();
+            if m.version > *known {
+                *known = m.version;
+                out.push(m);
+            }
+        }
+        out
+    }
+
+    /// The engine of a service.
+    pub fn engine(&self, service: &str) -> Option<&EngineSpec> {
+        self.engines.get(service)
+    }
+
+    /// Newest declared version of an adapter.
+    pub fn version(&self, artifact: &str) -> Option<u64> {
+        self.versions.get(artifact).copied()
+    }
+
+    /// Whether the newest version of an artifact is in place.
+    pub fn resident(&self, r: &Replica, artifact: &str) -> bool {
+        let newest = self.version(artifact).unwrap_or(0);
+        r.residents.get(artifact).is_some_and(|v| *v >= newest)
+    }
+
+    /// Takes a peer's digest.
+    pub fn heard(&mut self, now: Tick, d: &Digest) {
+        self.replicas.heard(d.ip, &d.loads);
+        self.uses.insert(d.ip, d.uses.iter().copied().collect());
+        for k in &d.kept {
+            let found = self.replicas.find(k.replica);
+            if let Some(r) = found.and_then(|key| self.replicas.get_mut(key)) {
+                r.note(k.part);
+            }
+        }
+        for e in &d.engines {
+            let found = self.replicas.find(e.replica);
+            if let Some(r) = found.and_then(|key| self.replicas.get_mut(key)) {
+                r.told = Some(now);
+                r.held = e.held;
+                r.alive = e.alive;
+                r.loading = u32::from(e.loading);
+                r.hold(e.residents.clone());
+            }
+        }
+    }
+
+    /// Drops what a peer said.
+    pub fn silent(&mut self, ip: Ipv4Addr) {
+        self.replicas.silent(ip);
+        self.uses.remove(&ip);
+    }
+
+    /// Whether a request of any host uses the artifact at the replica.
+    pub fn in_use(&self, k: ReplicaKey, artifact: &str) -> bool {
+        let Some(r) = self.replicas.get(k) else { return false };
+        let wanted = Use { replica: r.hash, artifact: hash32(&[artifact]) };
+        self.uses.values().any(|u| u.contains(&wanted))
+            || self.runs.values().any(|x| x.replica == k && x.artifact == Some(wanted.artifact))
+    }
+
+    /// Chooses a replica and counts the request there.
+    pub fn choose(&mut self, now: Tick, ask: &Ask) -> Choice {
+        let spec = self.engines.get(&ask.service);
+        let all = self.replicas.iter().filter(|(_, r)| r.service == ask.service && r.usable());
+        let all: Vec<_> = all.collect();
+        let sound = all.iter().filter(|(_, r)| r.health.standing(now) == Standing::Sound).count();
+        // Ejection must not take more than half of a service.
+        let forced = sound * 2 < all.len();
+        let mut best: Option<(f64, Cost, ReplicaKey)> = None;
+        let scene = ask.demand.as_ref().map(|d| self.scene(&ask.service, &d.artifact));
+        let usable = !all.is_empty();
+        let aim = ask.aim.since(now).as_secs_f64() * 1000.0 * AIM_SHARE;
+        for (k, r) in all {
+            if ask.tried.contains(&k) {
+                continue;
+            }
+            let penalty = match r.health.standing(now) {
+                Standing::Sound => 0.0,
+                Standing::Probe if ask.kind.idempotent() => 0.0,
+                _ if forced => FULL_MS,
+                _ => continue,
+            };
+            let cost = match (spec, &ask.demand, &scene) {
+                (Some(spec), Some(d), Some(scene)) => match self.engine_cost(r, spec, d, scene) {
+                    Some(c) => c,
+                    None => continue,
+                },
+                _ => plain_cost(r),
+            };
+            let far = if r.zone == self.zone { 0.0 } else { ZONE_MS };
+            let spread = unit(&[&ask.id, &r.id]) * SPREAD_MS;
+            let early = EARLY_COST * cost.time + LATE_COST * (cost.time - aim).max(0.0);
+            let rank = early + cost.preference + penalty + far + spread;
+            if best.as_ref().is_none_or(|(b, ..)| rank < *b) {
+                best = Some((rank, cost, k));
+            }
+        }
+        let Some((_, cost, k)) = best else {
+            let places = usable && ask.demand.is_some() && spec.is_some();
+            let reason = if places { Refusal::NoPlace } else { Refusal::NoReplica };
+            return Choice::Refused { reason, retry: back(now, ask, None) };
+        };
+        let left = ask.left(now).as_secs_f64() * 1000.0;
+        if cost.time > left {
+            return Choice::Refused {
+                reason: Refusal::Late,
+                retry: back(now, ask, Some(cost.time - left)),
+            };
+        }
+        Choice::Granted(Box::new(self.grant(now, ask, k, &cost)))
+    }
+
+    // What all engines of a service have in common for one request.
+    fn scene(&self, service: &str, artifact: &str) -> Scene {
+        let mut pins: HashMap<u32, HashSet<u32>> = HashMap::new();
+        let own = self.runs.values().filter_map(|x| {
+            Some(Use { replica: self.replicas.get(x.replica)?.hash, artifact: x.artifact? })
+        });
+        for u in self.uses.values().flatten().copied().chain(own) {
+            pins.entry(u.replica).or_default().insert(u.artifact);
+        }
+        let engines = self.replicas.iter().filter(|(_, r)| r.service == service);
+        let loading = engines.map(|(_, r)| r.loading).sum();
+        Scene { pins, artifact: hash32(&[artifact]), loading }
+    }
+
+    fn engine_cost(
+        &self,
+        r: &Replica,
+        spec: &EngineSpec,
+        d: &Demand,
+        scene: &Scene,
+    ) -> Option<Cost> {
+        let model = d.artifact.split('/').next().unwrap_or_default();
+        if !r.residents.contains_key(model) {
+            return None;
+        }
+        let total = r.total();
+        let unread = d.prompt - r.kept(d, spec.memory);
+        let reading = reading_ms(unread, d.prompt);
+        let mut load = None;
+        let (mut wait, mut preference) = (0.0, 0.0);
+        if !self.resident(r, &d.artifact) {
+            let old = r.residents.contains_key(&d.artifact);
+            let pins = scene.pins.get(&r.hash);
+            let pinned = pins.is_some_and(|p| p.contains(&scene.artifact));
+            if !r.held || d.artifact == model || (old && pinned) {
+                return None;
+            }
+            // Adapters in use cannot make way.
+            if !pinned && pins.is_some_and(|p| p.len() >= spec.places as usize) {
+                return None;
+            }
+            let crowd = (f64::from(scene.loading) / PARALLEL).max(1.0);
+            wait = if r.warm(&d.artifact) && !old { WARM_MS } else { COLD_MS * crowd };
+            preference = unit(&[&d.artifact, &r.id]) * HOME_MS;
+            preference += if r.warm(&d.artifact) && !old { WARM_COST_MS } else { COLD_COST_MS };
+            load = Some(Resident {
+                artifact: d.artifact.clone(),
+                version: self.version(&d.artifact).unwrap_or(0),
+            });
+        }
+        let mut time = (total.reading * r.pace).max(wait) + reading * r.pace + STEP_MS;
+        if total.runs >= r.slots {
+            time += FULL_MS;
+        }
+        let memory = total.memory + u64::from(d.prompt + d.output);
+        if memory as f64 > f64::from(spec.memory) * MEMORY_SHARE {
+            time += FULL_MS;
+        }
+        Some(Cost { time, preference, reading, unread, load })
+    }
+
+    fn grant(&mut self, now: Tick, ask: &Ask, k: ReplicaKey, cost: &Cost) -> Grant {
+        let memory = ask.demand.as_ref().map_or(0, |d| d.prompt + d.output);
+        let version = ask.demand.as_ref().and_then(|d| self.version(&d.artifact));
+        let r = self.replicas.get_mut(k).expect("it was chosen among the known ones");
+        if r.health.standing(now) == Standing::Probe {
+            r.health.probing(now);
+        }
+        if let Some(d) = &ask.demand {
+            let hash = r.hash;
+            let keys = r.keep(d, cost.unread);
+            self.kept[0].extend(keys.into_iter().map(|part| Kept { replica: hash, part }));
+        }
+        r.own.reading += cost.reading;
+        r.own.runs += 1;
+        r.own.memory += memory;
+        let run = self.runs.insert(Run {
+            replica: k,
+            artifact: ask.demand.as_ref().map(|d| hash32(&[&d.artifact])),
+            reading: cost.reading,
+            memory,
+            expected: cost.time,
+            started: now,
+            first: false,
+        });
+        let least = match ask.kind {
+            Kind::Stream { .. } => STREAM_PATIENCE,
+            Kind::Safe | Kind::Unsafe => PLAIN_PATIENCE,
+        };
+        Grant {
+            run,
+            replica: k,
+            id: r.id.clone(),
+            address: r.address,
+            version,
+            patience: least.max(millis(cost.time * PATIENCE)),
+            expected: millis(cost.time),
+            load: cost.load.clone(),
+        }
+    }
+
+    /// The request was sent after a wait for a load.
+    pub fn sent(&mut self, now: Tick, run: RunKey) {
+        if let Some(x) = self.runs.get_mut(run) {
+            x.started = now;
+        }
+    }
+
+    /// The first event of a stream arrived.
+    pub fn first(&mut self, now: Tick, run: RunKey) {
+        let Some(x) = self.runs.get_mut(run) else { return };
+        if std::mem::replace(&mut x.first, true) {
+            return;
+        }
+        let took = now.since(x.started).as_secs_f64() * 1000.0;
+        if let Some(r) = self.replicas.get_mut(x.replica) {
+            r.own.reading = (r.own.reading - x.reading).max(0.0);
+            let ratio = (took / x.expected.max(STEP_MS)).clamp(1.0 / MAX_PACE, MAX_PACE);
+            r.pace = (r.pace + (ratio * r.pace - r.pace) * GAIN).clamp(1.0, MAX_PACE);
+        }
+    }
+
+    /// The replica of a request.
+    pub fn replica(&self, run: RunKey) -> Option<ReplicaKey> {
+        self.runs.get(run).map(|x| x.replica)
+    }
+
+    /// The request ended. Returns whether its outcome ejects the replica.
+    pub fn end(&mut self, now: Tick, run: RunKey, outcome: Outcome) -> bool {
+        let Some(x) = self.runs.remove(run) else { return false };
+        let Some(r) = self.replicas.get_mut(x.replica) else { return false };
+        if !x.first {
+            r.own.reading = (r.own.reading - x.reading).max(0.0);
+        }
+        r.own.runs -= 1;
+        r.own.memory -= x.memory;
+        if r.own.runs == 0 {
+            // Sums of fractions leave a rest.
+            r.own.reading = 0.0;
+        }
+        if outcome == Outcome::Good && x.artifact.is_none() {
+            let took = now.since(x.started).as_secs_f64() * 1000.0;
+            let old = if r.latency == 0.0 { took } else { r.latency };
+            r.latency = old + (took - old) * GAIN;
+        }
+        self.record(now, x.replica, outcome)
+    }
+
+    /// Records an outcome of a replica. Returns whether it ejects it.
+    pub fn record(&mut self, now: Tick, k: ReplicaKey, outcome: Outcome) -> bool {
+        let Some(r) = self.replicas.get(k) else { return false };
+        let others = self.replicas.iter().filter(|(o, x)| *o != k && x.service == r.service);
+        let shares: Vec<_> = others.map(|(_, x)| x.health.failures()).collect();
+        let usual = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
+        self.replicas.get_mut(k).is_some_and(|r| r.health.record(now, outcome, usual))
+    }
+
+    /// This host's part of a digest.
+    pub fn tell(&mut self) -> (Vec<Load>, Vec<Use>, Vec<Kept>) {
+        let busy = self.replicas.iter().filter(|(_, r)| r.own.runs > 0);
+        let loads = busy.map(|(_, r)| Load {
+            replica: r.hash,
+            reading: r.own.reading as u32,
+            runs: u16::try_from(r.own.runs).unwrap_or(u16::MAX),
+            memory: u16::try_from(r.own.memory / 1000).unwrap_or(u16::MAX),
+        });
+        let loads = loads.collect();
+        let uses: HashSet<_> = self
+            .runs
+            .values()
+            .filter_map(|x| {
+                Some(Use { replica: self.replicas.get(x.replica)?.hash, artifact: x.artifact? })
+            })
+            .collect();
+        let fresh = std::mem::take(&mut self.kept[0]);
+        let mut kept = std::mem::replace(&mut self.kept[1], fresh.clone());
+        kept.extend(fresh);
+        (loads, uses.into_iter().collect(), kept)
+    }
+}
+
+struct Scene {
+    // Adapters in use, by replica.
+    pins: HashMap<u32, HashSet<u32>>,
+    // Hash of the adapter that is asked for.
+    artifact: u32,
+    // Adapters on their way to any engine.
+    loading: u32,
+}
+
+struct Cost {
+    // Expected time to the first event, in ms.
+    time: f64,
+    // Added to the time when replicas are compared, in ms.
+    preference: f64,
+    reading: f64,
+    unread: u32,
+    load: Option<Resident>,
+}
+
+fn plain_cost(r: &Replica) -> Cost {
+    let total = r.total();
+    let work = if r.latency == 0.0 { PLAIN_MS } else { r.latency };
+    let rounds = f64::from(total.runs) / f64::from(r.slots.max(1));
+    // Replicas slow down before they are full, so a request prefers an idle one.
+    let time = work * (1.0 + rounds);
+    Cost { time, preference: 0.0, reading: 0.0, unread: 0, load: None }
+}
+
+/// Reading time of a prompt, in ms.
+pub fn reading_ms(unread: u32, prompt: u32) -> f64 {
+    let (prompt, kept) = (f64::from(prompt), f64::from(prompt - unread));
+    let pairs = (prompt * prompt - kept * kept) / 2.0;
+    f64::from(unread) / READ_PER_MS + pairs / 1e6 * PAIRS_MS
+}
+
+// A number from 0 to 1 that depends on `parts` only.
+fn unit(parts: &[&str]) -> f64 {
+    (hash(parts) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default()
+}
+
+// When the caller may come back: when the excess is read, if it is known.
+fn back(now: Tick, ask: &Ask, excess: Option<f64>) -> Duration {
+    let most = ask.left(now) / BACK_SHARE;
+    let wanted = excess.map_or(BACK_MIN * 2, millis);
+    wanted.clamp(BACK_MIN.min(most), most.max(Duration::from_millis(1)))
+}
--- /dev/null
+++ b/crates/core/src/fleet/health.rs
@@ -0,0 +1,148 @@
+//! Outlier detection from what requests see.
+//!
+//! A replica is judged by its answers, not by its health check. It is ejected for a while after a
+//! run of failures or a high share of them, and comes back through requests that may be repeated.
+
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+use crate::time::Tick;
+
+/// Outcomes that are remembered.
+const WINDOW: u32 = 12;
+
+/// Failures among them that eject, if their share is high enough.
+const FAILURES: u32 = 4;
+
+/// Share of failures that ejects, if the other replicas of the service have none.
+const SHARE: f64 = 0.25;
+
+/// Multiple of the other replicas' share that is added: services answer some requests with an
+/// error of their own.
+const USUAL: f64 = 1.5;
+
+/// Lost requests in a row that eject: no answer at all is rarer than a failure.
+const LOST: u32 = 2;
+
+/// Duration of the first ejection; it doubles with each further one.
+const EJECT: Duration = Duration::from_millis(1500);
+
+/// Doublings.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// Good answers after an ejection that clear the record.
+const CLEAR: u32 = 3;
+
+/// How a request at a replica ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Complete.
+    Good,
+    /// The replica failed it.
+    Failed,
+    /// No answer, a broken one, or no connection.
+    Lost,
+    /// Says nothing about the replica.
+    Neutral,
+}
+
+/// Record of one replica.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    // Newest outcome in the lowest bit, 1 for a failure.
+    bits: u32,
+    seen: u32,
+    lost: u32,
+    ejections: u32,
+    until: Option<Tick>,
+    good: u32,
+    // When the request that probes an ejected replica was sent.
+    probe: Option<Tick>,
+}
+
+/// Time after which another probe may be sent if the last one has no outcome.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// Whether a replica may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Like any other.
+    Sound,
+    /// For a request that may be repeated, one at a time.
+    Probe,
+    /// Not at all.
+    Ejected,
+}
+
+impl Health {
+    /// Share of failures among the remembered outcomes.
+    pub fn failures(&self) -> f64 {
+        f64::from(self.bits.count_ones()) / f64::from(self.seen.max(1))
+    }
+
+    /// Records an outcome. Returns whether it ejects the replica. `usual` is the share of failures
+    /// at the other replicas of its service.
+    pub fn record(&mut self, now: Tick, outcome: Outcome, usual: f64) -> bool {
+        self.probe = None;
+        match outcome {
+            Outcome::Neutral => return false,
+            Outcome::Good => {
+                self.push(0);
+                self.lost = 0;
+                self.good += 1;
+                if self.until.is_some_and(|t| now >= t) && self.good >= CLEAR {
+                    *self = Self { ejections: self.ejections.saturating_sub(1), ..Self::default() };
+                }
+            }
+            Outcome::Failed => self.push(1),
+            Outcome::Lost => {
+                self.push(1);
+                self.lost += 1;
+            }
+        }
+        if outcome == Outcome::Good {
+            return false;
+        }
+        self.good = 0;
+        let failures = self.bits.count_ones();
+        let returning = self.until.is_some_and(|t| now >= t);
+        let many = failures >= FAILURES && self.failures() >= SHARE + USUAL * usual;
+        if many || self.lost >= LOST || returning {
+            return self.eject(now);
+        }
+        false
+    }
+
+    fn push(&mut self, bit: u32) {
+        self.bits = ((self.bits << 1) | bit) & ((1 << WINDOW) - 1);
+        self.seen = (self.seen + 1).min(WINDOW);
+    }
+
+    fn eject(&mut self, now: Tick) -> bool {
+        if self.until.is_some_and(|t| now < t) {
+            return false;
+        }
+        let factor = 1 << self.ejections.min(MAX_DOUBLINGS);
+        self.until = Some(now + EJECT * factor);
+        self.ejections += 1;
+        (self.bits, self.seen, self.lost) = (0, 0, 0);
+        true
+    }
+
+    /// Whether the replica may be used.
+    pub fn standing(&self, now: Tick) -> Standing {
+        match self.until {
+            None => Standing::Sound,
+            Some(t) if now < t => Standing::Ejected,
+            Some(_) if self.probe.is_some_and(|p| now.since(p) < PROBE) => Standing::Ejected,
+            Some(_) => Standing::Probe,
+        }
+    }
+
+    /// Notes that a request probes the replica.
+    pub fn probing(&mut self, now: Tick) {
+        self.probe = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/peers.rs
@@ -0,0 +1,275 @@
+//! Membership: hosts that start from a few seeds and learn of each other from digests.
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use arcstr::ArcStr;
+
+use super::digest::{Digest, Member, State};
+use crate::{fleet::hash, time::Tick};
+
+/// Silence after which callers are no longer sent to a peer: six digests of the usual interval.
+pub const SILENT: Duration = Duration::from_millis(1200);
+
+/// Silence after which a peer may have lost sight of this host, so that authority between the two
+/// is in doubt. Longer than [`SILENT`], since callers notice a lost host at once and authority
+/// must not change hands for a few lost datagrams.
+pub const DOUBT: Duration = Duration::from_secs(2);
+
+/// Silence after which a peer is forgotten. A partition may outlast it; what then guards authority
+/// are the replicas' own counts of orders.
+pub const FORGET: Duration = Duration::from_secs(30);
+
+/// Time after an order in which no other host may give one, with a margin for the way.
+pub const RECENT: Duration = Duration::from_millis(4000);
+
+/// Peers that a host keeps, which bounds memory and messages.
+pub const MAX_PEERS: usize = 1200;
+
+/// Another host.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Failure domain.
+    pub zone: ArcStr,
+    /// Its process.
+    pub life: u64,
+    /// Number of its newest digest.
+    pub number: u64,
+    /// What it does with requests.
+    pub state: State,
+    /// When its newest digest arrived.
+    pub heard: Tick,
+    /// When it last said that it hears this host.
+    pub hears: Tick,
+    /// Whether it is old enough to know of all orders that may still matter.
+    pub seasoned: bool,
+    /// Replicas that it gave orders to lately.
+    pub ordered: BTreeSet<u32>,
+}
+
+/// What a digest changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It is older than one that was seen before.
+    Stale,
+    /// Nothing but the time.
+    Known,
+    /// The host was unknown or silent.
+    Joined,
+    /// The host has a new process.
+    Restarted,
+    /// The host begins to leave.
+    Leaving,
+}
+
+/// Who gives a replica its orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// This host.
+    Me {
+        /// Whether another host may believe that it does.
+        contested: bool,
+    },
+    /// A peer.
+    Peer(Ipv4Addr),
+}
+
+/// Members of the fleet as one host sees them.
+#[derive(Debug)]
+pub struct Peers {
+    me: Ipv4Addr,
+    started: Tick,
+    seeds: Vec<Ipv4Addr>,
+    peers: BTreeMap<Ipv4Addr, Peer>,
+    // Hosts that peers hear and that were not heard here yet, with the time of the last mention.
+    mentioned: BTreeMap<Ipv4Addr, Tick>,
+}
+
+impl Peers {
+    /// A host that has heard nobody yet.
+    pub fn new(me: Ipv4Addr, seeds: Vec<Ipv4Addr>, now: Tick) -> Self {
+        let mut out = Self {
+            me,
+            started: now,
+            seeds: Vec::new(),
+            peers: BTreeMap::new(),
+            mentioned: BTreeMap::new(),
+        };
+        out.set_seeds(seeds);
+        out
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<Ipv4Addr>) {
+        self.seeds = seeds.into_iter().filter(|s| *s != self.me).collect();
+    }
+
+    /// Takes a digest.
+    pub fn hear(&mut self, now: Tick, d: &Digest) -> Change {
+        if d.ip == self.me {
+            return Change::Stale;
+        }
+        self.mentioned.remove(&d.ip);
+        for m in &d.members {
+            let known = m.ip == self.me || self.peers.contains_key(&m.ip);
+            if !known && self.mentioned.len() < MAX_PEERS {
+                self.mentioned.insert(m.ip, now);
+            }
+        }
+        let hears_me = d.members.iter().any(|m| m.ip == self.me && m.heard);
+        let old = self.peers.get(&d.ip);
+        if old.is_some_and(|p| {
+            (d.life, d.number) <= (p.life, p.number) && now.since(p.heard) < FORGET
+        }) {
+            return Change::Stale;
+        }
+        let change = match old {
+            None => Change::Joined,
+            Some(p) if p.life != d.life => Change::Restarted,
+            Some(p) if p.state != State::Leaving && d.state == State::Leaving => Change::Leaving,
+            Some(p) if now.since(p.heard) > SILENT => Change::Joined,
+            Some(_) => Change::Known,
+        };
+        // A new peer has not had the time to hear this host.
+        let hears = match old {
+            Some(p) if !hears_me && p.life == d.life => p.hears,
+            _ => now,
+        };
+        if self.peers.len() < MAX_PEERS || old.is_some() {
+            let peer = Peer {
+                front: d.front,
+                zone: d.zone.clone(),
+                life: d.life,
+                number: d.number,
+                state: d.state,
+                heard: now,
+                hears,
+                seasoned: d.age >= RECENT.as_millis() as u64,
+                ordered: d.ordered.iter().copied().collect(),
+            };
+            self.peers.insert(d.ip, peer);
+        }
+        change
+    }
+
+    /// Forgets peers that have been silent for long or have left, and returns those that fell
+    /// silent for good.
+    pub fn expire(&mut self, now: Tick) -> Vec<Ipv4Addr> {
+        let gone: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| {
+                let silence = now.since(p.heard);
+                silence > FORGET || (p.state == State::Leaving && silence > RECENT)
+            })
+            .map(|(ip, _)| *ip)
+            .collect();
+        for ip in &gone {
+            self.peers.remove(ip);
+        }
+        self.mentioned.retain(|_, t| now.since(*t) < FORGET);
+        gone
+    }
+
+    /// A peer by its address.
+    pub fn get(&self, ip: Ipv4Addr) -> Option<&Peer> {
+        self.peers.get(&ip)
+    }
+
+    /// Peers with their addresses.
+    pub fn iter(&self) -> impl Iterator<Item = (Ipv4Addr, &Peer)> {
+        self.peers.iter().map(|(ip, p)| (*ip, p))
+    }
+
+    /// Whether a digest of the peer arrived lately.
+    pub fn alive(&self, now: Tick, ip: Ipv4Addr) -> bool {
+        self.peers.get(&ip).is_some_and(|p| now.since(p.heard) <= SILENT)
+    }
+
+    /// Known hosts, for the digest.
+    pub fn members(&self, now: Tick) -> Vec<Member> {
+        let heard = |p: &Peer| now.since(p.heard) <= SILENT;
+        self.iter().map(|(ip, p)| Member { ip, heard: heard(p) }).collect()
+    }
+
+    /// Whether this host was the owner of a replica before it started anew and nobody else has
+    /// given orders since. `hash` is that of the replica in digests. Peers that are old enough know
+    /// of every host that could have.
+    pub fn resumed(&self, now: Tick, id: &str, hash: u32) -> bool {
+        let alive = || self.peers.values().filter(|p| now.since(p.heard) <= SILENT);
+        let mine = weight(self.me, id);
+        let others = self.peers.keys().chain(self.mentioned.keys()).chain(&self.seeds);
+        alive().any(|p| p.seasoned)
+            && alive().all(|p| now.since(p.hears) <= SILENT && !p.ordered.contains(&hash))
+            && others.into_iter().all(|ip| weight(*ip, id) < mine)
+    }
+
+    /// Hosts that a digest is to be sent to.
+    pub fn contacts(&self) -> Vec<Ipv4Addr> {
+        let mut out: Vec<_> = self.peers.keys().copied().collect();
+        out.extend(self.mentioned.keys());
+        out.extend(&self.seeds);
+        out.sort_unstable();
+        out.dedup();
+        out
+    }
+
+    /// Peers that take requests.
+    pub fn serving(&self, now: Tick) -> impl Iterator<Item = &Peer> {
+        self.peers
+            .values()
+            .filter(move |p| p.state == State::Serving && now.since(p.heard) <= SILENT)
+    }
+
+    /// Who gives the replica with `id` its orders: the member with the highest weight. A silent
+    /// member keeps its replicas until it is forgotten, except that the next in line may claim
+    /// them, contested.
+    pub fn owner(&self, now: Tick, id: &str) -> Owner {
+        let leaving = |p: &Peer| p.state == State::Leaving;
+        let mut ranked: Vec<_> = self
+            .iter()
+            .filter(|(_, p)| !leaving(p))
+            .map(|(ip, _)| ip)
+            .chain([self.me])
+            .map(|ip| (weight(ip, id), ip))
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        let silent = |ip: Ipv4Addr| {
+            self.peers
+                .get(&ip)
+                .is_some_and(|p| now.since(p.heard) > DOUBT || now.since(p.hears) > DOUBT)
+        };
+        let first = ranked[0].1;
+        let next = ranked.get(1).map(|(_, ip)| *ip);
+        if first == self.me {
+            let lost = self.leaving_claim(now) || next.is_some_and(silent);
+            return Owner::Me { contested: lost || self.unheard_seed(now) };
+        }
+        if next == Some(self.me) && silent(first) {
+            return Owner::Me { contested: true };
+        }
+        Owner::Peer(first)
+    }
+
+    // A leaving peer may still give orders until it has heard that this host took over.
+    fn leaving_claim(&self, now: Tick) -> bool {
+        self.peers.values().any(|p| p.state == State::Leaving && now.since(p.heard) <= SILENT)
+    }
+
+    // Until seeds were heard or enough time has passed, other hosts may exist that are unknown.
+    fn unheard_seed(&self, now: Tick) -> bool {
+        now.since(self.started) < FORGET && self.seeds.iter().any(|s| !self.peers.contains_key(s))
+    }
+}
+
+fn weight(ip: Ipv4Addr, id: &str) -> u64 {
+    hash(&["owner", id, &ip.to_string()])
+}
--- /dev/null
+++ b/crates/core/src/fleet/quota.rs
@@ -0,0 +1,240 @@
+//! Limits of client accounts over all hosts together.
+//!
+//! Each host keeps one bucket for each account and the whole fleet: it takes out what it admits
+//! itself at once, and what its peers admit as their digests tell. So a host may use all that the
+//! others leave, and the fleet exceeds a limit by no more than it admits in one interval of the
+//! digests. A peer that falls silent is charged its part of the rate until it is heard again: in a
+//! partition each side uses its part only.
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::Ipv4Addr,
+    time::Duration,
+};
+
+use arcstr::ArcStr;
+
+use super::{
+    digest::AccountUse,
+    hash32,
+    inventory::{Account, Inventory},
+};
+use crate::time::Tick;
+
+/// Time over which a peer's part of the demand is averaged.
+const HORIZON: Duration = Duration::from_secs(2);
+
+/// Silence after which a peer is charged its part: longer than two digests at the longest
+/// interval, shorter than the window of the users' check.
+const SILENT: Duration = Duration::from_millis(700);
+
+/// Part of the rate that a silent peer without any demand is charged, times the number of hosts.
+const FLOOR: f64 = 0.1;
+
+/// Factor on rate and burst, of the quarter by which the users let a fleet exceed them. Callers'
+/// requests reach the hosts in another order than they were sent.
+const OVERAGE: f64 = 1.05;
+
+/// Part of the users' slack that is added to the burst.
+const SLACK_SHARE: f64 = 0.2;
+
+/// Part of the burst that a new process starts with: its predecessor may have used the rest.
+const START_SHARE: f64 = 0.5;
+
+/// Outcome of a request's check.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// It is within the limit, and counted.
+    Within,
+    /// It is over the limit, for about so long.
+    Over(Duration),
+}
+
+#[derive(Debug)]
+struct Meter {
+    hash: u32,
+    rate: f64,
+    burst: f64,
+    // Units that may be used now. Negative while peers admitted more than was known.
+    level: f64,
+    // Units that this process has admitted.
+    spent: f64,
+    // Units per second that callers ask of this host.
+    demand: f64,
+    at: Tick,
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    life: u64,
+    heard: Tick,
+    // By hash of the account.
+    uses: HashMap<u32, Spent>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Spent {
+    told: f64,
+    demand: f64,
+    // Charged during silence, beyond what was told.
+    assumed: f64,
+}
+
+/// Limits of all accounts on one host.
+#[derive(Debug)]
+pub struct Quota {
+    meters: HashMap<ArcStr, Meter>,
+    peers: BTreeMap<Ipv4Addr, Peer>,
+    // Units beyond the burst.
+    slack: f64,
+    charged: Tick,
+}
+
+/// Units of a request against its account's limit.
+pub fn cost(account: &Account, counts: Option<(u32, u32)>) -> f64 {
+    match counts {
+        _ if !account.tokens => 1.0,
+        Some((prompt, output)) => f64::from(prompt) + f64::from(output),
+        None => f64::from(account.plain),
+    }
+}
+
+impl Quota {
+    /// Limits with the users' `slack`, in units.
+    pub fn new(now: Tick, slack: f64) -> Self {
+        Self {
+            meters: HashMap::new(),
+            peers: BTreeMap::new(),
+            slack: slack * SLACK_SHARE,
+            charged: now,
+        }
+    }
+
+    /// Takes the limits of a configuration. Levels of known accounts stay.
+    pub fn configure(&mut self, now: Tick, inventory: &Inventory) {
+        let mut old = std::mem::take(&mut self.meters);
+        for a in inventory.accounts.iter().filter(|a| a.rate > 0.0) {
+            let (rate, burst) = (a.rate * OVERAGE, a.burst * OVERAGE + self.slack);
+            let meter = match old.remove(&a.name) {
+                Some(m) => Meter { rate, burst, ..m },
+                None => Meter {
+                    hash: hash32(&[&a.name]),
+                    rate,
+                    burst,
+                    level: burst * START_SHARE,
+                    spent: 0.0,
+                    demand: 0.0,
+                    at: now,
+                },
+            };
+            self.meters.insert(a.name.clone(), meter);
+        }
+    }
+
+    /// Takes what a peer of process `life` has admitted.
+    pub fn heard(&mut self, now: Tick, ip: Ipv4Addr, life: u64, uses: &[AccountUse]) {
+        self.charge(now);
+        let peer = self.peers.entry(ip).or_default();
+        let first = peer.life == 0;
+        if peer.life != life {
+            // A new process counts from 0. What the old one was charged in silence stays, since it
+            // may have used it.
+            *peer = Peer { life, ..Peer::default() };
+        }
+        peer.heard = now;
+        for u in uses {
+            let s = peer.uses.entry(u.account).or_default();
+            let told = u.spent as f64;
+            // What a peer admitted before it was known lies in the past.
+            let fresh = if first { 0.0 } else { (told - s.told).max(0.0) };
+            let credit = s.assumed;
+            *s = Spent { told, demand: f64::from(u.rate), assumed: 0.0 };
+            if let Some(m) = self.meters.values_mut().find(|m| m.hash == u.account) {
+                m.advance(now);
+                m.level = (m.level + credit - fresh).clamp(-m.burst, m.burst);
+            }
+        }
+    }
+
+    /// Drops a peer that left or was forgotten.
+    pub fn gone(&mut self, ip: Ipv4Addr) {
+        self.peers.remove(&ip);
+    }
+
+    /// What this host has admitted, for the digest.
+    pub fn uses(&mut self, now: Tick) -> Vec<AccountUse> {
+        for m in self.meters.values_mut() {
+            m.advance(now);
+        }
+        let used = self.meters.values().filter(|m| m.spent > 0.0);
+        used.map(|m| AccountUse { account: m.hash, rate: m.demand as u32, spent: m.spent as u64 })
+            .collect()
+    }
+
+    /// Charges silent peers their parts up to now.
+    pub fn charge(&mut self, now: Tick) {
+        let passed = now.since(self.charged).as_secs_f64();
+        self.charged = now;
+        let hosts = (self.peers.len() + 1) as f64;
+        for m in self.meters.values_mut() {
+            m.advance(now);
+            let known = |p: &Peer| p.uses.get(&m.hash).map_or(0.0, |s| s.demand);
+            let floor = FLOOR * m.rate / hosts;
+            let all: f64 = m.demand + self.peers.values().map(known).sum::<f64>() + floor * hosts;
+            for p in self.peers.values_mut() {
+                let silence = now.since(p.heard);
+                if silence <= SILENT {
+                    continue;
+                }
+                let part = (p.uses.get(&m.hash).map_or(0.0, |s| s.demand) + floor) / all;
+                let units = part * m.rate * passed.min(silence.as_secs_f64());
+                p.uses.entry(m.hash).or_default().assumed += units;
+                m.level = (m.level - units).max(-m.burst);
+            }
+        }
+    }
+
+    /// Checks a request of `cost` units and counts it if it is within the limit.
+    pub fn check(&mut self, now: Tick, account: &str, cost: f64) -> Verdict {
+        self.charge(now);
+        let Some(m) = self.meters.get_mut(account) else { return Verdict::Within };
+        m.demand += cost / HORIZON.as_secs_f64();
+        // A request that is larger than the burst waits for a full bucket and leaves a debt.
+        let needed = cost.min(m.burst);
+        if m.level < needed {
+            let wait = (needed - m.level) / m.rate;
+            return Verdict::Over(Duration::try_from_secs_f64(wait).unwrap_or(HORIZON));
+        }
+        m.level -= cost;
+        m.spent += cost;
+        Verdict::Within
+    }
+
+    /// Gives back the units of a request that was not run. The count for peers never falls, so
+    /// they see it as used.
+    pub fn refund(&mut self, account: &str, cost: f64) {
+        if let Some(m) = self.meters.get_mut(account) {
+            m.level = (m.level + cost).min(m.burst);
+        }
+    }
+
+    /// Units that an account may use now, for logs.
+    pub fn level(&self, account: &str) -> f64 {
+        self.meters.get(account).map_or(f64::INFINITY, |m| m.level)
+    }
+}
+
+impl Meter {
+    fn advance(&mut self, now: Tick) {
+        let passed = now.since(self.at).as_secs_f64();
+        if passed == 0.0 {
+            return;
+        }
+        self.at = now;
+        self.level = (self.level + passed * self.rate).min(self.burst);
+        self.demand *= (-passed / HORIZON.as_secs_f64()).exp();
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bucket;
 pub mod burn;
 pub mod config;
+pub mod fleet;
 pub mod ids;
 pub mod lease;
 pub mod membership;
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -50,6 +50,10 @@
 /// Budget of retries.
 #[derive(Clone, Debug)]
 pub struct Budget {
+    // Retries per 1,000 requests.
+    share: u32,
+    // Retries that may be saved up.
+    reserve: u32,
     // Thousandths of a retry.
     saved: u32,
 }
@@ -63,12 +67,18 @@
 impl Budget {
     /// A budget with its reserve.
     pub fn new() -> Self {
-        Self { saved: RESERVE * RETRY }
+        Self::with(SHARE_PER_MILLE, RESERVE)
+    }
+
+    /// A budget of `share` retries per 1,000 requests that starts with `reserve` retries and saves
+    /// up as many.
+    pub fn with(share: u32, reserve: u32) -> Self {
+        Self { share, reserve, saved: reserve * RETRY }
     }
 
     /// Counts a request. To be called once per request, not per attempt.
     pub fn request(&mut self) {
-        self.saved = (self.saved + SHARE_PER_MILLE).min(RESERVE * RETRY);
+        self.saved = (self.saved + self.share).min(self.reserve * RETRY);
     }
 
     /// Whether the request may be tried again now. If so, the retry is counted.
