--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -57,16 +57,30 @@
     103 StopForced Warning "The exit was forced by a second signal or by the time limit.";
     104 Stopped Info "The process ends.";
     105 StartFailed Critical "The process cannot start.";
+    106 Reloaded Info "The settings were read again.";
+    107 ReloadFailed Error "Changed settings cannot be used; those in force stay.";
+    108 ServingChanged Info "The host begins or stops to take requests.";
     200 RequestDone Debug "A request ended.";
     201 RequestRefused Debug "A request was refused.";
     202 RequestFailed Warning "A request failed after it was sent to an upstream.";
     203 KeyRejected Info "A request came without a valid key.";
+    204 RequestPlaced Info "A request was given a replica.";
+    205 RequestEnded Info "A request was answered.";
+    206 AttemptFailed Info "A replica did not serve a request.";
+    208 RequestTurnedAway Info "A request was refused before it was passed on.";
+    207 LimitReached Info "A request is over its account's limit.";
     300 UpstreamConnect Warning "An upstream could not be connected.";
     301 UpstreamSilent Warning "An upstream went silent; the connection is replaced.";
     302 StreamResumed Info "An interrupted stream was resumed.";
     303 StreamForeign Warning "A chunk of another request was rejected.";
     304 StreamBroken Warning "A stream could not be resumed.";
     305 UpstreamInvalid Warning "An upstream's answer cannot be read.";
+    306 ReplicaJoined Info "The store lists a new replica, or a new start of one.";
+    307 ReplicaMissing Info "A replica's entry is gone; it gets no new work.";
+    308 ReplicaBack Info "A replica's entry is back.";
+    309 ReplicaSilent Warning "A replica does not answer the host that owns it.";
+    310 ReplicaAnswers Info "A replica answers again.";
+    311 ReplicaEjected Warning "A replica fails requests and gets none for a while.";
     400 LeaseAdmitted Info "The host holds its ordinal.";
     401 LeaseLost Warning "The host's lease ended without a renewal.";
     402 LeaseReplaced Warning "Another process holds the ordinal; this one starts again.";
@@ -76,17 +90,29 @@
     502 ConfigConflict Error "One version has two digests; the version in force stays.";
     503 ConfigStale Warning "The newest version has not been confirmed for too long.";
     504 ConfigFetchFailed Warning "A part could not be fetched.";
+    505 ConfigOld Info "The store gave a version that is not newer than the one in force.";
+    506 VersionRaised Info "A new version of an adapter was announced.";
+    507 ItemInvalid Warning "An item of the store cannot be read and is left out.";
+    508 StoreLost Warning "Reads of the store began to fail.";
+    509 StoreBack Info "Reads of the store work again.";
     600 PeerAlive Info "A peer answers.";
     601 PeerLost Warning "A peer does not answer.";
     602 PeerLeaving Info "A peer is shutting down.";
     603 HostListFailed Warning "The host list cannot be read.";
     604 UpstreamLeaving Info "An upstream is leaving and gets no new work.";
+    605 PeerRestarted Info "A peer has a new process.";
+    606 PeerGone Info "A peer was forgotten.";
+    607 DatagramInvalid Warning "A datagram cannot be read.";
+    608 DatagramUnsent Warning "A datagram could not be sent.";
     700 AdapterLoaded Info "An adapter was loaded.";
     701 AdapterUnloaded Info "An adapter was unloaded.";
     702 LoadFailed Warning "A load failed.";
     703 CommandFenced Warning "An engine rejected a command with an old fencing number.";
     704 EngineRestarted Warning "An engine restarted and lost its adapters.";
     705 UnloadFailed Warning "An unload had no answer or an error; its instance name is not used for a while.";
+    706 OrderAnswered Info "An order to an engine was answered or lost.";
+    707 LoadAwaited Info "A request waited for a load that has ended.";
+    708 LoadLate Info "A request waited for a load in vain.";
     800 TlsLoaded Info "Certificates were loaded.";
     801 TlsRejected Error "Changed certificates cannot be used; the old ones stay in use.";
 }
@@ -113,6 +139,11 @@
     }
 }
 
+/// A logger that writes JSON to standard output. Dropping the guard writes what is waiting.
+pub fn stdout(host: &str) -> (Logger, slog_async::AsyncGuard) {
+    spawn(json(io::stdout()), Level::Info, host)
+}
+
 /// A logger that writes to standard error. Dropping the guard writes what is waiting.
 pub fn logger(settings: Log, host: &str) -> (Logger, slog_async::AsyncGuard) {
     match settings.format {
--- /dev/null
+++ b/crates/daemon/src/front.rs
@@ -0,0 +1,137 @@
+//! A host on the users' platform: between their callers and their replicas.
+//!
+//! The control thread owns all decision state; one traffic thread serves callers and asks it for
+//! each request. Nothing survives the process.
+
+mod client;
+mod clock;
+mod control;
+mod edge;
+mod forward;
+mod mesh;
+mod meters;
+pub mod settings;
+mod sse;
+mod store;
+
+use std::{
+    net::{TcpListener, UdpSocket},
+    path::Path,
+    sync::Arc,
+};
+
+use actix::Actor;
+use actix_web::{App, HttpServer, web};
+use arc_swap::ArcSwap;
+use slog::kv;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+use self::{
+    control::{Control, Drain, Published, Reload},
+    edge::Edge,
+    meters::Meters,
+    settings::Settings,
+};
+use crate::{
+    Error,
+    events::{self, Event, emit},
+};
+
+/// Variable that holds the path of the settings file when no option names one.
+pub const SETTINGS_VARIABLE: &str = "YUCCAWING_CONFIG";
+
+/// Connections that wait to be accepted. Callers open many at once after a restart.
+const BACKLOG: u32 = 1024;
+
+/// Seconds for which an idle connection of a caller stays open. Callers reuse connections for up
+/// to four fifths of the configured time, which is 15 s where it is known.
+const KEEP_ALIVE_S: u64 = 60;
+
+/// Seconds in which the head of a request must arrive.
+const HEAD_S: u64 = 3;
+
+/// Runs a host until a signal ends it.
+///
+/// # Errors
+///
+/// The settings have findings, or a socket cannot be bound.
+pub fn run(path: &Path) -> Result<(), Error> {
+    let settings = Settings::load(path)?;
+    let (log, _guard) = events::stdout(&settings.name);
+    let out = actix_rt::System::new().block_on(serve(settings, path, log.clone()));
+    if let Err(e) = &out {
+        emit(&log, Event::StartFailed, &kv!("error" => e.to_string()));
+    }
+    emit(&log, Event::Stopped, &kv!());
+    out
+}
+
+/// Checks the settings.
+///
+/// # Errors
+///
+/// The settings have findings.
+pub fn check(path: &Path) -> Result<(), Error> {
+    Settings::load(path)?;
+    Ok(())
+}
+
+async fn serve(settings: Settings, path: &Path, log: slog::Logger) -> Result<(), Error> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    let settings = Arc::new(settings);
+    let published = Arc::new(ArcSwap::from_pointee(Published::default()));
+    let meters = Meters::new();
+    let token = CancellationToken::new();
+    let socket = UdpSocket::bind((settings.ip, settings.peer_port()))?;
+    socket.set_nonblocking(true)?;
+    let control = Control::new(control::Setup {
+        settings: settings.clone(),
+        published: published.clone(),
+        meters: meters.clone(),
+        log: log.clone(),
+        stop: token.clone(),
+        socket: Arc::new(tokio::net::UdpSocket::from_std(socket)?),
+    })
+    .start();
+    let edge = Edge {
+        settings: settings.clone(),
+        published,
+        control: control.clone(),
+        meters,
+        log: log.clone(),
+    };
+    let server = HttpServer::new(move || {
+        App::new().app_data(web::Data::new(edge.worker())).default_service(web::to(edge::handle))
+    })
+    .workers(1)
+    .backlog(BACKLOG)
+    .keep_alive(std::time::Duration::from_secs(KEEP_ALIVE_S))
+    .client_request_timeout(std::time::Duration::from_secs(HEAD_S))
+    // A caller that closes its side has left; its request must end at the replica too.
+    .h1_allow_half_closed(false)
+    .shutdown_timeout(settings.bounds.grace().as_secs())
+    .disable_signals()
+    .listen(TcpListener::bind(settings.listen.front)?)?
+    .listen(TcpListener::bind(settings.listen.ready)?)?
+    .listen(TcpListener::bind(settings.listen.directory)?)?
+    .listen(TcpListener::bind(settings.metrics())?)?
+    .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    emit(&log, Event::Started, &kv!("front" => settings.listen.front.to_string()));
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => control.do_send(Reload { path: path.to_owned(), signal: true }),
+        }
+    }
+    emit(&log, Event::StopBegun, &kv!());
+    control.do_send(Drain);
+    control::drained(&control, settings.bounds.grace()).await;
+    handle.stop(false).await;
+    token.cancel();
+    emit(&log, Event::StopDrained, &kv!());
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/front/client.rs
@@ -0,0 +1,239 @@
+//! HTTP/1.1 client for the store and the replicas.
+//!
+//! `awc` reports a chunked body that ends early as complete, and does not tell whether a request
+//! was written, so this client uses the nearest library that does.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+use yuccawing_core::time::Tick;
+
+use super::clock;
+
+/// Time for a connection. Callers allow one second for theirs.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// Idle time after which a kept connection is not used again. Replicas may drop idle connections
+/// early, and a request on a dropped one is lost.
+const IDLE: Duration = Duration::from_millis(1500);
+
+/// Idle connections that are kept for one address.
+const MAX_IDLE: usize = 8;
+
+/// Why a call failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// No connection; nothing was sent.
+    #[error("no connection: {0}")]
+    Connect(std::io::Error),
+    /// No connection within the limit; nothing was sent.
+    #[error("no connection in time")]
+    ConnectTimeout,
+    /// The connection was closed before the request was written.
+    #[error("the connection was closed before the request was written")]
+    Unsent,
+    /// The answer did not come within the limit.
+    #[error("no answer in time")]
+    Silent,
+    /// The connection broke, or what came was no answer.
+    #[error("broken answer: {0}")]
+    Broken(hyper::Error),
+    /// The body is longer than the limit.
+    #[error("the body is longer than {0} bytes")]
+    TooLong(usize),
+}
+
+impl Fault {
+    /// Whether nothing was sent.
+    pub fn unsent(&self) -> bool {
+        matches!(self, Self::Connect(_) | Self::ConnectTimeout | Self::Unsent)
+    }
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+    since: Tick,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        // Closes the socket at once, which is what cancels a request at a replica.
+        self.task.abort();
+    }
+}
+
+/// Connections of one thread.
+#[derive(Debug, Default)]
+pub struct Client {
+    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+/// An answer whose body is still to be read. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Reply {
+    /// Status, headers and body.
+    pub response: Response<Incoming>,
+    connection: Connection,
+    address: SocketAddr,
+}
+
+/// Which connection a call may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// A kept one or a new one.
+    Any,
+    /// A new one, for what must not be lost on a connection that was dropped silently.
+    Fresh,
+}
+
+impl Client {
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// No connection, no answer within `limit`, or a broken one.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        usage: Use,
+        limit: Duration,
+    ) -> Result<Reply, Fault> {
+        let kept = if usage == Use::Any { self.take(address) } else { None };
+        let mut c = match kept {
+            Some(c) => c,
+            None => timeout(CONNECT.min(limit), connect(address))
+                .await
+                .unwrap_or(Err(Fault::ConnectTimeout))?,
+        };
+        match timeout(limit, c.sender.try_send_request(request)).await {
+            Ok(Ok(response)) => Ok(Reply { response, connection: c, address }),
+            Ok(Err(mut e)) => match e.take_message() {
+                Some(_) => Err(Fault::Unsent),
+                None => Err(Fault::Broken(e.into_error())),
+            },
+            Err(_) => Err(Fault::Silent),
+        }
+    }
+
+    /// Sends a request and reads a whole answer of at most `most` bytes. The connection is kept if
+    /// the answer allows it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`], and a body that is too long.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        most: usize,
+    ) -> Result<(u16, Bytes), Fault> {
+        let call = async {
+            let mut reply = self.send(address, request, Use::Any, limit).await?;
+            let body = reply.body(most).await?;
+            let status = reply.response.status().as_u16();
+            self.keep(reply);
+            Ok((status, body))
+        };
+        timeout(limit, call).await.unwrap_or(Err(Fault::Silent))
+    }
+
+    /// Keeps the connection of an answer that was read to its end.
+    pub fn keep(&self, reply: Reply) {
+        let Reply { response, mut connection, address } = reply;
+        let close = response
+            .headers()
+            .get("connection")
+            .is_some_and(|v| v.to_str().is_ok_and(|v| v.to_ascii_lowercase().contains("close")));
+        if close || !connection.sender.is_ready() {
+            return;
+        }
+        connection.since = clock::now();
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(address).or_default();
+        if kept.len() < MAX_IDLE {
+            kept.push(connection);
+        }
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        let now = clock::now();
+        while let Some(c) = kept.pop() {
+            if now.since(c.since) <= IDLE && c.sender.is_ready() {
+                return Some(c);
+            }
+        }
+        None
+    }
+
+    /// Drops connections that have been idle for too long.
+    pub fn sweep(&self) {
+        let now = clock::now();
+        self.idle.borrow_mut().retain(|_, kept| {
+            kept.retain(|c| now.since(c.since) <= IDLE && !c.sender.is_closed());
+            !kept.is_empty()
+        });
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, Fault> {
+    let stream = TcpStream::connect(address).await.map_err(Fault::Connect)?;
+    stream.set_nodelay(true).map_err(Fault::Connect)?;
+    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(Fault::Broken)?;
+    let task = actix_rt::spawn(async move {
+        // An error also reaches whoever waits for the answer, who reports it.
+        let _ = connection.await;
+    });
+    Ok(Connection { sender, task, since: clock::now() })
+}
+
+impl Reply {
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// It breaks off or is longer than `most` bytes.
+    pub async fn body(&mut self, most: usize) -> Result<Bytes, Fault> {
+        let mut out = bytes::BytesMut::new();
+        while let Some(data) = self.chunk().await? {
+            if out.len() + data.len() > most {
+                return Err(Fault::TooLong(most));
+            }
+            out.extend_from_slice(&data);
+        }
+        Ok(out.freeze())
+    }
+
+    /// Reads the next piece of the body, none at its end.
+    ///
+    /// # Errors
+    ///
+    /// It breaks off.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, Fault> {
+        loop {
+            match self.response.body_mut().frame().await {
+                None => return Ok(None),
+                Some(Err(e)) => return Err(Fault::Broken(e)),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/control.rs
@@ -0,0 +1,404 @@
+//! The control thread: owner of all decision state.
+
+mod admit;
+mod beliefs;
+mod loads;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    path::PathBuf,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use actix::{Actor, Addr, AsyncContext, Context, Handler, Message};
+use arc_swap::ArcSwap;
+use arcstr::ArcStr;
+use slog::{Logger, kv};
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+use yuccawing_core::{
+    fleet::{
+        catalog::Catalog,
+        digest::{Digest, Engine, Message as Peer, State},
+        dispatch::Dispatcher,
+        order::Lease,
+        peers::{Peers, RECENT},
+        quota::Quota,
+        replicas::ReplicaKey,
+    },
+    retry::Budget,
+    time::Tick,
+};
+
+pub use self::admit::{Admit, Blame, Go, Verdict};
+use self::loads::{Keep, Waiters};
+use super::{
+    client::Client,
+    clock,
+    mesh::{self, Received},
+    meters::Meters,
+    settings::Settings,
+    store::Reader,
+};
+use crate::events::{Event, emit};
+
+/// Interval of digests for each host that they go to: a fleet of five hears of a request within
+/// 100 ms, and the number of datagrams grows with the fleet, not with its square.
+const DIGEST_PER_HOST: Duration = Duration::from_millis(8);
+
+/// Bounds of that interval. The upper one leaves four digests in the time after which a peer
+/// counts as silent.
+const DIGEST_RANGE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(300));
+
+/// Interval of the checks of waiting requests, and of reads of reports that are due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Interval at which shares and metrics are worked out anew and idle connections are dropped.
+const HOUSEKEEPING: Duration = Duration::from_millis(500);
+
+/// Silence of the store after which entries may have lapsed: an entry lives for three intervals
+/// of its replica, which begin before the silence.
+const STORE_GAP: Duration = Duration::from_millis(2000);
+
+/// Margin by which a host stops taking keys before their withdrawal must be in force, for the way
+/// of a request and for clocks.
+const REVOKE_MARGIN: Duration = Duration::from_millis(400);
+
+/// What the traffic thread reads for each request.
+#[derive(Debug, Default)]
+pub struct Published {
+    /// Configuration in force, none before the first one was read.
+    pub catalog: Option<Arc<Catalog>>,
+    /// When the newest read of the configuration was sent.
+    pub read: Tick,
+    /// Whether this host takes requests.
+    pub serving: bool,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// When it stops taking requests, if it is shutting down.
+    pub closing: Option<Tick>,
+    /// Addresses that callers may use.
+    pub fronts: Vec<String>,
+}
+
+/// What the control thread starts with.
+pub struct Setup {
+    /// Settings.
+    pub settings: Arc<Settings>,
+    /// Where results for the traffic thread go.
+    pub published: Arc<ArcSwap<Published>>,
+    /// Metrics.
+    pub meters: Meters,
+    /// Log.
+    pub log: Logger,
+    /// Ends all tasks.
+    pub stop: CancellationToken,
+    /// For digests.
+    pub socket: Arc<UdpSocket>,
+}
+
+/// The control thread.
+pub struct Control {
+    settings: Arc<Settings>,
+    published: Arc<ArcSwap<Published>>,
+    meters: Meters,
+    log: Logger,
+    stop: CancellationToken,
+    socket: Arc<UdpSocket>,
+    client: Rc<Client>,
+    peers: Peers,
+    quota: Quota,
+    dispatcher: Dispatcher,
+    budgets: HashMap<ArcStr, Budget>,
+    keeps: BTreeMap<ReplicaKey, Keep>,
+    waiters: Waiters,
+    catalog: Option<Arc<Catalog>>,
+    started: Tick,
+    life: u64,
+    number: u64,
+    digested: Tick,
+    // When the newest successful reads were sent, and the store's newest known revision.
+    read: Option<Tick>,
+    listed: Option<Tick>,
+    revision: u64,
+    leaving: bool,
+    closing: Option<Tick>,
+    serving: bool,
+    open: usize,
+}
+
+/// The settings file may have changed.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Reload {
+    /// Path of the file.
+    pub path: PathBuf,
+    /// Whether a signal asked for it.
+    pub signal: bool,
+}
+
+/// The host begins to leave.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Drain;
+
+/// Asks for the number of requests that are open.
+#[derive(Message)]
+#[rtype(result = "usize")]
+pub struct Open;
+
+/// Time after SIGTERM in which the process stays: callers keep a look-up for its stated time, some
+/// of them three times as long, but find other hosts when a connection is refused.
+const LINGER: Duration = Duration::from_secs(3);
+
+/// Time after SIGTERM in which requests are still taken. Later ones could not end before SIGKILL
+/// and are sent to another host.
+const TAKE: Duration = Duration::from_millis(2000);
+
+/// Time before SIGKILL at which the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(400);
+
+/// Waits until the requests have ended, at most until shortly before `grace` is over.
+pub async fn drained(control: &Addr<Control>, grace: Duration) {
+    let begun = clock::now();
+    let last = grace.saturating_sub(END_MARGIN);
+    loop {
+        tokio::time::sleep(TICK).await;
+        let passed = clock::now().since(begun);
+        let open = control.send(Open).await.unwrap_or(0);
+        if passed >= last || (passed >= LINGER.min(last) && open == 0) {
+            return;
+        }
+    }
+}
+
+impl Control {
+    /// A host that knows nothing yet.
+    pub fn new(setup: Setup) -> Self {
+        let now = clock::now();
+        let s = &setup.settings;
+        Self {
+            peers: Peers::new(s.ip, s.seeds.iter().map(|a| *a.ip()).collect(), now),
+            dispatcher: Dispatcher::new(s.zone.clone()),
+            client: Rc::new(Client::default()),
+            quota: Quota::new(now, s.bounds.quota_slack),
+            settings: setup.settings,
+            published: setup.published,
+            meters: setup.meters,
+            log: setup.log,
+            stop: setup.stop,
+            socket: setup.socket,
+            budgets: HashMap::new(),
+            keeps: BTreeMap::new(),
+            waiters: Waiters::default(),
+            catalog: None,
+            started: now,
+            life: clock::unix_ms(),
+            number: 0,
+            digested: now,
+            read: None,
+            listed: None,
+            revision: 0,
+            leaving: false,
+            closing: None,
+            serving: false,
+            open: 0,
+        }
+    }
+
+    fn lease(&self) -> Lease {
+        Lease { term: Duration::from_millis(self.settings.bounds.lease_ms) }
+    }
+
+    fn state(&self) -> State {
+        match (self.leaving, self.serving) {
+            (true, _) => State::Leaving,
+            (false, true) => State::Serving,
+            (false, false) => State::Unready,
+        }
+    }
+
+    // Whether the configuration is fresh enough for keys.
+    fn fresh(&self, now: Tick) -> bool {
+        let bounds = &self.settings.bounds;
+        let limit = Duration::from_millis(bounds.revoke_ms).saturating_sub(REVOKE_MARGIN);
+        self.read.is_some_and(|t| !bounds.fail_closed || now.since(t) < limit)
+    }
+
+    fn publish(&mut self, now: Tick) {
+        let serving = self.catalog.is_some() && self.listed.is_some() && self.fresh(now);
+        if serving != self.serving {
+            self.serving = serving;
+            let age = self.read.map_or(0, |t| now.since(t).as_millis() as u64);
+            emit(
+                &self.log,
+                Event::ServingChanged,
+                &kv!("serving" => serving, "config_age_ms" => age),
+            );
+        }
+        let mut fronts: Vec<_> = self.peers.serving(now).map(|p| p.front.to_string()).collect();
+        if self.serving && !self.leaving {
+            fronts.push(self.settings.listen.front.to_string());
+        }
+        self.published.store(Arc::new(Published {
+            catalog: self.catalog.clone(),
+            read: self.read.unwrap_or_default(),
+            serving,
+            leaving: self.leaving,
+            closing: self.closing,
+            fronts,
+        }));
+    }
+
+    fn send(&self, ip: std::net::Ipv4Addr, message: &Peer) {
+        let to = (ip, self.settings.peer_port()).into();
+        mesh::send(&self.socket, to, message, &self.log);
+    }
+
+    fn interval(&self) -> Duration {
+        let hosts = self.peers.iter().count() as u32;
+        (DIGEST_PER_HOST * hosts).clamp(DIGEST_RANGE.0, DIGEST_RANGE.1)
+    }
+
+    fn digest(&mut self, now: Tick) {
+        self.digested = now;
+        self.number += 1;
+        let (loads, uses, kept) = self.dispatcher.tell();
+        let lease = self.lease();
+        let engines = self.keeps.iter().filter_map(|(k, keep)| {
+            let r = self.dispatcher.replicas.get(*k)?;
+            Some(Engine {
+                replica: r.hash,
+                held: !self.leaving && r.tenure.may(now, lease),
+                alive: r.alive,
+                loading: keep.keeper.loads() as u8,
+                residents: keep.keeper.residents(),
+            })
+        });
+        let ordered = self.dispatcher.replicas.iter();
+        let ordered =
+            ordered.filter(|(_, r)| r.tenure.ordered_since(now - RECENT)).map(|(_, r)| r.hash);
+        let digest = Digest {
+            ip: self.settings.ip,
+            front: self.settings.listen.front,
+            zone: self.settings.zone.clone(),
+            life: self.life,
+            number: self.number,
+            state: self.state(),
+            members: self.peers.members(now),
+            age: now.since(self.started).as_millis() as u64,
+            ordered: ordered.collect(),
+            version: self.catalog.as_ref().map_or(0, |c| c.inventory.version),
+            engines: engines.collect(),
+            accounts: self.quota.uses(now),
+            loads,
+            uses,
+            kept,
+        };
+        let message = Peer::Digest(Box::new(digest));
+        for ip in self.peers.contacts() {
+            self.send(ip, &message);
+        }
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        let now = clock::now();
+        if now.since(self.digested) >= self.interval() {
+            self.digest(now);
+        }
+        self.check_waiters(now, ctx);
+        self.read_reports(now, ctx);
+    }
+
+    fn housekeeping(&mut self) {
+        let now = clock::now();
+        for ip in self.peers.expire(now) {
+            emit(&self.log, Event::PeerGone, &kv!("ip" => ip.to_string()));
+            self.quota.gone(ip);
+            self.dispatcher.silent(ip);
+        }
+        self.quota.charge(now);
+        self.assign(now);
+        self.client.sweep();
+        self.publish(now);
+        let usable = self.dispatcher.replicas.iter().filter(|(_, r)| r.usable()).count();
+        self.meters.replicas.set(usable as i64);
+        self.meters.peers.set(self.peers.members(now).iter().filter(|m| m.heard).count() as i64);
+        self.meters.age.set(self.read.map_or(-1, |t| now.since(t).as_millis() as i64));
+    }
+}
+
+impl Actor for Control {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        // Requests of all traffic threads and datagrams of all peers arrive here.
+        ctx.set_mailbox_capacity(4096);
+        let reader = || Reader {
+            address: self.settings.store,
+            client: Rc::new(Client::default()),
+            control: ctx.address(),
+            log: self.log.clone(),
+            stop: self.stop.clone(),
+        };
+        actix_rt::spawn(reader().operator());
+        actix_rt::spawn(reader().replicas());
+        let (socket, log, stop) = (self.socket.clone(), self.log.clone(), self.stop.clone());
+        actix_rt::spawn(mesh::receive(socket, ctx.address(), log, stop));
+        ctx.run_interval(TICK, |act, ctx| act.tick(ctx));
+        ctx.run_interval(HOUSEKEEPING, |act, _| act.housekeeping());
+    }
+}
+
+impl Handler<Received> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Received, ctx: &mut Self::Context) {
+        let now = clock::now();
+        match msg.message {
+            Peer::Digest(d) => self.heard(now, &d, ctx),
+            Peer::Want(w) => self.wanted(now, msg.from, w, ctx),
+            Peer::Ready(r) => self.ready(&r),
+        }
+    }
+}
+
+impl Handler<Drain> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _: Drain, _: &mut Self::Context) {
+        let now = clock::now();
+        self.leaving = true;
+        self.closing = Some(now + TAKE);
+        self.publish(now);
+        self.digest(now);
+    }
+}
+
+impl Handler<Open> for Control {
+    type Result = usize;
+
+    fn handle(&mut self, _: Open, _: &mut Self::Context) -> usize {
+        self.open
+    }
+}
+
+impl Handler<Reload> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Reload, _: &mut Self::Context) {
+        match Settings::load(&msg.path) {
+            Ok(s) => {
+                self.peers.set_seeds(s.seeds.iter().map(|a| *a.ip()).collect());
+                let seeds = s.seeds.len();
+                let bounds = s.bounds.clone();
+                self.settings =
+                    Arc::new(Settings { seeds: s.seeds, bounds, ..(*self.settings).clone() });
+                emit(&self.log, Event::Reloaded, &kv!("signal" => msg.signal, "seeds" => seeds));
+            }
+            Err(e) => emit(&self.log, Event::ReloadFailed, &kv!("error" => e.to_string())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/mesh.rs
@@ -0,0 +1,72 @@
+//! Datagrams between hosts. A digest replaces the one before it, so nothing is repeated on loss,
+//! and there is no connection that could go silent. This is why `tarpc` is not used here.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use actix::{Addr, Message as ActixMessage};
+use slog::{Logger, kv};
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+use yuccawing_core::fleet::digest::Message;
+
+use super::control::Control;
+use crate::events::{Event, emit};
+
+/// Largest datagram in bytes, that of UDP over IPv4.
+const MAX_DATAGRAM: usize = 65_507;
+
+/// A message of a peer.
+#[derive(ActixMessage)]
+#[rtype(result = "()")]
+pub struct Received {
+    /// Where it came from.
+    pub from: SocketAddr,
+    /// What it says.
+    pub message: Message,
+}
+
+/// Receives datagrams until the host stops.
+pub async fn receive(
+    socket: Arc<UdpSocket>,
+    control: Addr<Control>,
+    log: Logger,
+    stop: CancellationToken,
+) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        let received = stop.run_until_cancelled(socket.recv_from(&mut buf)).await;
+        match received {
+            None => return,
+            Some(Ok((n, from))) => match postcard::from_bytes(&buf[..n]) {
+                Ok(message) => control.do_send(Received { from, message }),
+                Err(e) => {
+                    let from = from.to_string();
+                    emit(
+                        &log,
+                        Event::DatagramInvalid,
+                        &kv!("from" => from, "error" => e.to_string()),
+                    );
+                }
+            },
+            // The error of an earlier send to a machine without a listener.
+            Some(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => {}
+            Some(Err(e)) => {
+                emit(&log, Event::DatagramInvalid, &kv!("error" => e.to_string()));
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+}
+
+/// Sends a message. A full link drops it, which the next digest makes up for.
+pub fn send(socket: &UdpSocket, to: SocketAddr, message: &Message, log: &Logger) {
+    let bytes = postcard::to_stdvec(message).expect("messages have no unsupported types");
+    if let Err(e) = socket.try_send_to(&bytes, to) {
+        let bytes = bytes.len();
+        emit(
+            log,
+            Event::DatagramUnsent,
+            &kv!("to" => to.to_string(), "bytes" => bytes, "error" => e.to_string()),
+        );
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/meters.rs
@@ -0,0 +1,111 @@
+//! Metrics of a host on the platform. `docs/METRICS.md` is their catalogue.
+
+use std::time::Duration;
+
+use prometheus::{Encoder, HistogramVec, IntCounterVec, IntGauge, Registry, TextEncoder};
+
+use crate::metrics::{counter, gauge, seconds};
+
+/// All metrics.
+#[derive(Clone, Debug)]
+pub struct Meters {
+    registry: Registry,
+    /// Requests by route and outcome.
+    requests: IntCounterVec,
+    /// Refusals by reason.
+    refusals: IntCounterVec,
+    /// Attempts by service and outcome.
+    attempts: IntCounterVec,
+    /// Time to the first event, or the whole answer of a plain service.
+    first: HistogramVec,
+    /// Wait for a load.
+    stalls: HistogramVec,
+    /// Orders by verb and answer.
+    orders: IntCounterVec,
+    /// Version of the configuration in force.
+    pub version: IntGauge,
+    /// Peers that were heard lately.
+    pub peers: IntGauge,
+    /// Replicas that may get work.
+    pub replicas: IntGauge,
+    /// Age of the last read of the configuration, in ms.
+    pub age: IntGauge,
+}
+
+impl Meters {
+    /// New metrics, all zero.
+    pub fn new() -> Self {
+        let r = Registry::new();
+        Self {
+            requests: counter(
+                &r,
+                "front_requests_total",
+                "Requests by route and outcome.",
+                &["route", "outcome"],
+            ),
+            refusals: counter(&r, "front_refusals_total", "Refusals by reason.", &["reason"]),
+            attempts: counter(
+                &r,
+                "front_attempts_total",
+                "Requests sent to replicas by service and outcome.",
+                &["service", "outcome"],
+            ),
+            first: seconds(
+                &r,
+                "front_first_seconds",
+                "Time to the first event or the whole answer, in seconds.",
+                "route",
+            ),
+            stalls: seconds(&r, "front_stall_seconds", "Wait for a load, in seconds.", "service"),
+            orders: counter(
+                &r,
+                "front_orders_total",
+                "Orders by verb and answer.",
+                &["verb", "answer"],
+            ),
+            version: gauge(&r, "front_config_version", "Configuration version in force."),
+            peers: gauge(&r, "front_peers", "Peers that were heard lately."),
+            replicas: gauge(&r, "front_replicas", "Replicas that may get work."),
+            age: gauge(&r, "front_config_age_ms", "Age of the last read of the configuration."),
+            registry: r,
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn request(&self, route: &str, outcome: &str) {
+        self.requests.with_label_values(&[route, outcome]).inc();
+    }
+
+    /// Counts a refusal.
+    pub fn refusal(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts the end of an attempt.
+    pub fn attempt(&self, service: &str, outcome: &str) {
+        self.attempts.with_label_values(&[service, outcome]).inc();
+    }
+
+    /// Records the time to the first event or the whole answer.
+    pub fn first(&self, route: &str, d: Duration) {
+        self.first.with_label_values(&[route]).observe(d.as_secs_f64());
+    }
+
+    /// Records a wait for a load.
+    pub fn stall(&self, service: &str, d: Duration) {
+        self.stalls.with_label_values(&[service]).observe(d.as_secs_f64());
+    }
+
+    /// Counts an order.
+    pub fn order(&self, verb: &str, answer: &str) {
+        self.orders.with_label_values(&[verb, answer]).inc();
+    }
+
+    /// All metrics in the text format.
+    pub fn render(&self) -> String {
+        let mut out = Vec::new();
+        // Writing to a vector fails only on a metric without a type, which the types rule out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
+        String::from_utf8(out).unwrap_or_default()
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,6 +3,7 @@
 mod control;
 mod edge;
 mod events;
+mod front;
 mod mesh;
 mod metrics;
 mod settings;
@@ -39,9 +40,12 @@
 /// Runs an entry host of yuccawing. Memory grows with the inventory, about 1 KB an adapter.
 #[derive(FromArgs)]
 struct Args {
-    /// settings file (TOML)
+    /// settings file (TOML); with --platform the variable YUCCAWING_CONFIG by default
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+    /// serve on the users' platform
+    #[argh(switch)]
+    platform: bool,
     /// check the settings and exit
     #[argh(switch)]
     check: bool,
@@ -50,9 +54,15 @@
 /// Why the daemon ended.
 #[derive(Debug, thiserror::Error)]
 enum Error {
+    /// No settings file is named.
+    #[error("no settings file: use --settings FILE")]
+    NoSettings,
     /// The settings have findings.
     #[error("{0}")]
     Settings(#[from] Findings),
+    /// The settings for the platform have findings.
+    #[error("{0}")]
+    Platform(#[from] front::settings::SettingsError),
     /// A certificate or key cannot be used.
     #[error("{0}")]
     Tls(#[from] TlsError),
@@ -77,7 +87,19 @@
 }
 
 fn run(args: &Args) -> Result<Ended, Error> {
-    let settings = Arc::new(Settings::load(&args.settings)?);
+    let variable = || std::env::var_os(front::SETTINGS_VARIABLE).map(PathBuf::from);
+    let named = args.settings.clone();
+    let path = if args.platform { named.or_else(variable) } else { named };
+    let path = path.ok_or(Error::NoSettings)?;
+    if args.platform {
+        if args.check {
+            front::check(&path)?
+        } else {
+            front::run(&path)?
+        }
+        return Ok(Ended::Graceful);
+    }
+    let settings = Arc::new(Settings::load(&path)?);
     if args.check {
         return Ok(Ended::Graceful);
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -82,8 +82,18 @@
                 "Requests by outcome.",
                 &["account", "class", "outcome"],
             ),
-            first: seconds(&r, "first_token_seconds", "Time to the first token, in seconds."),
-            status: seconds(&r, "status_seconds", "Duration of status requests, in seconds."),
+            first: seconds(
+                &r,
+                "first_token_seconds",
+                "Time to the first token, in seconds.",
+                "account",
+            ),
+            status: seconds(
+                &r,
+                "status_seconds",
+                "Duration of status requests, in seconds.",
+                "account",
+            ),
             refusals: counter(&r, "refusals_total", "Refusals by reason.", &["account", "reason"]),
             stalls: counter(
                 &r,
@@ -147,15 +157,15 @@
     c
 }
 
-fn counter(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+pub(crate) fn counter(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     register(r, IntCounterVec::new(Opts::new(name, help).namespace("yuccawing"), labels))
 }
 
-fn seconds(r: &Registry, name: &str, help: &str) -> HistogramVec {
+pub(crate) fn seconds(r: &Registry, name: &str, help: &str, label: &str) -> HistogramVec {
     let opts = HistogramOpts::new(name, help).namespace("yuccawing").buckets(SECONDS.to_vec());
-    register(r, HistogramVec::new(opts, &["account"]))
+    register(r, HistogramVec::new(opts, &[label]))
 }
 
-fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
+pub(crate) fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
     register(r, IntGauge::with_opts(Opts::new(name, help).namespace("yuccawing")))
 }
