Read the store from two hosts; keep the fleet within its limits at any size

A property test found that two hosts that never met each use the whole limit. Change: below the fleet's demand in one interval a host uses its part of the rate by demand; seeds that were not heard are charged a part. Two hosts by rendezvous read the store, the others learn from digests, with the age of the read, that what they hold is still there.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -11,6 +11,7 @@
 pub mod order;
 pub mod peers;
 pub mod quota;
+pub mod reading;
 pub mod replicas;
 pub mod report;
 
--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -6,7 +6,7 @@
 use arcstr::ArcStr;
 use serde::{Deserialize, Serialize};
 
-use super::report::Resident;
+use super::{reading::Mark, report::Resident};
 
 /// What a host does with requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,8 +51,10 @@
     pub age: u64,
     /// Replicas that it gave orders to within [`super::peers::RECENT`].
     pub ordered: Vec<u32>,
-    /// Version of its configuration.
-    pub version: u64,
+    /// What it knows of the operator's keys.
+    pub operator: Option<Mark>,
+    /// What it knows of the replicas' entries.
+    pub listing: Option<Mark>,
     /// What it has admitted for each account.
     pub accounts: Vec<AccountUse>,
     /// Its requests at the replicas.
--- a/crates/core/src/fleet/health/tests.rs
+++ b/crates/core/src/fleet/health/tests.rs
@@ -1,1 +1,75 @@
+use super::{Health, Outcome, Standing};
+use crate::time::Tick;
 
+fn at(ms: u64) -> Tick {
+    Tick(1_000_000_000 + ms * 1000)
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against a replica that hangs and keeps its share of the requests.
+    two_lost_requests_eject: {
+        let mut h = Health::default();
+        assert!(!h.record(at(0), Outcome::Lost, 0.0));
+        assert!(h.record(at(1), Outcome::Lost, 0.0));
+        assert_eq!(h.standing(at(2)), Standing::Ejected);
+    }
+    // Guards against a grey replica that answers between its failures.
+    a_high_share_of_failures_ejects: {
+        let mut h = Health::default();
+        let mut ejected = false;
+        for i in 0..20 {
+            let outcome = if i % 2 == 0 { Outcome::Failed } else { Outcome::Good };
+            ejected |= h.record(at(i), outcome, 0.0);
+        }
+        assert!(ejected);
+    }
+    // Guards against ejection for errors that all replicas of a service answer.
+    usual_failures_do_not_eject: {
+        let mut h = Health::default();
+        for i in 0..100 {
+            let outcome = if i % 4 == 0 { Outcome::Failed } else { Outcome::Good };
+            assert!(!h.record(at(i), outcome, 0.25));
+        }
+    }
+    // Guards against a crowd of requests at a replica that returns.
+    a_returning_replica_gets_one_probe: {
+        let mut h = Health::default();
+        h.record(at(0), Outcome::Lost, 0.0);
+        h.record(at(0), Outcome::Lost, 0.0);
+        assert_eq!(h.standing(at(1600)), Standing::Probe);
+        h.probing(at(1600));
+        assert_eq!(h.standing(at(1700)), Standing::Ejected);
+        assert_eq!(h.standing(at(2700)), Standing::Probe, "a probe without an outcome");
+    }
+    // Guards against a replica that stays out for good after a short fault.
+    good_probes_clear_the_record: {
+        let mut h = Health::default();
+        h.record(at(0), Outcome::Lost, 0.0);
+        h.record(at(0), Outcome::Lost, 0.0);
+        for i in 0..3 {
+            h.record(at(1600 + i), Outcome::Good, 0.0);
+        }
+        assert_eq!(h.standing(at(1700)), Standing::Sound);
+    }
+    // Guards against a flapping replica that is trusted at once each time.
+    ejections_grow: {
+        let mut h = Health::default();
+        h.record(at(0), Outcome::Lost, 0.0);
+        h.record(at(0), Outcome::Lost, 0.0);
+        assert!(h.record(at(1600), Outcome::Lost, 0.0), "the first failure after a return");
+        assert_eq!(h.standing(at(1600 + 2900)), Standing::Ejected);
+        assert_eq!(h.standing(at(1600 + 3100)), Standing::Probe);
+    }
+    // Guards against blame for callers who leave.
+    a_neutral_outcome_says_nothing: {
+        let mut h = Health::default();
+        for i in 0..50 {
+            assert!(!h.record(at(i), Outcome::Neutral, 0.0));
+        }
+        assert_eq!(h.standing(at(60)), Standing::Sound);
+    }
+}
--- a/crates/core/src/fleet/order/tests.rs
+++ b/crates/core/src/fleet/order/tests.rs
@@ -1,1 +1,138 @@
+use std::{net::Ipv4Addr, time::Duration};
 
+use proptest::prelude::*;
+
+use super::{Lease, Tenure, fence};
+use crate::time::Tick;
+
+const LEASE: Lease = Lease { term: Duration::from_secs(3) };
+
+fn at(ms: u64) -> Tick {
+    Tick(1_000_000_000 + ms * 1000)
+}
+
+// A tenure that began at 0 and whose count was read at 0 and stayed.
+fn owner(contested: bool, resumed: bool) -> Tenure {
+    let mut t = Tenure::default();
+    t.own(at(0), true, contested, resumed);
+    t.counted(at(0), 7);
+    t
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against orders of a new owner within the lease of the one before.
+    a_new_owner_waits_for_the_lease: {
+        let t = owner(false, false);
+        assert!(!t.may(at(3000), LEASE));
+        assert!(t.may(at(3200), LEASE));
+    }
+    // Guards against orders of a host that has not read a report: it cannot know the count.
+    an_owner_without_a_count_waits: {
+        let mut t = Tenure::default();
+        t.own(at(0), true, false, false);
+        assert!(!t.may(at(60_000), LEASE));
+    }
+    // Guards against a claim while another host still gives orders.
+    a_moving_count_defers_a_claim: {
+        let mut t = owner(false, false);
+        t.counted(at(2500), 8);
+        assert!(!t.may(at(3500), LEASE));
+        assert!(t.may(at(5700), LEASE));
+    }
+    // Guards against two sides of a partition that take turns: a doubtful claim needs two terms.
+    a_contested_claim_waits_twice: {
+        let t = owner(true, false);
+        assert!(!t.may(at(6000), LEASE));
+        assert!(t.may(at(8000), LEASE));
+    }
+    // Guards against a pause of loads whenever a silent peer puts a working owner in doubt.
+    an_owner_goes_on_through_doubt: {
+        let mut t = owner(false, false);
+        assert_eq!(t.sent(at(3200), 40), 40);
+        t.own(at(4000), true, true, false);
+        assert!(t.may(at(4900), LEASE));
+        assert!(!t.may(at(5100), LEASE), "after 0.6 terms another host may soon claim");
+    }
+    // Guards against seconds without loads after a restart that nobody else used.
+    a_restarted_owner_goes_on: {
+        let t = owner(false, true);
+        assert!(t.may(at(10), LEASE));
+        assert!(!owner(true, true).may(at(10), LEASE), "not in doubt");
+    }
+    // Guards against a host that lost its replica and orders on when it gets it back.
+    a_lost_tenure_begins_anew: {
+        let mut t = owner(false, false);
+        t.sent(at(3200), 40);
+        t.own(at(3300), false, false, false);
+        t.own(at(3400), true, false, false);
+        t.counted(at(3500), 9);
+        assert!(!t.may(at(3600), LEASE));
+        assert_eq!(t.sent(at(7000), 50), 50, "a new tenure has a new token");
+    }
+    // Guards against orders that overtake each other with rising tokens.
+    the_token_stays_within_a_tenure: {
+        let mut t = owner(false, false);
+        t.sent(at(3200), 40);
+        assert_eq!(t.sent(at(3300), 60), 40);
+    }
+    // Guards against an unconditional first order, which would hide another host's.
+    the_first_order_names_the_count: {
+        let mut t = owner(false, false);
+        assert_eq!(t.expected(at(3200), LEASE), Some(7));
+        t.sent(at(3200), 1);
+        assert_eq!(t.expected(at(3300), LEASE), None);
+    }
+    // Guards against a count of an earlier start that stands still for ever.
+    a_restarted_replica_is_counted_anew: {
+        let mut t = owner(false, false);
+        t.restarted();
+        assert!(!t.may(at(10_000), LEASE));
+    }
+}
+
+proptest! {
+    // Guards against equal tokens of two hosts and against falling ones.
+    #[test]
+    fn tokens_rise_with_the_revision(
+        a in 0..1u64 << 28, b in 0..1u64 << 28, x in any::<[u8; 3]>(), y in any::<[u8; 3]>(),
+    ) {
+        let ip = |z: [u8; 3]| Ipv4Addr::new(10, z[0], z[1], z[2]);
+        let (p, q) = (fence(a, ip(x)), fence(b, ip(y)));
+        prop_assert_eq!(p == q, (a, x) == (b, y));
+        if a != b {
+            prop_assert_eq!(p < q, a < b);
+        }
+        // Receivers may keep numbers as doubles.
+        prop_assert!(p < 1 << 53);
+    }
+
+    // Guards against any history in which two hosts with the same reports order within a term of
+    // each other while they hear each other.
+    #[test]
+    fn owners_that_hear_each_other_keep_the_lease(
+        steps in prop::collection::vec((0..400u64, any::<bool>(), any::<bool>()), 1..200),
+    ) {
+        let mut hosts = [Tenure::default(), Tenure::default()];
+        let (mut now, mut count, mut last) = (0, 0, None::<(usize, u64)>);
+        for (wait, second, order) in steps {
+            now += wait;
+            let first = usize::from(second);
+            for (i, t) in hosts.iter_mut().enumerate() {
+                t.own(at(now), i == first, false, false);
+                t.counted(at(now), count);
+            }
+            if order && hosts[first].may(at(now), LEASE) {
+                if let Some((other, when)) = last {
+                    prop_assert!(other == first || now - when >= 3000, "{when} and {now}");
+                }
+                hosts[first].sent(at(now), 1);
+                count += 1;
+                last = Some((first, now));
+            }
+        }
+    }
+}
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -11,7 +11,10 @@
 
 use arcstr::ArcStr;
 
-use super::digest::{Digest, Member, State};
+use super::{
+    digest::{Digest, Member, State},
+    reading::READERS,
+};
 use crate::{fleet::hash, time::Tick};
 
 /// Silence after which callers are no longer sent to a peer: six digests of the usual interval.
@@ -222,6 +225,15 @@
         out
     }
 
+    /// Whether this host is one of those that read the store.
+    pub fn reader(&self, now: Tick) -> bool {
+        let mine = weight(self.me, "store");
+        let better = self.iter().filter(|(ip, p)| {
+            p.state != State::Leaving && now.since(p.heard) <= SILENT && weight(*ip, "store") > mine
+        });
+        better.count() < READERS
+    }
+
     /// Peers that take requests.
     pub fn serving(&self, now: Tick) -> impl Iterator<Item = &Peer> {
         self.peers
--- a/crates/core/src/fleet/peers/tests.rs
+++ b/crates/core/src/fleet/peers/tests.rs
@@ -1,1 +1,179 @@
+use std::net::{Ipv4Addr, SocketAddr};
 
+use super::{Change, Owner, Peers};
+use crate::{
+    fleet::digest::{Digest, Member, State},
+    time::Tick,
+};
+
+fn at(ms: u64) -> Tick {
+    Tick(1_000_000_000 + ms * 1000)
+}
+
+fn ip(i: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, i)
+}
+
+fn digest(i: u8, life: u64, number: u64) -> Digest {
+    Digest {
+        ip: ip(i),
+        front: SocketAddr::from((ip(i), 80)),
+        zone: "a".into(),
+        life,
+        number,
+        state: State::Serving,
+        members: vec![Member { ip: ip(1), heard: true }],
+        age: 60_000,
+        ordered: Vec::new(),
+        operator: None,
+        listing: None,
+        accounts: Vec::new(),
+        loads: Vec::new(),
+        uses: Vec::new(),
+        kept: Vec::new(),
+        engines: Vec::new(),
+    }
+}
+
+// Host 1 that has heard hosts 2 to 5.
+fn peers(now: Tick) -> Peers {
+    let mut p = Peers::new(ip(1), vec![ip(1), ip(2)], at(0));
+    hear_all(&mut p, now, 1);
+    p
+}
+
+fn hear_all(p: &mut Peers, now: Tick, number: u64) {
+    for i in 2..=5 {
+        p.hear(now, &digest(i, 1, number));
+    }
+}
+
+// A replica that host `i` owns while all are heard.
+fn owned_by(p: &Peers, now: Tick, i: u8) -> String {
+    let wanted = |o| match o {
+        Owner::Me { .. } => i == 1,
+        Owner::Peer(x) => x == ip(i),
+    };
+    (0..1000).map(|n| format!("r{n}")).find(|r| wanted(p.owner(now, r))).unwrap()
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against callers who are sent to a host that has fallen silent.
+    a_silent_peer_is_not_offered: {
+        let p = peers(at(1000));
+        assert_eq!(p.serving(at(1500)).count(), 4);
+        assert_eq!(p.serving(at(2300)).count(), 0);
+    }
+    // Guards against an old digest that revives the process before.
+    digests_out_of_order_are_ignored: {
+        let mut p = peers(at(0));
+        assert_eq!(p.hear(at(10), &digest(2, 2, 1)), Change::Restarted);
+        assert_eq!(p.hear(at(20), &digest(2, 1, 99)), Change::Stale);
+        assert_eq!(p.get(ip(2)).unwrap().life, 2);
+        assert_eq!(p.hear(at(30), &digest(2, 2, 1)), Change::Stale);
+    }
+    // Guards against a fleet that never meets because the seeds are stale.
+    hosts_are_learned_from_peers: {
+        let mut p = Peers::new(ip(1), vec![ip(2)], at(0));
+        let mut d = digest(2, 1, 1);
+        d.members.push(Member { ip: ip(9), heard: true });
+        p.hear(at(0), &d);
+        assert!(p.contacts().contains(&ip(9)));
+        assert!(!p.contacts().contains(&ip(1)), "a host does not write to itself");
+    }
+    // Guards against two owners: all members choose the same one.
+    hosts_agree_on_owners: {
+        let p = peers(at(0));
+        let mut q = Peers::new(ip(2), vec![ip(1)], at(0));
+        for i in [1, 3, 4, 5] {
+            q.hear(at(0), &digest(i, 1, 1));
+        }
+        for n in 0..200 {
+            let r = format!("r{n}");
+            let of = |o, me| match o {
+                Owner::Me { .. } => ip(me),
+                Owner::Peer(x) => x,
+            };
+            assert_eq!(of(p.owner(at(0), &r), 1), of(q.owner(at(0), &r), 2));
+        }
+    }
+    // Guards against replicas that change hands for a few lost digests.
+    a_silent_owner_keeps_its_replicas: {
+        let p = peers(at(0));
+        let r = owned_by(&p, at(0), 3);
+        assert_eq!(p.owner(at(1900), &r), Owner::Peer(ip(3)));
+        let later = p.owner(at(2500), &r);
+        assert!(matches!(later, Owner::Peer(_) | Owner::Me { contested: true }), "{later:?}");
+    }
+    // Guards against an owner that does not notice that its successor has lost sight of it.
+    an_owner_that_is_not_heard_is_contested: {
+        let mut p = peers(at(0));
+        let r = owned_by(&p, at(0), 1);
+        for n in 2..40 {
+            for i in 2..=5 {
+                let mut d = digest(i, 1, n);
+                d.members[0].heard = false;
+                p.hear(at(n * 100), &d);
+            }
+        }
+        assert_eq!(p.owner(at(3900), &r), Owner::Me { contested: true });
+    }
+    // Guards against a second owner for as long as a leaving one may still order.
+    a_leaving_peer_gives_up_its_replicas: {
+        let mut p = peers(at(0));
+        let r = owned_by(&p, at(0), 3);
+        let mut d = digest(3, 1, 2);
+        d.state = State::Leaving;
+        assert_eq!(p.hear(at(100), &d), Change::Leaving);
+        assert_ne!(p.owner(at(100), &r), Owner::Peer(ip(3)));
+    }
+    // Guards against claims of a new process that has not met the other hosts yet.
+    an_unheard_seed_puts_claims_in_doubt: {
+        let p = Peers::new(ip(1), vec![ip(2)], at(0));
+        assert_eq!(p.owner(at(100), "r"), Owner::Me { contested: true });
+        assert_eq!(p.owner(at(40_000), "r"), Owner::Me { contested: false }, "a survivor serves");
+    }
+    // Guards against a restarted owner that waits although nobody ordered, and against one that
+    // goes on although somebody did.
+    a_restarted_owner_asks_its_peers: {
+        let mut p = peers(at(0));
+        let r = owned_by(&p, at(0), 1);
+        assert!(p.resumed(at(100), &r, 7));
+        let mut d = digest(4, 1, 2);
+        d.ordered = vec![7];
+        p.hear(at(100), &d);
+        assert!(!p.resumed(at(100), &r, 7));
+    }
+    // Guards against peers that are as new as the host itself and know of no earlier order.
+    new_peers_prove_nothing: {
+        let mut p = Peers::new(ip(1), vec![ip(2)], at(0));
+        let mut d = digest(2, 1, 1);
+        d.age = 500;
+        p.hear(at(0), &d);
+        let r = owned_by(&p, at(0), 1);
+        assert!(!p.resumed(at(100), &r, 7));
+    }
+    // Guards against a table that grows with every host that was ever there.
+    lost_peers_are_forgotten: {
+        let mut p = peers(at(0));
+        assert!(p.expire(at(29_000)).is_empty());
+        assert_eq!(p.expire(at(31_000)).len(), 4);
+        assert_eq!(p.iter().count(), 0);
+    }
+    // Guards against a fleet without a reader, and against one in which all read.
+    two_hosts_read_the_store: {
+        let readers = (1..=5u8).filter(|me| {
+            let mut p = Peers::new(ip(*me), Vec::new(), at(0));
+            for i in (1..=5).filter(|i| i != me) {
+                p.hear(at(0), &digest(i, 1, 1));
+            }
+            p.reader(at(10))
+        });
+        assert_eq!(readers.count(), 2);
+        assert!(peers(at(0)).reader(at(5000)), "a host that hears nobody reads by itself");
+    }
+}
--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -2,8 +2,8 @@
 //!
 //! Each host keeps one bucket for each account and the whole fleet: it takes out what it admits
 //! itself at once, and what its peers admit as their digests tell. So a host may use all that the
-//! others leave, and the fleet exceeds a limit by no more than it admits in one interval of the
-//! digests. A peer that falls silent is charged its part of the rate until it is heard again: in a
+//! others leave. When the level is below what the fleet is asked for between two digests, each host
+//! uses its part of the rate by demand, since all would take the same rest otherwise. A peer that falls silent is charged its part of the rate until it is heard again: in a
 //! partition each side uses its part only.
 
 #[cfg(test)]
@@ -34,6 +34,9 @@
 /// Part of the rate that a silent peer without any demand is charged, times the number of hosts.
 const FLOOR: f64 = 0.1;
 
+/// Time in which a host does not know what the others admit.
+const UNTOLD: Duration = Duration::from_millis(350);
+
 /// Factor on rate and burst, of the quarter by which the users let a fleet exceed them. Callers'
 /// requests reach the hosts in another order than they were sent.
 const OVERAGE: f64 = 1.05;
@@ -60,6 +63,12 @@
     burst: f64,
     // Units that may be used now. Negative while peers admitted more than was known.
     level: f64,
+    // Units of this host's part that may be used now, whatever the others use.
+    part: f64,
+    // This host's part of the demand.
+    share: f64,
+    // Demand of all hosts, in units per second.
+    total: f64,
     // Units that this process has admitted.
     spent: f64,
     // Units per second that callers ask of this host.
@@ -125,6 +134,9 @@
                     rate,
                     burst,
                     level: burst * START_SHARE,
+                    part: 0.0,
+                    share: 0.0,
+                    total: 0.0,
                     spent: 0.0,
                     demand: 0.0,
                     at: now,
@@ -134,6 +146,11 @@
         }
     }
 
+    /// A host that has not been heard yet may admit requests on the other side of a partition.
+    pub fn expect(&mut self, now: Tick, ip: Ipv4Addr) {
+        self.peers.entry(ip).or_insert_with(|| Peer { heard: now, ..Peer::default() });
+    }
+
     /// Takes what a peer of process `life` has admitted.
     pub fn heard(&mut self, now: Tick, ip: Ipv4Addr, life: u64, uses: &[AccountUse]) {
         self.charge(now);
@@ -150,7 +167,7 @@
             let told = u.spent as f64;
             // What a peer admitted before it was known lies in the past.
             let fresh = if first { 0.0 } else { (told - s.told).max(0.0) };
-            let credit = s.assumed;
+            let credit = if first { 0.0 } else { s.assumed };
             *s = Spent { told, demand: f64::from(u.rate), assumed: 0.0 };
             if let Some(m) = self.meters.values_mut().find(|m| m.hash == u.account) {
                 m.advance(now);
@@ -164,6 +181,11 @@
         self.peers.remove(&ip);
     }
 
+    /// Drops hosts that were expected and never heard.
+    pub fn forget_unheard(&mut self) {
+        self.peers.retain(|_, p| p.life != 0);
+    }
+
     /// What this host has admitted, for the digest.
     pub fn uses(&mut self, now: Tick) -> Vec<AccountUse> {
         for m in self.meters.values_mut() {
@@ -181,7 +203,12 @@
         let hosts = (self.peers.len() + 1) as f64;
         for m in self.meters.values_mut() {
             m.advance(now);
-            let known = |p: &Peer| p.uses.get(&m.hash).map_or(0.0, |s| s.demand);
+            let own = m.demand;
+            // A host that was never heard is taken to be asked for as much as this one.
+            let known = |p: &Peer| match p.life {
+                0 => own,
+                _ => p.uses.get(&m.hash).map_or(0.0, |s| s.demand),
+            };
             let floor = FLOOR * m.rate / hosts;
             let all: f64 = m.demand + self.peers.values().map(known).sum::<f64>() + floor * hosts;
             for p in self.peers.values_mut() {
@@ -189,7 +216,7 @@
                 if silence <= SILENT {
                     continue;
                 }
-                let part = (p.uses.get(&m.hash).map_or(0.0, |s| s.demand) + floor) / all;
+                let part = (known(p) + floor) / all;
                 let units = part * m.rate * passed.min(silence.as_secs_f64());
                 p.uses.entry(m.hash).or_default().assumed += units;
                 m.level = (m.level - units).max(-m.burst);
@@ -204,11 +231,14 @@
         m.demand += cost / HORIZON.as_secs_f64();
         // A request that is larger than the burst waits for a full bucket and leaves a debt.
         let needed = cost.min(m.burst);
-        if m.level < needed {
-            let wait = (needed - m.level) / m.rate;
+        let shared = m.total * UNTOLD.as_secs_f64();
+        let alone = m.part >= cost.min(m.burst * m.share);
+        if m.level < needed || (m.level < needed + shared && !alone) {
+            let wait = (needed - m.level).max(cost - m.part) / (m.rate * m.share.max(FLOOR));
             return Verdict::Over(Duration::try_from_secs_f64(wait).unwrap_or(HORIZON));
         }
         m.level -= cost;
+        m.part = (m.part - cost).max(-m.burst * m.share);
         m.spent += cost;
         Verdict::Within
     }
@@ -235,6 +265,7 @@
         }
         self.at = now;
         self.level = (self.level + passed * self.rate).min(self.burst);
+        self.part = (self.part + passed * self.rate * self.share).min(self.burst * self.share);
         self.demand *= (-passed / HORIZON.as_secs_f64()).exp();
     }
 }
--- a/crates/core/src/fleet/quota/tests.rs
+++ b/crates/core/src/fleet/quota/tests.rs
@@ -1,1 +1,248 @@
+use std::net::Ipv4Addr;
 
+use proptest::prelude::*;
+
+use super::{Quota, Verdict, cost};
+use crate::{
+    fleet::inventory::{Account, Inventory},
+    time::Tick,
+};
+
+const RATE: f64 = 10_000.0;
+const SLACK: f64 = 11_000.0;
+
+fn at(ms: u64) -> Tick {
+    Tick(1_000_000_000 + ms * 1000)
+}
+
+fn account(rate: f64) -> Account {
+    Account {
+        name: "one".into(),
+        keys: Vec::new(),
+        rank: None,
+        rate,
+        burst: rate,
+        tokens: true,
+        plain: 200,
+    }
+}
+
+fn quota(rate: f64) -> Quota {
+    let mut q = Quota::new(at(0), SLACK);
+    configure(&mut q, 0, rate);
+    q
+}
+
+fn configure(q: &mut Quota, ms: u64, rate: f64) {
+    let accounts = vec![account(rate)];
+    q.configure(at(ms), &Inventory { accounts, ..Inventory::default() });
+}
+
+fn ip(i: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, i as u8 + 1)
+}
+
+// A host that expects `n` hosts, of which it is one.
+fn member(ms: u64, me: usize, n: usize) -> Quota {
+    let mut q = Quota::new(at(ms), SLACK);
+    configure(&mut q, ms, RATE);
+    for i in (0..n).filter(|i| *i != me) {
+        q.expect(at(ms), ip(i));
+    }
+    q
+}
+
+// Hosts with digests every 100 ms over links that may be cut.
+struct Fleet {
+    hosts: Vec<Quota>,
+    lives: Vec<u64>,
+    admitted: Vec<(u64, f64)>,
+    refused: f64,
+}
+
+impl Fleet {
+    fn new(n: usize) -> Self {
+        Self {
+            hosts: (0..n).map(|i| member(0, i, n)).collect(),
+            lives: vec![1; n],
+            admitted: Vec::new(),
+            refused: 0.0,
+        }
+    }
+
+    fn ask(&mut self, ms: u64, host: usize, units: f64) {
+        match self.hosts[host].check(at(ms), "one", units) {
+            Verdict::Within => self.admitted.push((ms, units)),
+            Verdict::Over(_) => self.refused += units,
+        }
+    }
+
+    fn gossip(&mut self, ms: u64, reach: impl Fn(usize, usize) -> bool) {
+        for from in 0..self.hosts.len() {
+            let uses = self.hosts[from].uses(at(ms));
+            for to in 0..self.hosts.len() {
+                if from != to && reach(from, to) {
+                    let life = self.lives[from];
+                    self.hosts[to].heard(at(ms), ip(from), life, &uses);
+                }
+            }
+        }
+    }
+
+    // The users' check: no span of 8 s may have more than a quarter over the limit plus the slack.
+    fn assert_bound(&self) {
+        let most = (RATE * 8.0 + RATE) * 1.25 + SLACK;
+        for (start, _) in &self.admitted {
+            let span = self.admitted.iter().filter(|(t, _)| t >= start && *t < start + 8000);
+            let sum: f64 = span.map(|(_, u)| u).sum();
+            assert!(sum <= most, "{sum} in 8 s from {start} ms; allowed {most}");
+        }
+    }
+
+    fn share(&self) -> f64 {
+        let all: f64 = self.admitted.iter().map(|(_, u)| u).sum();
+        all / (all + self.refused)
+    }
+}
+
+// Plays `demand` times the rate for 30 s, spread over the hosts by `pick`.
+fn play(
+    fleet: &mut Fleet,
+    demand: f64,
+    pick: impl Fn(u64) -> usize,
+    reach: impl Fn(u64, usize, usize) -> bool,
+) {
+    let units = 400.0;
+    let mut owed = 0.0;
+    for ms in (0..30_000).step_by(10) {
+        if ms % 100 == 0 {
+            fleet.gossip(ms, |a, b| reach(ms, a, b));
+        }
+        owed += demand * RATE / 100.0;
+        while owed >= units {
+            owed -= units;
+            let host = pick(ms * 7919 + owed as u64);
+            fleet.ask(ms, host, units);
+        }
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Pattern: even demand within the limit. Guards against refusals by shares that are too small.
+    demand_within_the_limit_is_served: {
+        let mut f = Fleet::new(5);
+        play(&mut f, 0.9, |x| (x % 5) as usize, |_, _, _| true);
+        assert!(f.share() > 0.999, "served {}", f.share());
+        f.assert_bound();
+    }
+    // Pattern: all callers of an account at one host. Guards against unused shares of the others.
+    demand_at_one_host_is_served: {
+        let mut f = Fleet::new(5);
+        play(&mut f, 0.9, |_| 2, |_, _, _| true);
+        assert!(f.share() > 0.999, "served {}", f.share());
+        f.assert_bound();
+    }
+    // Pattern: a tenant at seven times its usual at 30 hosts. Guards against all of them taking the
+    // same rest between two digests.
+    a_greedy_account_stays_within_the_bound: {
+        let mut f = Fleet::new(30);
+        play(&mut f, 4.0, |x| (x % 30) as usize, |_, _, _| true);
+        f.assert_bound();
+        let admitted: f64 = f.admitted.iter().map(|(_, u)| u).sum();
+        assert!(admitted > 0.9 * RATE * 30.0, "{admitted} of {} allowed", RATE * 30.0);
+    }
+    // Pattern: partition in the middle of high demand. Guards against both sides using the whole
+    // limit.
+    a_split_stays_within_the_bound: {
+        let mut f = Fleet::new(5);
+        let side = |h: usize| h < 2;
+        play(&mut f, 4.0, |x| (x % 5) as usize, |ms, a, b| {
+            !(8000..22_000).contains(&ms) || side(a) == side(b)
+        });
+        f.assert_bound();
+    }
+    // Guards against a fleet that refuses requests within the limit because a peer was lost.
+    a_lost_peer_costs_its_part_only: {
+        let mut f = Fleet::new(5);
+        play(&mut f, 0.6, |x| (x % 5) as usize, |_, _, _| true);
+        f.admitted.clear();
+        f.refused = 0.0;
+        for ms in (30_000..40_000).step_by(10) {
+            if ms % 100 == 0 {
+                f.gossip(ms, |a, b| a != 4 && b != 4);
+            }
+            f.ask(ms, (ms / 10 % 4) as usize, 60.0);
+        }
+        assert!(f.share() > 0.99, "served {}", f.share());
+    }
+    // Guards against a lowered limit that is ignored by a full bucket.
+    a_lower_limit_takes_hold: {
+        let mut q = quota(RATE * 10.0);
+        configure(&mut q, 1000, RATE);
+        let mut sum = 0.0;
+        for ms in (1000..9000).step_by(10) {
+            if q.check(at(ms), "one", 500.0) == Verdict::Within {
+                sum += 500.0;
+            }
+        }
+        assert!(sum <= RATE * 9.0 * 1.25 + SLACK, "{sum}");
+    }
+    // Guards against a request that is larger than the burst and would never be served.
+    a_request_above_the_burst_is_served: {
+        let mut q = quota(RATE);
+        assert_eq!(q.check(at(20_000), "one", RATE * 3.0), Verdict::Within);
+        assert!(matches!(q.check(at(20_100), "one", 100.0), Verdict::Over(_)));
+    }
+    // Guards against limits where the configuration has none.
+    an_account_without_a_rate_has_no_limit: {
+        let mut q = Quota::new(at(0), 0.0);
+        assert_eq!(q.check(at(0), "other", 1e12), Verdict::Within);
+    }
+    // Guards against a wrong unit: tokens in and out, a stated number, or one a request.
+    costs_follow_the_unit: {
+        let a = account(1.0);
+        assert_eq!(cost(&a, Some((100, 20))), 120.0);
+        assert_eq!(cost(&a, None), 200.0);
+        assert_eq!(cost(&Account { tokens: false, ..a }, Some((100, 20))), 1.0);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+    // Guards against any series of cuts and restarts that lets the fleet pass the bound.
+    #[test]
+    fn no_faults_pass_the_bound(
+        demand in 0.5..5.0f64,
+        hosts in 2..6usize,
+        cuts in prop::collection::vec((0..30u64, 1..8u64, 0..6usize), 0..4),
+        restarts in prop::collection::vec((2..28u64, 0..6usize), 0..2),
+    ) {
+        let mut f = Fleet::new(hosts);
+        let units = 400.0;
+        let mut owed = 0.0;
+        for ms in (0..30_000u64).step_by(10) {
+            for (s, h) in &restarts {
+                if ms == s * 1000 && *h < hosts {
+                    f.hosts[*h] = member(ms, *h, hosts);
+                    f.lives[*h] += 1;
+                }
+            }
+            if ms % 100 == 0 {
+                f.gossip(ms, |a, b| !cuts.iter().any(|(s, d, h)| {
+                    (a == *h || b == *h) && ms >= s * 1000 && ms < (s + d) * 1000
+                }));
+            }
+            owed += demand * RATE / 100.0;
+            while owed >= units {
+                owed -= units;
+                let host = (ms * 7919 + owed as u64) as usize % hosts;
+                f.ask(ms, host, units);
+            }
+        }
+        f.assert_bound();
+    }
+}
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -275,6 +275,14 @@
         self.map.iter_mut()
     }
 
+    /// A peer's read showed the entries that the last listing here had.
+    pub fn confirm(&mut self, now: Tick, gap: Duration) {
+        if self.answered.is_none_or(|t| now.since(t) > gap) {
+            self.sound = Some(now);
+        }
+        self.answered = Some(now);
+    }
+
     /// Takes a complete listing that was asked for at `asked`. `gap` is the silence of the store
     /// after which entries may have lapsed.
     pub fn sync(
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -24,7 +24,7 @@
         digest::{Digest, Engine, Message as Peer, State},
         dispatch::Dispatcher,
         order::Lease,
-        peers::{Peers, RECENT},
+        peers::{FORGET, Peers, RECENT},
         quota::Quota,
         replicas::ReplicaKey,
     },
@@ -33,14 +33,16 @@
 };
 
 pub use self::admit::{Admit, Blame, Go, Verdict};
-use self::loads::{Keep, Waiters};
+use self::{
+    beliefs::Store,
+    loads::{Keep, Waiters},
+};
 use super::{
     client::Client,
     clock,
     mesh::{self, Received},
     meters::Meters,
     settings::Settings,
-    store::Reader,
 };
 use crate::events::{Event, emit};
 
@@ -119,10 +121,7 @@
     life: u64,
     number: u64,
     digested: Tick,
-    // When the newest successful reads were sent, and the store's newest known revision.
-    read: Option<Tick>,
-    listed: Option<Tick>,
-    revision: u64,
+    store: Store,
     leaving: bool,
     closing: Option<Tick>,
     serving: bool,
@@ -179,11 +178,15 @@
     pub fn new(setup: Setup) -> Self {
         let now = clock::now();
         let s = &setup.settings;
+        let mut quota = Quota::new(now, s.bounds.quota_slack);
+        for seed in s.seeds.iter().filter(|a| *a.ip() != s.ip) {
+            quota.expect(now, *seed.ip());
+        }
         Self {
             peers: Peers::new(s.ip, s.seeds.iter().map(|a| *a.ip()).collect(), now),
             dispatcher: Dispatcher::new(s.zone.clone()),
             client: Rc::new(Client::default()),
-            quota: Quota::new(now, s.bounds.quota_slack),
+            quota,
             settings: setup.settings,
             published: setup.published,
             meters: setup.meters,
@@ -198,9 +201,7 @@
             life: clock::unix_ms(),
             number: 0,
             digested: now,
-            read: None,
-            listed: None,
-            revision: 0,
+            store: Store::default(),
             leaving: false,
             closing: None,
             serving: false,
@@ -224,14 +225,15 @@
     fn fresh(&self, now: Tick) -> bool {
         let bounds = &self.settings.bounds;
         let limit = Duration::from_millis(bounds.revoke_ms).saturating_sub(REVOKE_MARGIN);
-        self.read.is_some_and(|t| !bounds.fail_closed || now.since(t) < limit)
+        self.store.operator.read().is_some_and(|t| !bounds.fail_closed || now.since(t) < limit)
     }
 
     fn publish(&mut self, now: Tick) {
-        let serving = self.catalog.is_some() && self.listed.is_some() && self.fresh(now);
+        let serving =
+            self.catalog.is_some() && self.store.listing.read().is_some() && self.fresh(now);
         if serving != self.serving {
             self.serving = serving;
-            let age = self.read.map_or(0, |t| now.since(t).as_millis() as u64);
+            let age = self.store.operator.read().map_or(0, |t| now.since(t).as_millis() as u64);
             emit(
                 &self.log,
                 Event::ServingChanged,
@@ -244,7 +246,7 @@
         }
         self.published.store(Arc::new(Published {
             catalog: self.catalog.clone(),
-            read: self.read.unwrap_or_default(),
+            read: self.store.operator.read().unwrap_or_default(),
             serving,
             leaving: self.leaving,
             closing: self.closing,
@@ -290,7 +292,8 @@
             members: self.peers.members(now),
             age: now.since(self.started).as_millis() as u64,
             ordered: ordered.collect(),
-            version: self.catalog.as_ref().map_or(0, |c| c.inventory.version),
+            operator: self.store.operator.mark(now),
+            listing: self.store.listing.mark(now),
             engines: engines.collect(),
             accounts: self.quota.uses(now),
             loads,
@@ -310,6 +313,7 @@
         }
         self.check_waiters(now, ctx);
         self.read_reports(now, ctx);
+        self.read_store(now, ctx);
     }
 
     fn housekeeping(&mut self) {
@@ -319,6 +323,9 @@
             self.quota.gone(ip);
             self.dispatcher.silent(ip);
         }
+        if now.since(self.started) > FORGET {
+            self.quota.forget_unheard();
+        }
         self.quota.charge(now);
         self.assign(now);
         self.client.sweep();
@@ -326,7 +333,9 @@
         let usable = self.dispatcher.replicas.iter().filter(|(_, r)| r.usable()).count();
         self.meters.replicas.set(usable as i64);
         self.meters.peers.set(self.peers.members(now).iter().filter(|m| m.heard).count() as i64);
-        self.meters.age.set(self.read.map_or(-1, |t| now.since(t).as_millis() as i64));
+        self.meters
+            .age
+            .set(self.store.operator.read().map_or(-1, |t| now.since(t).as_millis() as i64));
     }
 }
 
@@ -336,15 +345,6 @@
     fn started(&mut self, ctx: &mut Self::Context) {
         // Requests of all traffic threads and datagrams of all peers arrive here.
         ctx.set_mailbox_capacity(4096);
-        let reader = || Reader {
-            address: self.settings.store,
-            client: Rc::new(Client::default()),
-            control: ctx.address(),
-            log: self.log.clone(),
-            stop: self.stop.clone(),
-        };
-        actix_rt::spawn(reader().operator());
-        actix_rt::spawn(reader().replicas());
         let (socket, log, stop) = (self.socket.clone(), self.log.clone(), self.stop.clone());
         actix_rt::spawn(mesh::receive(socket, ctx.address(), log, stop));
         ctx.run_interval(TICK, |act, ctx| act.tick(ctx));
--- a/crates/daemon/src/front/control/beliefs.rs
+++ b/crates/daemon/src/front/control/beliefs.rs
@@ -1,69 +1,168 @@
 //! What the host believes of the store, its peers and the replicas, and how it learns it.
 
-use std::sync::Arc;
+use std::{collections::HashMap, sync::Arc};
 
-use actix::{Context, Handler};
+use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use slog::kv;
 use yuccawing_core::{
     fleet::{
         catalog::Catalog,
         digest::Digest,
+        hash,
+        inventory::{Entry, Inventory},
         peers::Change as PeerChange,
+        reading::Knowledge,
         replicas::{Change, ReplicaKey},
     },
     time::Tick,
 };
+use yuccawing_platform::store::{self as wire, Content, Item};
 
 use super::{Control, STORE_GAP};
 use crate::{
     events::{Event, emit},
     front::{
         clock,
-        store::{Listing, Operator},
+        store::{self, Health},
     },
 };
 
-impl Handler<Operator> for Control {
-    type Result = ();
+/// A prefix of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Prefix {
+    Operator,
+    Replicas,
+}
+
+/// What this host has read of the store.
+pub(super) struct Store {
+    pub(super) operator: Knowledge,
+    pub(super) listing: Knowledge,
+    operator_health: Health,
+    listing_health: Health,
+    // Revisions of the operator's items that are in force. Pages are no snapshot, so one number
+    // for all would miss a change behind the page that was read last.
+    seen: HashMap<String, u64>,
+    // The newest known revision.
+    pub(super) revision: u64,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            operator: Knowledge::default(),
+            listing: Knowledge::default(),
+            operator_health: Health::new("operator"),
+            listing_health: Health::new("replicas"),
+            seen: HashMap::new(),
+            revision: 0,
+        }
+    }
+}
 
-    fn handle(&mut self, msg: Operator, _: &mut Self::Context) {
+impl Control {
+    /// Begins the reads of the store that are due.
+    pub(super) fn read_store(&mut self, now: Tick, ctx: &mut Context<Self>) {
+        let reader = self.peers.reader(now);
+        for prefix in [Prefix::Operator, Prefix::Replicas] {
+            let (knowledge, name) = match prefix {
+                Prefix::Operator => (&mut self.store.operator, wire::OPERATOR),
+                Prefix::Replicas => (&mut self.store.listing, wire::REPLICAS),
+            };
+            if !knowledge.due(now, reader) {
+                continue;
+            }
+            knowledge.asks(now);
+            let read = store::read(self.client.clone(), self.settings.store, name);
+            ctx.spawn(read.into_actor(self).map(move |read, act, _| act.took(prefix, now, read)));
+        }
+    }
+
+    fn took(&mut self, prefix: Prefix, asked: Tick, read: Result<(Vec<Item>, u64), store::Error>) {
+        let health = match prefix {
+            Prefix::Operator => &mut self.store.operator_health,
+            Prefix::Replicas => &mut self.store.listing_health,
+        };
+        health.note(&self.log, asked, read.as_ref().err());
         let now = clock::now();
-        self.read = self.read.max(Some(msg.asked));
-        self.revision = self.revision.max(msg.revision);
-        if let Some(inventory) = msg.inventory {
-            let old = self.catalog.as_ref().map_or(0, |c| c.inventory.version);
-            if inventory.version > old {
-                let fields = kv!(
-                    "version" => inventory.version, "old" => old, "routes" => inventory.routes.len(),
-                    "accounts" => inventory.accounts.len(), "revision" => msg.revision,
-                    "read_ms" => now.since(msg.asked).as_millis() as u64,
-                );
-                emit(&self.log, Event::ConfigApplied, &fields);
-                self.meters.version.set(inventory.version as i64);
-                self.quota.configure(now, &inventory);
-                self.dispatcher.configure(&inventory);
-                self.catalog = Some(Arc::new(Catalog::new(*inventory)));
-            } else {
-                let fields = kv!("version" => inventory.version, "in_force" => old);
-                emit(&self.log, Event::ConfigOld, &fields);
+        match (prefix, read) {
+            (Prefix::Operator, Ok((items, revision))) => {
+                self.store.revision = self.store.revision.max(revision);
+                let revisions = items.iter().map(|i| format!("{}@{}", i.key, i.revision));
+                let hash = fold(revisions);
+                self.take_operator(now, asked, items, revision);
+                self.store.operator.took(asked, hash);
+                self.publish(now);
+            }
+            (Prefix::Replicas, Ok((items, revision))) => {
+                self.store.revision = self.store.revision.max(revision);
+                let entries: Vec<_> = items
+                    .iter()
+                    .filter_map(|i| match self.content(i) {
+                        Some(Content::Replica(e)) => Some(e),
+                        _ => None,
+                    })
+                    .collect();
+                let states = entries.iter().map(|e| {
+                    format!("{}@{} {} {} {}", e.id, e.born, e.address, e.service, e.leaving)
+                });
+                let hash = fold(states);
+                self.take_listing(now, asked, entries, revision);
+                self.store.listing.took(asked, hash);
             }
+            (Prefix::Operator, Err(_)) => self.store.operator.failed(),
+            (Prefix::Replicas, Err(_)) => self.store.listing.failed(),
         }
-        for m in self.dispatcher.versions(msg.versions) {
+    }
+
+    fn content(&self, item: &Item) -> Option<Content> {
+        let content = item.content();
+        if let Err(e) = &content {
+            emit(&self.log, Event::ItemInvalid, &kv!("error" => e.to_string()));
+        }
+        content.ok()
+    }
+
+    fn take_operator(&mut self, now: Tick, asked: Tick, items: Vec<Item>, revision: u64) {
+        let mut versions = Vec::new();
+        for item in items {
+            if self.store.seen.get(&item.key).is_some_and(|r| *r >= item.revision) {
+                continue;
+            }
+            match self.content(&item) {
+                Some(Content::Inventory(i)) => self.apply(now, asked, *i, revision),
+                Some(Content::Version(v)) => versions.push(v),
+                _ => {}
+            }
+            self.store.seen.insert(item.key, item.revision);
+        }
+        for m in self.dispatcher.versions(versions) {
             let fields = kv!("adapter" => m.artifact.as_str(), "version" => m.version);
             emit(&self.log, Event::VersionRaised, &fields);
         }
-        self.publish(now);
     }
-}
 
-impl Handler<Listing> for Control {
-    type Result = ();
+    fn apply(&mut self, now: Tick, asked: Tick, inventory: Inventory, revision: u64) {
+        let old = self.catalog.as_ref().map_or(0, |c| c.inventory.version);
+        if inventory.version <= old {
+            let fields = kv!("version" => inventory.version, "in_force" => old);
+            emit(&self.log, Event::ConfigOld, &fields);
+            return;
+        }
+        let fields = kv!(
+            "version" => inventory.version, "old" => old, "routes" => inventory.routes.len(),
+            "accounts" => inventory.accounts.len(), "revision" => revision,
+            "read_ms" => now.since(asked).as_millis() as u64,
+        );
+        emit(&self.log, Event::ConfigApplied, &fields);
+        self.meters.version.set(inventory.version as i64);
+        self.quota.configure(now, &inventory);
+        self.dispatcher.configure(&inventory);
+        self.catalog = Some(Arc::new(Catalog::new(inventory)));
+    }
 
-    fn handle(&mut self, msg: Listing, _: &mut Self::Context) {
-        let now = clock::now();
-        self.listed = self.listed.max(Some(msg.asked));
-        self.revision = self.revision.max(msg.revision);
-        for c in self.dispatcher.replicas.sync(now, msg.asked, msg.entries, STORE_GAP) {
+    fn take_listing(&mut self, now: Tick, asked: Tick, entries: Vec<Entry>, revision: u64) {
+        for c in self.dispatcher.replicas.sync(now, asked, entries, STORE_GAP) {
             let (event, k) = match c {
                 Change::Joined(k) => (Event::ReplicaJoined, k),
                 Change::Leaving(k) => (Event::UpstreamLeaving, k),
@@ -74,16 +173,26 @@
                 let fields = kv!(
                     "replica" => r.id.as_str(), "service" => r.service.as_str(),
                     "address" => r.address.to_string(), "zone" => r.zone.as_str(),
-                    "revision" => msg.revision,
+                    "revision" => revision,
                 );
                 emit(&self.log, event, &fields);
             }
         }
         self.assign(now);
     }
-}
 
-impl Control {
+    // Takes what a peer says of its knowledge of the store.
+    fn confirm(&mut self, now: Tick, d: &Digest) {
+        if let Some(mark) = d.operator {
+            self.store.operator.told(now, mark);
+        }
+        if let Some(mark) = d.listing
+            && self.store.listing.told(now, mark)
+        {
+            self.dispatcher.replicas.confirm(now, STORE_GAP);
+        }
+    }
+
     pub(super) fn heard(&mut self, now: Tick, d: &Digest, ctx: &mut Context<Self>) {
         let change = self.peers.hear(now, d);
         let event = match change {
@@ -105,6 +214,7 @@
         } else {
             self.quota.heard(now, d.ip, d.life, &d.accounts);
         }
+        self.confirm(now, d);
         self.dispatcher.heard(now, d);
         for u in &d.uses {
             let found = self.dispatcher.replicas.find(u.replica);
@@ -143,3 +253,8 @@
         }
     }
 }
+
+// Hash of a set of texts, whatever their order.
+fn fold(texts: impl Iterator<Item = String>) -> u64 {
+    texts.fold(0, |h, t| h ^ hash(&[&t]))
+}
--- a/crates/daemon/src/front/control/loads.rs
+++ b/crates/daemon/src/front/control/loads.rs
@@ -335,7 +335,7 @@
         expected: Option<u64>,
         ctx: &mut Context<Self>,
     ) {
-        let fresh = order::fence(self.revision, self.settings.ip);
+        let fresh = order::fence(self.store.revision, self.settings.ip);
         let Some(r) = self.dispatcher.replicas.get_mut(k) else { return };
         let fence = r.tenure.sent(now, fresh);
         let version = Some(step.resident.version).filter(|v| *v > 0);
@@ -413,7 +413,7 @@
             if !may || !loading || act.leaving {
                 return;
             }
-            let fresh = order::fence(act.revision, act.settings.ip);
+            let fresh = order::fence(act.store.revision, act.settings.ip);
             let Some(r) = act.dispatcher.replicas.get_mut(k) else { return };
             let fence = r.tenure.sent(now, fresh);
             let order = Order {
