Refuse loads that would wait for running requests; stand-ins of the platform with tests

Change: the owner refuses a wish at once when adapters in use, on their way and wished for take all places; the request tries up to three engines. A mute replica at the deadline gives 504, and entries missing at the first listing of a process are gone at once (both found by the new tests).

--- a/crates/core/src/fleet/keeper.rs
+++ b/crates/core/src/fleet/keeper.rs
@@ -7,7 +7,7 @@
 mod tests;
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -146,10 +146,18 @@
         }
     }
 
-    /// Asks for an adapter.
-    pub fn wish(&mut self, now: Tick, r: Resident) -> Wish {
-        self.uses(now, &r.artifact);
+    /// Asks for an adapter at an engine with `places`. Several hosts may choose the same engine
+    /// before they hear of each other; what would have to wait for the end of running requests is
+    /// refused at once.
+    pub fn wish(
+        &mut self,
+        now: Tick,
+        r: Resident,
+        places: usize,
+        in_use: impl Fn(&str) -> bool,
+    ) -> Wish {
         if self.holds(&r) {
+            self.uses(now, &r.artifact);
             return Wish::Present;
         }
         if let Some(w) = self.wishes.iter_mut().find(|(w, _)| *w == r) {
@@ -159,9 +167,16 @@
         if self.loading.contains_key(&r.artifact) {
             return Wish::Queued;
         }
-        if self.wishes.len() >= MAX_WISHES {
+        let mut taken: BTreeSet<ArcStr> =
+            self.residents().into_iter().map(|x| x.artifact).filter(|a| in_use(a)).collect();
+        taken.extend(self.loading.keys().cloned());
+        taken.extend(self.fading.keys().cloned());
+        taken.extend(self.wishes.iter().map(|(w, _)| w.artifact.clone()));
+        taken.retain(|a| is_adapter(a) && *a != r.artifact);
+        if taken.len() >= places || self.wishes.len() >= MAX_WISHES {
             return Wish::Refused;
         }
+        self.uses(now, &r.artifact);
         self.wishes.push_back((r, now));
         Wish::Queued
     }
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -277,7 +277,7 @@
 
     /// A peer's read showed the entries that the last listing here had.
     pub fn confirm(&mut self, now: Tick, gap: Duration) {
-        if self.answered.is_none_or(|t| now.since(t) > gap) {
+        if self.answered.is_some_and(|t| now.since(t) > gap) {
             self.sound = Some(now);
         }
         self.answered = Some(now);
@@ -292,7 +292,7 @@
         entries: Vec<Entry>,
         gap: Duration,
     ) -> Vec<Change> {
-        if self.answered.is_none_or(|t| asked.since(t) > gap) {
+        if self.answered.is_some_and(|t| asked.since(t) > gap) {
             self.sound = Some(now);
         }
         self.answered = Some(now);
--- a/crates/daemon/src/front/control/loads.rs
+++ b/crates/daemon/src/front/control/loads.rs
@@ -39,7 +39,7 @@
 const LOAD_WAIT: Duration = Duration::from_millis(2500);
 
 /// Engines that a request waits at in turn.
-const MAX_LOADS: usize = 2;
+const MAX_LOADS: usize = 3;
 
 /// Interval of repeated messages to the owner of an engine, since datagrams get lost.
 const RESEND: Duration = Duration::from_millis(100);
@@ -232,8 +232,7 @@
             Owner::Me { .. } => {
                 let lease = self.lease();
                 let may = r.tenure.may(now, lease);
-                let Some(keep) = self.keeps.get_mut(&k) else { return false };
-                may && keep.keeper.wish(now, w.resident.clone()) != Wish::Refused
+                may && self.wish(now, k, &w.resident) != Wish::Refused
             }
             Owner::Peer(ip) => {
                 let want = Want { replica: r.hash, resident: w.resident.clone() };
@@ -243,6 +242,16 @@
         }
     }
 
+    fn wish(&mut self, now: Tick, k: ReplicaKey, resident: &Resident) -> Wish {
+        let dispatcher = &self.dispatcher;
+        let spec = dispatcher.replicas.get(k).and_then(|r| dispatcher.engine(&r.service));
+        let (Some(keep), Some(spec)) = (self.keeps.get_mut(&k), spec) else {
+            return Wish::Refused;
+        };
+        let in_use = |a: &str| dispatcher.in_use(k, a);
+        keep.keeper.wish(now, resident.clone(), spec.places as usize, in_use)
+    }
+
     /// A peer asks for a load.
     pub(super) fn wanted(&mut self, now: Tick, from: SocketAddr, w: Want, ctx: &mut Context<Self>) {
         let lease = self.lease();
@@ -250,18 +259,17 @@
         let may = found
             .and_then(|k| self.dispatcher.replicas.get(k))
             .is_some_and(|r| r.usable() && r.tenure.may(now, lease));
-        let keep = found.and_then(|k| self.keeps.get_mut(&k)).filter(|_| may);
-        let wish = keep.map_or(Wish::Refused, |keep| {
-            let wish = keep.keeper.wish(now, w.resident.clone());
+        let wish = match found.filter(|_| may) {
+            Some(k) => self.wish(now, k, &w.resident),
+            None => Wish::Refused,
+        };
+        if let Some(keep) = found.and_then(|k| self.keeps.get_mut(&k)) {
             let asker = (from, w.resident.clone());
-            if wish == Wish::Queued
-                && keep.askers.len() < MAX_ASKERS
-                && !keep.askers.contains(&asker)
-            {
+            let known = keep.askers.contains(&asker);
+            if wish == Wish::Queued && keep.askers.len() < MAX_ASKERS && !known {
                 keep.askers.push(asker);
             }
-            wish
-        });
+        }
         if wish != Wish::Queued {
             let loaded = wish == Wish::Present;
             let ready = Ready { replica: w.replica, resident: w.resident, loaded };
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -163,7 +163,7 @@
     };
     let retry = Some(retry).filter(|d| !ran && !d.is_zero());
     let refusal = Refusal { status, reason, retry };
-    ended(w, a, status.as_u16(), reason);
+    ended(w, a, status.as_u16(), reason, None);
     refusal.response(leaving)
 }
 
@@ -175,12 +175,12 @@
     };
     let retry = (status == StatusCode::SERVICE_UNAVAILABLE)
         .then(|| a.ask.left(clock::now()).min(Duration::from_secs(1)) / 4);
-    ended(w, a, status.as_u16(), reason);
+    ended(w, a, status.as_u16(), reason, None);
     Refusal { status, reason, retry }.response(leaving)
 }
 
 // One line for each request that was passed on or refused.
-fn ended(w: &Worker, a: &Accepted, status: u16, outcome: &str) {
+fn ended(w: &Worker, a: &Accepted, status: u16, outcome: &str, first: Option<Duration>) {
     let took = clock::now().since(a.arrived).as_millis() as u64;
     w.edge.meters.request(&a.route.name, outcome);
     if status == 503 || status == 429 {
@@ -190,6 +190,7 @@
         "id" => a.id.as_str(), "route" => a.route.name.as_str(),
         "account" => a.account.as_ref().map(|x| x.name.to_string()),
         "status" => status, "outcome" => outcome, "took_ms" => took, "sent" => a.ask.sent,
+        "first_ms" => first.map(|d| d.as_millis() as u64),
         "cost" => a.cost, "version" => a.version, "config_age_ms" => a.age.as_millis() as u64,
     );
     emit(&w.edge.log, Event::RequestEnded, &fields);
@@ -257,7 +258,9 @@
     let request = request(a, go, left, a.last);
     let usage = if a.ask.kind.idempotent() { Use::Any } else { Use::Fresh };
     let call = async {
-        let mut reply = w.client.send(go.grant.address, request, usage, left).await?;
+        // The limit of the whole exchange comes first.
+        let limit = left + Duration::from_secs(1);
+        let mut reply = w.client.send(go.grant.address, request, usage, limit).await?;
         check(a, &reply)?;
         if !is_stream(&reply) {
             let body = reply.body(MAX_ANSWER).await?;
@@ -362,7 +365,7 @@
     match answer {
         Answer::Whole { status, headers, body } => {
             w.edge.meters.first(&a.route.name, clock::now().since(a.arrived));
-            ended(w, &a, status.as_u16(), "answered");
+            ended(w, &a, status.as_u16(), "answered", None);
             builder(status, headers, leaving).body(body)
         }
         Answer::Events { status, headers, relay } => {
@@ -409,7 +412,8 @@
 impl Events {
     fn new(w: Worker, a: Accepted, relay: Relay) -> Self {
         let last = a.last;
-        let state = Some(Passing { w, a, relay, last, events: 0 });
+        let first = clock::now().since(a.arrived);
+        let state = Some(Passing { w, a, relay, last, events: 0, first });
         let inner = stream::unfold(state, |state| async {
             let mut p = state?;
             match p.next().await {
@@ -443,6 +447,8 @@
     // Id of the last event that was passed on.
     last: Option<u64>,
     events: u64,
+    // Time to the first event.
+    first: Duration,
 }
 
 impl Passing {
@@ -533,14 +539,14 @@
     }
 
     fn end(&mut self, outcome: &str) {
-        ended(&self.w, &self.a, 200, outcome);
+        ended(&self.w, &self.a, 200, outcome, Some(self.first));
     }
 }
 
 impl Drop for Passing {
     fn drop(&mut self) {
         if self.relay.go.is_some() {
-            ended(&self.w, &self.a, 200, "caller_left");
+            ended(&self.w, &self.a, 200, "caller_left", Some(self.first));
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -0,0 +1,283 @@
+//! Real hosts on loopback addresses of their own, with stand-ins of the platform.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    io::{self, BufRead, BufReader, Read, Write},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::Value;
+use tempfile::TempDir;
+use tokio::runtime::Runtime;
+use yuccawing_platform_standin::{
+    config::{self, Account},
+    replica::{Plan, Replica},
+    store::Store,
+};
+
+/// Longest start of a fleet, also on a busy machine.
+const START: Duration = Duration::from_secs(20);
+
+/// Longest wait for one answer.
+const ANSWER: Duration = Duration::from_secs(10);
+
+/// Key of the account in [`accounts`].
+pub const KEY: &str = "key-of-one";
+
+static NETWORKS: AtomicU32 = AtomicU32::new(0);
+
+/// A host.
+pub struct Host {
+    pub ip: Ipv4Addr,
+    pub child: Child,
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A fleet with its platform.
+pub struct Fleet {
+    pub hosts: Vec<Host>,
+    pub store: Store,
+    pub plain: Vec<Replica>,
+    pub engines: Vec<Replica>,
+    pub runtime: Runtime,
+    network: (u8, u8),
+    dir: TempDir,
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug, Default)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: String,
+    /// Whether the answer came to its end as its framing says.
+    pub whole: bool,
+}
+
+pub fn accounts() -> Vec<Account> {
+    vec![Account { name: "one".into(), keys: vec![KEY.into()], rate: 0 }]
+}
+
+impl Fleet {
+    /// Starts hosts and waits until all are ready and know each other.
+    pub fn start(hosts: usize, plain: usize, engines: usize) -> Self {
+        let mut f = Self::idle(hosts, plain, engines);
+        f.store.put("op/config", &config::config(1, &accounts()));
+        f.wait_ready();
+        f
+    }
+
+    /// Starts hosts without a configuration.
+    pub fn idle(hosts: usize, plain: usize, engines: usize) -> Self {
+        let n = NETWORKS.fetch_add(1, Ordering::Relaxed);
+        // Tests of one process and of processes beside it get networks of their own.
+        let network = (100 + (std::process::id() % 100) as u8, n as u8);
+        let runtime = Runtime::new().unwrap();
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let start = |plan: Plan| runtime.block_on(Replica::start(plan, any, 1)).unwrap();
+        let store = runtime.block_on(Store::start(any)).unwrap();
+        let plain: Vec<_> =
+            (0..plain).map(|i| start(Plan::plain(&format!("p{i}"), config::PLAIN))).collect();
+        let engines: Vec<_> =
+            (0..engines).map(|i| start(Plan::engine(&format!("e{i}"), config::ENGINES))).collect();
+        for r in plain.iter().chain(&engines) {
+            r.register(&store, r.address);
+        }
+        let dir = TempDir::new().unwrap();
+        let mut out = Self { hosts: Vec::new(), store, plain, engines, runtime, network, dir };
+        for i in 0..hosts {
+            let host = out.host(i, hosts);
+            out.hosts.push(host);
+        }
+        out
+    }
+
+    pub fn ip(&self, i: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.network.0, self.network.1, i as u8 + 1)
+    }
+
+    /// Starts the process of host `i`, also again.
+    pub fn host(&self, i: usize, hosts: usize) -> Host {
+        let ip = self.ip(i);
+        let seeds: Vec<_> = (0..hosts.min(3)).map(|s| format!("\"{}:8229\"", self.ip(s))).collect();
+        let text = format!(
+            "name = \"h{i}\"\nip = \"{ip}\"\nzone = \"a\"\nports = [7600, 7615]\n\
+             seeds = [{}]\nstore = \"{}\"\n\
+             [listen]\nfront = \"{ip}:8221\"\nready = \"{ip}:8224\"\ndirectory = \"{ip}:8220\"\n\
+             [bounds]\nrevoke_ms = 2000\nlease_ms = 500\ngrace_s = 8.0\n\
+             retry_ratio = 0.2\nretry_slack = 58\nquota_slack = 1000\n",
+            seeds.join(", "),
+            self.store.address,
+        );
+        let path = self.dir.path().join(format!("h{i}.toml"));
+        fs::write(&path, text).unwrap();
+        let log = fs::OpenOptions::new().create(true).append(true).open(self.log(i)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_yuccawingd"))
+            .arg("--platform")
+            .env("YUCCAWING_CONFIG", &path)
+            .stdout(Stdio::from(log))
+            .spawn()
+            .unwrap();
+        Host { ip, child }
+    }
+
+    fn log(&self, i: usize) -> std::path::PathBuf {
+        self.dir.path().join(format!("h{i}.log"))
+    }
+
+    /// Log lines of host `i`.
+    pub fn lines(&self, i: usize) -> Vec<Value> {
+        let text = fs::read_to_string(self.log(i)).unwrap_or_default();
+        text.lines().filter_map(|l| serde_json::from_str(l).ok()).collect()
+    }
+
+    pub fn wait_ready(&mut self) {
+        let all = self.hosts.len();
+        for i in 0..all {
+            wait(START, "a host is not ready", || {
+                self.ready(i) == 200 && self.fronts(i).len() == all
+            });
+        }
+    }
+
+    pub fn ready(&self, i: usize) -> u16 {
+        self.get(i, 8224, "/ready").map_or(0, |a| a.status)
+    }
+
+    /// Addresses that host `i` offers.
+    pub fn fronts(&self, i: usize) -> Vec<String> {
+        let path = format!("/resolve?Name={}&Region=r&Zone=a", config::HOST);
+        let Ok(a) = self.get(i, 8220, &path) else { return Vec::new() };
+        let v: Value = serde_json::from_str(&a.body).unwrap_or_default();
+        let list = v["Addresses"].as_array().cloned().unwrap_or_default();
+        list.iter().filter_map(|x| x.as_str().map(str::to_owned)).collect()
+    }
+
+    fn get(&self, i: usize, port: u16, path: &str) -> io::Result<Answer> {
+        exchange(&mut connect(self.ip(i), port)?, "GET", path, &[("Host".into(), "x".into())], b"")
+    }
+
+    /// Sends a request to host `i` on a connection of its own.
+    pub fn call(&self, i: usize, path: &str, id: &str, key: Option<&str>) -> Answer {
+        let mut c = connect(self.ip(i), 8221).unwrap();
+        self.call_on(&mut c, path, id, key)
+    }
+
+    /// Sends a request on a connection that may be used again.
+    pub fn call_on(&self, c: &mut TcpStream, path: &str, id: &str, key: Option<&str>) -> Answer {
+        let (method, headers) = request(path, id, key);
+        exchange(c, method, path, &headers, b"body").unwrap()
+    }
+
+    pub fn connect(&self, i: usize) -> TcpStream {
+        connect(self.ip(i), 8221).unwrap()
+    }
+}
+
+/// Method and headers of a request: streams ask for the adapter that the path names last.
+pub fn request(path: &str, id: &str, key: Option<&str>) -> (&'static str, Vec<(String, String)>) {
+    let mut headers = config::caller(id, key, 4000);
+    let stream = path.starts_with("/stream/") || path.starts_with("/once/");
+    if stream {
+        headers.extend(config::demand(path.rsplit('/').next().unwrap()));
+    }
+    (if path.starts_with("/safe/") || path.starts_with("/open/") { "GET" } else { "POST" }, headers)
+}
+
+pub fn wait(limit: Duration, what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + limit;
+    while !done() {
+        assert!(Instant::now() < end, "{what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn connect(ip: Ipv4Addr, port: u16) -> io::Result<TcpStream> {
+    let address = SocketAddr::from((ip, port));
+    let c = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+    c.set_read_timeout(Some(ANSWER))?;
+    Ok(c)
+}
+
+/// Writes a request without reading the answer.
+pub fn send(
+    c: &mut TcpStream,
+    method: &str,
+    path: &str,
+    headers: &[(String, String)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut out = format!("{method} {path} HTTP/1.1\r\n");
+    for (n, v) in headers {
+        out.push_str(&format!("{n}: {v}\r\n"));
+    }
+    let body = if method == "GET" { b"" } else { body };
+    out.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
+    c.write_all(out.as_bytes())?;
+    c.write_all(body)
+}
+
+fn exchange(
+    c: &mut TcpStream,
+    method: &str,
+    path: &str,
+    headers: &[(String, String)],
+    body: &[u8],
+) -> io::Result<Answer> {
+    send(c, method, path, headers, body)?;
+    receive(c)
+}
+
+/// Reads an answer.
+pub fn receive(c: &mut TcpStream) -> io::Result<Answer> {
+    let mut r = BufReader::new(c);
+    let mut out = Answer::default();
+    let mut line = String::new();
+    r.read_line(&mut line)?;
+    out.status = line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    loop {
+        line.clear();
+        if r.read_line(&mut line)? == 0 || line.trim().is_empty() {
+            break;
+        }
+        if let Some((n, v)) = line.split_once(':') {
+            out.headers.insert(n.to_ascii_lowercase(), v.trim().to_owned());
+        }
+    }
+    let mut body = Vec::new();
+    if let Some(n) = out.headers.get("content-length").and_then(|v| v.parse::<usize>().ok()) {
+        body.resize(n, 0);
+        out.whole = r.read_exact(&mut body).is_ok();
+    } else {
+        out.whole = chunks(&mut r, &mut body).unwrap_or(false);
+    }
+    out.body = String::from_utf8_lossy(&body).into_owned();
+    Ok(out)
+}
+
+// Reads chunks. Returns whether the last one came.
+fn chunks(r: &mut impl BufRead, body: &mut Vec<u8>) -> io::Result<bool> {
+    loop {
+        let mut line = String::new();
+        r.read_line(&mut line)?;
+        let Ok(n) = usize::from_str_radix(line.trim(), 16) else { return Ok(false) };
+        let mut chunk = vec![0; n + 2];
+        r.read_exact(&mut chunk)?;
+        body.extend_from_slice(&chunk[..n]);
+        if n == 0 {
+            return Ok(true);
+        }
+    }
+}
