--- a/crates/core/src/fleet/replicas/tests.rs
+++ b/crates/core/src/fleet/replicas/tests.rs
@@ -1,1 +1,131 @@
+use std::time::Duration;
 
+use super::{Change, Replicas};
+use crate::{
+    fleet::{
+        ask::{Demand, Part},
+        digest::Load,
+        inventory::Entry,
+    },
+    time::Tick,
+};
+
+const GAP: Duration = Duration::from_secs(2);
+
+fn at(ms: u64) -> Tick {
+    Tick(1_000_000_000 + ms * 1000)
+}
+
+fn entry(id: &str, born: u64) -> Entry {
+    Entry {
+        id: id.into(),
+        service: "s".into(),
+        address: "10.0.0.9:80".parse().unwrap(),
+        zone: "a".into(),
+        slots: 6,
+        born,
+        leaving: false,
+        remaining: None,
+        residents: Vec::new(),
+    }
+}
+
+fn usable(r: &Replicas) -> Vec<String> {
+    let mut out: Vec<_> =
+        r.iter().filter(|(_, x)| x.usable()).map(|(_, x)| x.id.to_string()).collect();
+    out.sort();
+    out
+}
+
+// Replicas `a` and `b`, listed at 0 and at 500 ms.
+fn two() -> Replicas {
+    let mut r = Replicas::default();
+    for ms in [0, 500] {
+        r.sync(at(ms), at(ms), vec![entry("a", 1), entry("b", 1)], GAP);
+    }
+    r
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against work for a replica whose entry was removed.
+    a_missing_entry_ends_the_use: {
+        let mut r = two();
+        let changes = r.sync(at(1000), at(1000), vec![entry("a", 1)], GAP);
+        assert!(matches!(changes[..], [Change::Missing(_)]));
+        assert_eq!(usable(&r), ["a"]);
+        r.sync(at(1500), at(1500), vec![entry("a", 1), entry("b", 1)], GAP);
+        assert_eq!(usable(&r), ["a", "b"]);
+    }
+    // Guards against a fleet without replicas after an outage of the store, and against the use of
+    // those that do not come back.
+    entries_that_lapsed_in_an_outage_have_time: {
+        let mut r = two();
+        r.sync(at(9000), at(9000), vec![entry("a", 1)], GAP);
+        assert_eq!(usable(&r), ["a", "b"]);
+        r.sync(at(11_000), at(11_000), vec![entry("a", 1)], GAP);
+        r.sync(at(11_600), at(11_600), vec![entry("a", 1)], GAP);
+        assert_eq!(usable(&r), ["a"]);
+    }
+    // Guards against adapters and counts of an earlier start under the same id.
+    another_start_under_one_id_is_new: {
+        let mut r = two();
+        let changes = r.sync(at(1000), at(1000), vec![entry("a", 2), entry("b", 1)], GAP);
+        assert!(matches!(changes[..], [Change::Joined(_)]));
+        assert_eq!(usable(&r), ["a", "b"]);
+        let hashes: Vec<_> = r.iter().filter(|(_, x)| x.id == "a").map(|(_, x)| x.hash).collect();
+        assert_eq!(hashes.len(), 2);
+        assert_ne!(hashes[0], hashes[1]);
+    }
+    // Guards against a delayed entry that brings an ended start back.
+    an_older_start_is_ignored: {
+        let mut r = two();
+        r.sync(at(1000), at(1000), vec![entry("a", 2), entry("b", 1)], GAP);
+        r.sync(at(1500), at(1500), vec![entry("a", 1), entry("b", 1)], GAP);
+        let born: Vec<_> = r.iter().filter(|(_, x)| x.usable() && x.id == "a").map(|(_, x)| x.born).collect();
+        assert_eq!(born, [2]);
+    }
+    // Guards against new work for a replica that drains.
+    a_leaving_replica_is_not_used: {
+        let mut r = two();
+        let leaving = Entry { leaving: true, ..entry("b", 1) };
+        let changes = r.sync(at(1000), at(1000), vec![entry("a", 1), leaving], GAP);
+        assert!(matches!(changes[..], [Change::Leaving(_)]));
+        assert_eq!(usable(&r), ["a"]);
+    }
+    // Guards against the load of a peer that is counted twice or for ever.
+    a_peers_load_replaces_its_earlier_one: {
+        let mut r = two();
+        let (k, hash) = r.iter().map(|(k, x)| (k, x.hash)).next().unwrap();
+        let load = Load { replica: hash, reading: 100, runs: 2, memory: 3 };
+        let ip = "10.0.0.1".parse().unwrap();
+        r.heard(ip, &[load]);
+        r.heard(ip, &[load]);
+        assert_eq!(r.get(k).unwrap().total().runs, 2);
+        r.heard(ip, &[]);
+        assert_eq!(r.get(k).unwrap().total().runs, 0);
+    }
+    // Guards against prompt parts that count as kept although one before them is not, or although
+    // much was read since.
+    kept_parts_need_those_before_them: {
+        let mut r = two();
+        let k = r.iter().next().unwrap().0;
+        let x = r.get_mut(k).unwrap();
+        let part = |id| Part { id, tokens: 100 };
+        let demand = |parts| Demand { artifact: "m/a1".into(), prompt: 300, output: 10, parts };
+        let first = demand(vec![part(1), part(2), part(3)]);
+        assert_eq!(x.kept(&first, 10_000), 0);
+        x.keep(&first, 300);
+        assert_eq!(x.kept(&first, 10_000), 300);
+        assert_eq!(x.kept(&demand(vec![part(1), part(9), part(3)]), 10_000), 100);
+        let other = Demand { artifact: "m/a2".into(), ..first.clone() };
+        assert_eq!(x.kept(&other, 10_000), 0, "kept for one adapter only");
+        for i in 0..40 {
+            x.keep(&demand(vec![part(100 + i)]), 300);
+        }
+        assert_eq!(x.kept(&first, 10_000), 0, "others took the memory");
+    }
+}
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -67,8 +67,8 @@
     204 RequestPlaced Info "A request was given a replica.";
     205 RequestEnded Info "A request was answered.";
     206 AttemptFailed Info "A replica did not serve a request.";
-    208 RequestTurnedAway Info "A request was refused before it was passed on.";
     207 LimitReached Info "A request is over its account's limit.";
+    208 RequestTurnedAway Info "A request was refused before it was passed on.";
     300 UpstreamConnect Warning "An upstream could not be connected.";
     301 UpstreamSilent Warning "An upstream went silent; the connection is replaced.";
     302 StreamResumed Info "An interrupted stream was resumed.";
