--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -51,7 +51,7 @@
 
 /// Cost of a load from the weight store, in ms of lateness: it delays other loads and takes a place
 /// that another adapter needs.
-const COLD_COST_MS: f64 = 450.0;
+const COLD_COST_MS: f64 = 250.0;
 
 /// Cost of a load of an adapter that the engine held lately, for the place.
 const WARM_COST_MS: f64 = 60.0;
@@ -73,7 +73,7 @@
 
 /// Largest preference between engines for an adapter that is in place nowhere, in ms. It leads all
 /// hosts to the same engines, which keep the adapter in their host's memory.
-const HOME_MS: f64 = 150.0;
+const HOME_MS: f64 = 60.0;
 
 /// Largest random part of a cost, in ms, so that hosts with the same old view spread.
 const SPREAD_MS: f64 = 6.0;
--- a/crates/daemon/src/front/control/admit.rs
+++ b/crates/daemon/src/front/control/admit.rs
@@ -138,7 +138,7 @@
             let level = self.quota.level(account);
             let fields = kv!(
                 "id" => msg.ask.id.as_str(), "account" => account.as_str(), "cost" => *cost,
-                "level" => level, "wait_ms" => wait.as_millis() as u64,
+                "left" => level, "wait_ms" => wait.as_millis() as u64,
             );
             emit(&self.log, Event::LimitReached, &fields);
             let retry = wait.min(LIMIT_BACK);
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -209,7 +209,7 @@
         Ok(Exchange::Whole(status, headers, body)) => {
             go.guard.outcome = match (status.is_server_error(), a.ask.kind) {
                 (false, _) => Outcome::Good,
-                (true, Kind::Safe) => Outcome::Neutral,
+                (true, kind) if kind.idempotent() => Outcome::Neutral,
                 (true, _) => Outcome::Failed,
             };
             Ok(Answer::Whole { status, headers, body })
@@ -265,7 +265,7 @@
         if !is_stream(&reply) {
             let body = reply.body(MAX_ANSWER).await?;
             let (status, headers) = (status(&reply)?, answer_headers(&reply));
-            if status.is_server_error() && a.ask.kind == Kind::Safe && !last {
+            if status.is_server_error() && a.ask.kind.idempotent() && !last {
                 return Err(Failure::Status(status.as_u16()));
             }
             w.client.keep(reply);
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -33,7 +33,6 @@
 
 /// A host.
 pub struct Host {
-    pub ip: Ipv4Addr,
     pub child: Child,
 }
 
@@ -51,7 +50,8 @@
     pub store: Store,
     pub plain: Vec<Replica>,
     pub engines: Vec<Replica>,
-    pub runtime: Runtime,
+    // Keeps the stand-ins running.
+    _runtime: Runtime,
     network: (u8, u8),
     dir: TempDir,
 }
@@ -96,7 +96,8 @@
             r.register(&store, r.address);
         }
         let dir = TempDir::new().unwrap();
-        let mut out = Self { hosts: Vec::new(), store, plain, engines, runtime, network, dir };
+        let mut out =
+            Self { hosts: Vec::new(), store, plain, engines, _runtime: runtime, network, dir };
         for i in 0..hosts {
             let host = out.host(i, hosts);
             out.hosts.push(host);
@@ -130,7 +131,7 @@
             .stdout(Stdio::from(log))
             .spawn()
             .unwrap();
-        Host { ip, child }
+        Host { child }
     }
 
     fn log(&self, i: usize) -> std::path::PathBuf {
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -171,7 +171,7 @@
         for adapter in ["a1", "a2", "a3", "a4"] {
             stream(&f, 0, &format!("/stream/{adapter}"), &format!("warm-{adapter}"));
         }
-        for (i, fault) in [Fault::Reset(2), Fault::Truncate].into_iter().enumerate() {
+        for (i, fault) in [Fault::Reset(2), Fault::Truncate, Fault::Error].into_iter().enumerate() {
             f.engines[0].set(fault);
             for adapter in ["a1", "a2", "a3", "a4"] {
                 let id = format!("g{i}{adapter}");
