Read changed settings without a signal; keep look-ups within the users' bound

Cause: the platform may change the settings file without a signal; the time of a look-up ignored ttl_max_s. Change: the file is compared every 2 s; a wrong one is reported and those in force stay.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -18,6 +18,7 @@
     net::{TcpListener, UdpSocket},
     path::Path,
     sync::Arc,
+    time::Duration,
 };
 
 use actix::Actor;
@@ -48,6 +49,10 @@
 /// to four fifths of the configured time, which is 15 s where it is known.
 const KEEP_ALIVE_S: u64 = 60;
 
+/// Interval of looking for a settings file that changed without a signal. Seeds may be stale for
+/// three seconds anyway.
+const RELOAD: Duration = Duration::from_secs(2);
+
 /// Seconds in which the head of a request must arrive.
 const HEAD_S: u64 = 3;
 
@@ -107,8 +112,8 @@
     })
     .workers(1)
     .backlog(BACKLOG)
-    .keep_alive(std::time::Duration::from_secs(KEEP_ALIVE_S))
-    .client_request_timeout(std::time::Duration::from_secs(HEAD_S))
+    .keep_alive(Duration::from_secs(KEEP_ALIVE_S))
+    .client_request_timeout(Duration::from_secs(HEAD_S))
     // A caller that closes its side has left; its request must end at the replica too.
     .h1_allow_half_closed(false)
     .shutdown_timeout(settings.bounds.grace().as_secs())
@@ -121,10 +126,20 @@
     let handle = server.handle();
     actix_rt::spawn(server);
     emit(&log, Event::Started, &kv!("front" => settings.listen.front.to_string()));
+    let mut text = std::fs::read(path)?;
+    let mut look = tokio::time::interval(RELOAD);
     loop {
         tokio::select! {
             _ = term.recv() => break,
             _ = hup.recv() => control.do_send(Reload { path: path.to_owned(), signal: true }),
+            _ = look.tick() => {
+                // A file that cannot be read is reported when a signal asks for it.
+                let Ok(now) = std::fs::read(path) else { continue };
+                if now != text {
+                    text = now;
+                    control.do_send(Reload { path: path.to_owned(), signal: false });
+                }
+            }
         }
     }
     emit(&log, Event::StopBegun, &kv!());
--- a/crates/daemon/src/front/edge.rs
+++ b/crates/daemon/src/front/edge.rs
@@ -40,9 +40,8 @@
 /// Time for which callers keep a look-up: short, so that they find a new host soon.
 const LOOKUP_TTL_S: f64 = 2.0;
 
-/// Share of the time in which withdrawn keys must stop working after which an unread
-/// configuration makes the host refuse them. Reads begin before callers send, so a margin for one
-/// way is left.
+/// Time before the bound for withdrawn keys at which the host refuses keys with an old
+/// configuration: callers count from the store's answer and send before the request arrives here.
 const REFUSE_MARGIN: Duration = Duration::from_millis(300);
 
 /// When a caller may come back that met a host without a configuration.
@@ -141,7 +140,7 @@
             })
             .finish()
         }
-        directory::RESOLVE if local == s.listen.directory => lookup(&view),
+        directory::RESOLVE if local == s.listen.directory => lookup(&view, s),
         "/metrics" if local == s.metrics() => HttpResponse::Ok()
             .content_type("text/plain; version=0.0.4")
             .body(worker.edge.meters.render()),
@@ -149,11 +148,11 @@
     }
 }
 
-fn lookup(view: &Published) -> HttpResponse {
+fn lookup(view: &Published, settings: &Settings) -> HttpResponse {
     if view.fronts.is_empty() {
         return HttpResponse::ServiceUnavailable().finish();
     }
-    let body = directory::lookup(&view.fronts, LOOKUP_TTL_S);
+    let body = directory::lookup(&view.fronts, LOOKUP_TTL_S.min(settings.bounds.ttl_s));
     HttpResponse::Ok().content_type("application/json").body(body)
 }
 
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -134,6 +134,15 @@
         Host { child }
     }
 
+    /// Settings file of host `i`.
+    pub fn settings(&self, i: usize) -> String {
+        fs::read_to_string(self.dir.path().join(format!("h{i}.toml"))).unwrap()
+    }
+
+    pub fn write_settings(&self, i: usize, text: &str) {
+        fs::write(self.dir.path().join(format!("h{i}.toml")), text).unwrap();
+    }
+
     fn log(&self, i: usize) -> std::path::PathBuf {
         self.dir.path().join(format!("h{i}.log"))
     }
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -393,4 +393,19 @@
         let failed = lines.iter().find(|l| l["name"] == "AttemptFailed").unwrap();
         assert_eq!(failed["replica"], "p0");
     }
+    // Guards against seeds that stay stale when the settings file changes without a signal, and
+    // against a wrong file that stops the host.
+    changed_settings_are_read_again: {
+        let f = Fleet::start(1, 1, 0);
+        let good = f.settings(0);
+        f.write_settings(0, &good.replace("seeds = [", "seeds = [\"127.0.0.9:8229\", "));
+        wait(Duration::from_secs(6), "the change is not read", || {
+            f.lines(0).iter().any(|l| l["name"] == "Reloaded" && l["seeds"] == 2)
+        });
+        f.write_settings(0, "name = 7");
+        wait(Duration::from_secs(6), "the wrong file is not reported", || {
+            f.lines(0).iter().any(|l| l["name"] == "ReloadFailed")
+        });
+        assert_eq!(f.call(0, "/safe/1", "e1", Some(KEY)).status, 200);
+    }
 }
