Split orders from waiting requests; build orders in one place

Change: loads.rs keeps the requests that wait, orders.rs the orders and reports; one function makes an order under the host's authority. No change of behaviour.

--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod beliefs;
 mod loads;
+mod orders;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -33,10 +34,7 @@
 };
 
 pub use self::admit::{Admit, Blame, Go, Verdict};
-use self::{
-    beliefs::Store,
-    loads::{Keep, Waiters},
-};
+use self::{beliefs::Store, loads::Waiters, orders::Keep};
 use super::{
     client::Client,
     clock,
