Learn the time of loads instead of assuming eight at once

Cause: a load's expected time grew with the loads under way over all engines, divided by eight, the figure of the small sites. On the grown sites 32 and 48 run at full speed, so loads were expected to take 1.84 s where requests waited 0.33 s. Hot adapters got no copies and their requests stood at the engines that had them. Change: each host keeps a running mean of its own load times; an engine with four adapters on their way counts one round more.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -14,6 +14,7 @@
 pub mod reading;
 pub mod replicas;
 pub mod report;
+pub mod transfer;
 
 /// FNV-1a, which gives the same value in every process and release.
 pub fn hash(parts: &[&str]) -> u64 {
--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -26,6 +26,7 @@
     inventory::{EngineSpec, Inventory, Kind, VersionMark},
     replicas::{Replica, ReplicaKey, Replicas},
     report::Resident,
+    transfer::Transfer,
 };
 use crate::time::Tick;
 
@@ -43,11 +44,8 @@
 /// Time of a step with its share of other streams, and of the way there and back, in ms.
 const STEP_MS: f64 = 15.0;
 
-/// Time of a load from the weight store with its orders, in ms.
-const COLD_MS: f64 = 300.0;
-
-/// Loads from the weight store that are as fast as one, over all engines.
-const PARALLEL: f64 = 8.0;
+/// Adapters that may be on their way to one engine; a further one waits for them.
+const TRANSIT: u32 = 4;
 
 /// Cost of a load from the weight store, in ms of lateness: it delays other loads and takes a place
 /// that another adapter needs.
@@ -188,6 +186,7 @@
     uses: HashMap<Ipv4Addr, HashSet<Use>>,
     // Parts sent since the last digest and in the one before.
     kept: [Vec<Kept>; 2],
+    transfer: Transfer,
 }
 
 impl Dispatcher {
@@ -201,6 +200,7 @@
             versions: HashMap::new(),
             uses: HashMap::new(),
             kept: [Vec::new(), Vec::new()],
+            transfer: Transfer::default(),
         }
     }
 
@@ -284,7 +284,7 @@
         // Ejection must not take more than half of a service.
         let forced = sound * 2 < all.len();
         let mut best: Option<(f64, Cost, ReplicaKey)> = None;
-        let scene = ask.demand.as_ref().map(|d| self.scene(&ask.service, &d.artifact));
+        let scene = ask.demand.as_ref().map(|d| self.scene(now, &d.artifact));
         let usable = !all.is_empty();
         let aim = ask.aim.since(now).as_secs_f64() * 1000.0 * AIM_SHARE;
         for (k, r) in all {
@@ -328,7 +328,7 @@
     }
 
     // What all engines of a service have in common for one request.
-    fn scene(&self, service: &str, artifact: &str) -> Scene {
+    fn scene(&self, now: Tick, artifact: &str) -> Scene {
         let mut pins: HashMap<u32, HashSet<u32>> = HashMap::new();
         let own = self.runs.values().filter_map(|x| {
             Some(Use { replica: self.replicas.get(x.replica)?.hash, artifact: x.artifact? })
@@ -336,9 +336,7 @@
         for u in self.uses.values().flatten().copied().chain(own) {
             pins.entry(u.replica).or_default().insert(u.artifact);
         }
-        let engines = self.replicas.iter().filter(|(_, r)| r.service == service);
-        let loading = engines.map(|(_, r)| r.loading).sum();
-        Scene { pins, artifact: hash32(&[artifact]), loading }
+        Scene { pins, artifact: hash32(&[artifact]), transfer: self.transfer.expected(now) }
     }
 
     fn engine_cost(
@@ -368,10 +366,11 @@
             if !pinned && pins.is_some_and(|p| p.len() >= spec.places as usize) {
                 return None;
             }
-            let crowd = (f64::from(scene.loading) / PARALLEL).max(1.0);
-            wait = if r.warm(&d.artifact) && !old { WARM_MS } else { COLD_MS * crowd };
+            let warm = r.warm(&d.artifact) && !old;
+            let rounds = f64::from(1 + r.loading / TRANSIT);
+            wait = rounds * if warm { WARM_MS } else { scene.transfer };
             preference = unit(&[&d.artifact, &r.id]) * HOME_MS;
-            preference += if r.warm(&d.artifact) && !old { WARM_COST_MS } else { COLD_COST_MS };
+            preference += if warm { WARM_COST_MS } else { COLD_COST_MS };
             load = Some(Resident {
                 artifact: d.artifact.clone(),
                 version: self.version(&d.artifact).unwrap_or(0),
@@ -428,6 +427,14 @@
         }
     }
 
+    /// A load of an adapter that this host ordered at a replica has ended after `took`.
+    pub fn loaded(&mut self, now: Tick, k: ReplicaKey, artifact: &str, took: Duration) {
+        let cold = self.replicas.get(k).is_some_and(|r| !r.warm(artifact));
+        if cold && artifact.contains('/') {
+            self.transfer.note(now, took);
+        }
+    }
+
     /// The request was sent after a wait for a load.
     pub fn sent(&mut self, now: Tick, run: RunKey) {
         if let Some(x) = self.runs.get_mut(run) {
@@ -513,8 +520,8 @@
     pins: HashMap<u32, HashSet<u32>>,
     // Hash of the adapter that is asked for.
     artifact: u32,
-    // Adapters on their way to any engine.
-    loading: u32,
+    // Expected time of a load from the weight store, in ms.
+    transfer: f64,
 }
 
 struct Cost {
--- a/crates/core/src/fleet/dispatch/tests.rs
+++ b/crates/core/src/fleet/dispatch/tests.rs
@@ -145,6 +145,26 @@
         let first = grants.iter().position(|g| g.load.is_some()).unwrap();
         assert!(first >= 2, "not while its engine is in time");
     }
+    // Pattern: many loads at once in a large fleet. Guards against a hot adapter that gets no copy
+    // because loads elsewhere are believed to slow down its own.
+    loads_elsewhere_do_not_keep_a_hot_adapter_at_one_engine: {
+        let mut held: Vec<&[&str]> = vec![&["m/a1"]];
+        held.resize(90, &[]);
+        let mut d = engines(&held);
+        let told = d.replicas.iter().filter(|(_, r)| r.service == "engines" && r.id != "e0");
+        let told = told.map(|(_, r)| Engine {
+            replica: r.hash,
+            held: true,
+            alive: true,
+            loading: 1,
+            residents: vec![resident("m")],
+        });
+        let told = told.collect();
+        d.heard(at(0), &digest(Vec::new(), Vec::new(), told));
+        let grants: Vec<_> =
+            (0..6).map(|i| grant(&mut d, &ask(&format!("r{i}"), "m/a1", 9000))).collect();
+        assert!(grants.iter().any(|g| g.load.is_some()));
+    }
     // Pattern: prompts of very different lengths. Guards against a short one behind a long one.
     short_prompts_avoid_long_ones: {
         let mut d = engines(&[&["m/a1"], &["m/a1"]]);
--- a/crates/core/src/fleet/keeper.rs
+++ b/crates/core/src/fleet/keeper.rs
@@ -272,7 +272,9 @@
         }
         let a = &step.resident.artifact;
         match (step.verb, answer) {
-            (Verb::Load, Some(Answer::Done)) => self.loaded(now, &step.resident),
+            (Verb::Load, Some(Answer::Done)) => {
+                self.loaded(now, &step.resident);
+            }
             // Without an answer it may have been accepted.
             (Verb::Load, Some(Answer::Accepted) | None) => {}
             (Verb::Load, Some(_)) => {
@@ -290,13 +292,14 @@
         }
     }
 
-    /// A load has ended.
-    pub fn loaded(&mut self, now: Tick, r: &Resident) {
-        self.loading.remove(&r.artifact);
+    /// A load has ended. Returns the time since its order.
+    pub fn loaded(&mut self, now: Tick, r: &Resident) -> Option<Duration> {
+        let ordered = self.loading.remove(&r.artifact);
         self.wishes.retain(|(w, _)| w != r);
         self.removed.remove(&r.artifact);
         self.placed.insert(r.artifact.clone(), (r.version, now));
         self.used.insert(r.artifact.clone(), now);
+        ordered.map(|(_, at)| now.since(at))
     }
 
     /// Adapters on their way.
--- /dev/null
+++ b/crates/core/src/fleet/transfer/tests.rs
@@ -0,0 +1,44 @@
+use std::time::Duration;
+
+use super::Transfer;
+use crate::time::Tick;
+
+fn at(ms: u64) -> Tick {
+    Tick(1_000_000_000 + ms * 1000)
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against loads that are believed to be slow because many are under way, though the
+    // store carries all of them at full speed.
+    quick_loads_stay_quick: {
+        let mut t = Transfer::default();
+        for i in 0..100 {
+            t.note(at(i * 20), ms(260));
+        }
+        assert!(t.expected(at(2000)) < 330.0);
+    }
+    // Guards against a crowd at the store that nobody notices.
+    slow_loads_are_learned: {
+        let mut t = Transfer::default();
+        for i in 0..15 {
+            t.note(at(i * 100), ms(900));
+        }
+        assert!(t.expected(at(1500)) > 800.0);
+    }
+    // Guards against a host that never asks for a load again since the last ones were slow.
+    a_crowd_is_forgotten: {
+        let mut t = Transfer::default();
+        for i in 0..15 {
+            t.note(at(i * 100), ms(900));
+        }
+        assert!(t.expected(at(5000)) < 330.0);
+    }
+}
--- a/crates/daemon/src/front/control/orders.rs
+++ b/crates/daemon/src/front/control/orders.rs
@@ -286,7 +286,9 @@
 
     fn loaded(&mut self, now: Tick, k: ReplicaKey, resident: &Resident) {
         if let Some(keep) = self.keeps.get_mut(&k) {
-            keep.keeper.loaded(now, resident);
+            if let Some(took) = keep.keeper.loaded(now, resident) {
+                self.dispatcher.loaded(now, k, &resident.artifact, took);
+            }
             if let Some(r) = self.dispatcher.replicas.get_mut(k) {
                 r.loading = keep.keeper.loads() as u32;
             }
