Give each host its part of a limit by demand

Cause: the part of the rate that a host may use while the fleet is over its limit was never computed (the share stayed 0), so only the level of the whole fleet counted. 23 hosts admitted everything until the level was 150,000 tokens below zero, then refused everything until it was paid, in turns of half a second. Change: the share follows the demand that each host tells; a debt of the fleet slows all parts; the level alone no longer refuses a host that has its part.

--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -3,8 +3,9 @@
 //! Each host keeps one bucket for each account and the whole fleet: it takes out what it admits
 //! itself at once, and what its peers admit as their digests tell. So a host may use all that the
 //! others leave. When the level is below what the fleet is asked for between two digests, each host
-//! uses its part of the rate by demand, since all would take the same rest otherwise. A peer that falls silent is charged its part of the rate until it is heard again: in a
-//! partition each side uses its part only.
+//! uses its part of the rate by demand, since all would take the same rest otherwise and then
+//! refuse everybody until the debt is paid. A peer that falls silent is charged its part of the
+//! rate until it is heard again: in a partition each side uses its part only.
 
 #[cfg(test)]
 mod tests;
@@ -210,7 +211,9 @@
                 _ => p.uses.get(&m.hash).map_or(0.0, |s| s.demand),
             };
             let floor = FLOOR * m.rate / hosts;
-            let all: f64 = m.demand + self.peers.values().map(known).sum::<f64>() + floor * hosts;
+            m.total = own + self.peers.values().map(known).sum::<f64>();
+            let all = m.total + floor * hosts;
+            m.share = (own + floor) / all;
             for p in self.peers.values_mut() {
                 let silence = now.since(p.heard);
                 if silence <= SILENT {
@@ -231,13 +234,13 @@
         m.demand += cost / HORIZON.as_secs_f64();
         // A request that is larger than the burst waits for a full bucket and leaves a debt.
         let needed = cost.min(m.burst);
-        let shared = m.total * UNTOLD.as_secs_f64();
-        let alone = m.part >= cost.min(m.burst * m.share);
-        if m.level < needed || (m.level < needed + shared && !alone) {
-            let wait = (needed - m.level).max(cost - m.part) / (m.rate * m.share.max(FLOOR));
+        let untold = m.total * UNTOLD.as_secs_f64();
+        let own = cost.min(m.burst * m.share);
+        if m.level < needed + untold && m.part < own {
+            let wait = (own - m.part) / (m.rate * m.share);
             return Verdict::Over(Duration::try_from_secs_f64(wait).unwrap_or(HORIZON));
         }
-        m.level -= cost;
+        m.level = (m.level - cost).max(-m.burst);
         m.part = (m.part - cost).max(-m.burst * m.share);
         m.spent += cost;
         Verdict::Within
@@ -265,7 +268,10 @@
         }
         self.at = now;
         self.level = (self.level + passed * self.rate).min(self.burst);
-        self.part = (self.part + passed * self.rate * self.share).min(self.burst * self.share);
+        // A debt of the fleet is paid by all parts together.
+        let pace = (1.0 + self.level.min(0.0) / self.burst).max(0.0);
+        let part = self.part + passed * self.rate * self.share * pace;
+        self.part = part.min(self.burst * self.share);
         self.demand *= (-passed / HORIZON.as_secs_f64()).exp();
     }
 }
--- a/crates/core/src/fleet/quota/tests.rs
+++ b/crates/core/src/fleet/quota/tests.rs
@@ -155,6 +155,30 @@
         let admitted: f64 = f.admitted.iter().map(|(_, u)| u).sum();
         assert!(admitted > 0.9 * RATE * 30.0, "{admitted} of {} allowed", RATE * 30.0);
     }
+    // Pattern: a tenant far over its limit asks for small and large requests at 23 hosts. Guards
+    // against a fleet that admits all of them until it is deep in debt and then nobody: a bucket
+    // that sees every request serves nearly all of the small ones.
+    small_requests_of_a_greedy_account_are_served: {
+        let mut f = Fleet::new(23);
+        let (mut small, mut served) = (0, 0);
+        for ms in (0..30_000u64).step_by(5) {
+            if ms % 180 == 0 {
+                f.gossip(ms, |_, _| true);
+            }
+            // 0.4 times the rate in small requests, 4 times the rate in large ones.
+            f.ask(ms, (ms as usize * 7919 / 5) % 23, 200.0);
+            let before = f.admitted.len();
+            f.ask(ms, (ms as usize * 104_729 / 5) % 23, 20.0);
+            if ms > 5000 {
+                small += 1;
+                served += f.admitted.len() - before;
+            }
+        }
+        f.assert_bound();
+        let admitted: f64 = f.admitted.iter().map(|(_, u)| u).sum();
+        assert!(admitted > 0.95 * RATE * 30.0, "{admitted} of {} allowed", RATE * 30.0);
+        assert!(served * 10 > small * 8, "{served} of {small} small requests");
+    }
     // Pattern: partition in the middle of high demand. Guards against both sides using the whole
     // limit.
     a_split_stays_within_the_bound: {
