Read the store from one host and send what changed to the others

Change: one reader, every quarter of the bound that the users set; the next in line reads when the knowledge gets old, all others later. The reader sends changed entries along; a host that misses them reads after 150 ms. A failed read is not repeated before the next turn.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -8,6 +8,7 @@
 pub mod health;
 pub mod inventory;
 pub mod keeper;
+pub mod listing;
 pub mod order;
 pub mod peers;
 pub mod quota;
--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -6,7 +6,7 @@
 use arcstr::ArcStr;
 use serde::{Deserialize, Serialize};
 
-use super::{reading::Mark, report::Resident};
+use super::{inventory::Entry, reading::Mark, report::Resident};
 
 /// What a host does with requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,6 +28,23 @@
     Want(Want),
     /// Answers a [`Want`].
     Ready(Ready),
+    /// What a read of the store changed in the list of replicas.
+    Listing(Listing),
+}
+
+/// Changes of the list of replicas.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Hash of the list before.
+    pub from: u64,
+    /// The list after the changes.
+    pub to: Mark,
+    /// Revision of the store.
+    pub revision: u64,
+    /// Entries that are new or differ.
+    pub entries: Vec<Entry>,
+    /// Ids without an entry.
+    pub gone: Vec<ArcStr>,
 }
 
 /// State of a host.
--- a/crates/core/src/fleet/inventory.rs
+++ b/crates/core/src/fleet/inventory.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use arcstr::ArcStr;
+use serde::{Deserialize, Serialize};
 
 use super::report::Resident;
 
@@ -153,7 +154,7 @@
 }
 
 /// A replica as it describes itself in the store.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// Id, which a restarted replica may keep.
     pub id: ArcStr,
--- /dev/null
+++ b/crates/core/src/fleet/listing.rs
@@ -0,0 +1,65 @@
+//! The replicas' entries as the store lists them, and changes between two such lists.
+//!
+//! A list has a hash by which hosts tell each other that they hold the same. The host that reads a
+//! change sends it to the others, which then need no read of their own.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
+
+use arcstr::ArcStr;
+
+use super::{digest::Listing, hash, inventory::Entry, reading::Mark};
+
+/// Entries that are sent to the other hosts at once. A datagram of that size passes a network
+/// without fragments in most cases, and larger changes come at starts, when each host reads anyway.
+const MAX_ENTRIES: usize = 16;
+
+/// All entries by id.
+#[derive(Debug, Default)]
+pub struct List {
+    entries: BTreeMap<ArcStr, Entry>,
+}
+
+impl List {
+    /// Replaces the list by what was read. Returns its hash.
+    pub fn replace(&mut self, entries: &[Entry]) -> u64 {
+        self.entries = entries.iter().map(|e| (e.id.clone(), e.clone())).collect();
+        self.hash()
+    }
+
+    /// What changes when `entries` replace the list, none if that is too much to send.
+    pub fn change(&self, entries: &[Entry], to: Mark, revision: u64) -> Option<Listing> {
+        let differs = |e: &&Entry| self.entries.get(&e.id).is_none_or(|o| state(o) != state(e));
+        let new: Vec<_> = entries.iter().filter(differs).cloned().collect();
+        let listed: std::collections::HashSet<_> = entries.iter().map(|e| &e.id).collect();
+        let gone: Vec<_> = self.entries.keys().filter(|id| !listed.contains(id)).cloned().collect();
+        let fits = new.len() + gone.len() <= MAX_ENTRIES;
+        fits.then(|| Listing { from: self.hash(), to, revision, entries: new, gone })
+    }
+
+    /// The list after a peer's change, none if the change does not lead to the hash that it names.
+    pub fn changed(&self, c: &Listing) -> Option<Vec<Entry>> {
+        let mut entries = self.entries.clone();
+        entries.retain(|id, _| !c.gone.contains(id));
+        entries.extend(c.entries.iter().map(|e| (e.id.clone(), e.clone())));
+        let entries: Vec<_> = entries.into_values().collect();
+        (fold(entries.iter()) == c.to.hash).then_some(entries)
+    }
+
+    fn hash(&self) -> u64 {
+        fold(self.entries.values())
+    }
+}
+
+/// Hash of a list, whatever its order.
+pub fn fold<'a>(entries: impl Iterator<Item = &'a Entry>) -> u64 {
+    entries.fold(0, |h, e| h ^ state(e))
+}
+
+// What matters to other hosts. The rest of an entry changes with each status report.
+fn state(e: &Entry) -> u64 {
+    let (born, address) = (e.born.to_string(), e.address.to_string());
+    hash(&[&e.id, &born, &address, &e.service, if e.leaving { "leaving" } else { "" }])
+}
--- /dev/null
+++ b/crates/core/src/fleet/listing/tests.rs
@@ -0,0 +1,67 @@
+use proptest::prelude::*;
+
+use super::{List, fold};
+use crate::fleet::{inventory::Entry, reading::Mark};
+
+fn entry(n: u8, born: u64, leaving: bool) -> Entry {
+    Entry {
+        id: format!("r{n}").into(),
+        service: "s".into(),
+        address: format!("10.0.0.{n}:80").parse().unwrap(),
+        zone: "a".into(),
+        slots: 6,
+        born,
+        leaving,
+        remaining: None,
+        residents: Vec::new(),
+    }
+}
+
+fn list(entries: &[Entry]) -> List {
+    let mut out = List::default();
+    out.replace(entries);
+    out
+}
+
+fn mark(entries: &[Entry]) -> Mark {
+    Mark { hash: fold(entries.iter()), age: 0 }
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against a change that is put onto another list than the one that it was made for.
+    a_change_of_another_list_is_not_taken: {
+        let (old, new) = ([entry(1, 1, false)], [entry(1, 1, true)]);
+        let change = list(&old).change(&new, mark(&new), 5).unwrap();
+        assert!(list(&[entry(1, 1, false), entry(2, 1, false)]).changed(&change).is_none());
+        assert_eq!(list(&old).changed(&change).unwrap(), new);
+    }
+    // Guards against datagrams that grow with the number of replicas.
+    a_large_change_is_not_sent: {
+        let new: Vec<_> = (0..40).map(|n| entry(n, 1, false)).collect();
+        assert!(list(&[]).change(&new, mark(&new), 5).is_none());
+    }
+}
+
+proptest! {
+    // Guards against a list that differs from what the reader read.
+    #[test]
+    fn a_change_leads_to_what_was_read(
+        old in prop::collection::btree_map(0..12u8, (1..3u64, any::<bool>()), 0..8),
+        new in prop::collection::btree_map(0..12u8, (1..3u64, any::<bool>()), 0..8),
+    ) {
+        let entries = |m: std::collections::BTreeMap<u8, (u64, bool)>| {
+            m.into_iter().map(|(n, (born, leaving))| entry(n, born, leaving)).collect::<Vec<_>>()
+        };
+        let (old, new) = (entries(old), entries(new));
+        let change = list(&old).change(&new, mark(&new), 5).unwrap();
+        let mut got = list(&old).changed(&change).unwrap();
+        got.sort_by(|a, b| a.id.cmp(&b.id));
+        let mut wanted = new;
+        wanted.sort_by(|a, b| a.id.cmp(&b.id));
+        prop_assert_eq!(got, wanted);
+    }
+}
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -11,10 +11,7 @@
 
 use arcstr::ArcStr;
 
-use super::{
-    digest::{Digest, Member, State},
-    reading::READERS,
-};
+use super::digest::{Digest, Member, State};
 use crate::{fleet::hash, time::Tick};
 
 /// Silence after which callers are no longer sent to a peer: six digests of the usual interval.
@@ -225,13 +222,13 @@
         out
     }
 
-    /// Whether this host is one of those that read the store.
-    pub fn reader(&self, now: Tick) -> bool {
+    /// Place of this host in the line of those that read the store, from 0.
+    pub fn reader_rank(&self, now: Tick) -> usize {
         let mine = weight(self.me, "store");
         let better = self.iter().filter(|(ip, p)| {
             p.state != State::Leaving && now.since(p.heard) <= SILENT && weight(*ip, "store") > mine
         });
-        better.count() < READERS
+        better.count()
     }
 
     /// Peers that take requests.
--- a/crates/core/src/fleet/peers/tests.rs
+++ b/crates/core/src/fleet/peers/tests.rs
@@ -175,16 +175,18 @@
         assert_eq!(p.expire(at(31_000)).len(), 4);
         assert_eq!(p.iter().count(), 0);
     }
-    // Guards against a fleet without a reader, and against one in which all read.
-    two_hosts_read_the_store: {
-        let readers = (1..=5u8).filter(|me| {
-            let mut p = Peers::new(ip(*me), Vec::new(), at(0));
-            for i in (1..=5).filter(|i| i != me) {
+    // Guards against a fleet without a reader, and against one in which several are the first.
+    readers_stand_in_one_line: {
+        let ranks = (1..=5u8).map(|me| {
+            let mut p = Peers::new(ip(me), Vec::new(), at(0));
+            for i in (1..=5).filter(|i| *i != me) {
                 p.hear(at(0), &digest(i, 1, 1));
             }
-            p.reader(at(10))
+            p.reader_rank(at(10))
         });
-        assert_eq!(readers.count(), 2);
-        assert!(peers(at(0)).reader(at(5000)), "a host that hears nobody reads by itself");
+        let mut ranks: Vec<_> = ranks.collect();
+        ranks.sort_unstable();
+        assert_eq!(ranks, [0, 1, 2, 3, 4]);
+        assert_eq!(peers(at(0)).reader_rank(at(5000)), 0, "a host that hears nobody reads");
     }
 }
--- a/crates/core/src/fleet/reading.rs
+++ b/crates/core/src/fleet/reading.rs
@@ -1,8 +1,9 @@
 //! Who reads the platform's store, and how old each host's knowledge of it is.
 //!
-//! A few hosts read; the others learn from digests that what they hold is still what the store
-//! holds, with the age of the read that showed it, and read themselves only when it is not, or when
-//! they have heard nothing for a while. So the number of calls does not grow with the fleet.
+//! One host reads; the others learn from digests that what they hold is still what the store holds,
+//! with the age of the read that showed it, and are sent what changed in the list of replicas. A
+//! host reads by itself when it misses a change, or when its knowledge gets old: the next in line
+//! first, all in the end. So the number of calls does not grow with the fleet.
 
 #[cfg(test)]
 mod tests;
@@ -13,16 +14,22 @@
 
 use crate::time::Tick;
 
-/// Hosts that read. A second one makes up for one that is cut off from the store.
-pub const READERS: usize = 2;
+/// Reads that fit into the shortest time in which a change must be in force: one that just missed
+/// it, one at a host that has lost the store, one at its substitute, and its way to all.
+pub const READS_PER_BOUND: u32 = 4;
 
-/// Interval of a reader's reads: changes must be in force within two seconds, of which two reads
-/// may fail.
-const POLL: Duration = Duration::from_millis(500);
+/// Age of the knowledge, in intervals, at which the first substitute reads. The age at a host that
+/// is told of each read stays below it by a digest and a slow answer of the store.
+const SUBSTITUTE: f64 = 1.6;
 
-/// Age at which a host that does not read regularly reads by itself: two reads of a reader with
-/// the digests that tell of them.
-const UNTOLD: Duration = Duration::from_millis(1300);
+/// Further intervals for each further substitute, so that not all read at once.
+const STEP: f64 = 0.2;
+
+/// Age, in intervals, at which every host reads by itself.
+const ALL: f64 = 2.4;
+
+/// Time for which a host that was told of a change waits for what changed.
+const GRACE: Duration = Duration::from_millis(150);
 
 /// Shortest time between two reads.
 const SPACING: Duration = Duration::from_millis(100);
@@ -50,6 +57,7 @@
     // Since when a peer holds something else.
     differs: Option<Tick>,
     busy: bool,
+    lost: bool,
 }
 
 impl Knowledge {
@@ -73,19 +81,41 @@
         }
         // An older read may show what was there before.
         if self.read.is_none_or(|r| read > r) {
-            self.differs = Some(now);
+            self.differs = self.differs.or(Some(now));
         }
         false
     }
 
-    /// Whether this host is to read now.
-    pub fn due(&self, now: Tick, reader: bool) -> bool {
-        let rested = |d: Duration| self.asked.is_none_or(|t| now.since(t) >= d);
-        if self.busy || !rested(SPACING) {
+    /// Whether this host, the `rank`th in line of those that read every `poll`, is to read now.
+    pub fn due(&self, now: Tick, rank: usize, poll: Duration) -> bool {
+        let spacing = if self.lost { poll } else { SPACING };
+        if self.busy || self.asked.is_some_and(|t| now.since(t) < spacing) {
             return false;
         }
-        let untold = self.read.is_none_or(|t| now.since(t) >= UNTOLD);
-        self.differs.is_some() || (rested(POLL) && (reader || untold))
+        let turn = match rank {
+            0 => 1.0,
+            n => (SUBSTITUTE + STEP * (n - 1) as f64).min(ALL),
+        };
+        let old = self.read.is_none_or(|t| now.since(t) >= poll.mul_f64(turn));
+        old || self.differs.is_some_and(|t| now.since(t) >= GRACE)
+    }
+
+    /// Whether a peer holds something else, which this host has not got yet.
+    pub fn behind(&self) -> bool {
+        self.differs.is_some()
+    }
+
+    /// Takes a change that a peer read `age` ms ago, if it is one of what is held here. Returns
+    /// when its read was sent.
+    pub fn changed(&mut self, now: Tick, from: u64, to: Mark) -> Option<Tick> {
+        if self.held != Some(from) {
+            return None;
+        }
+        let read = now - Duration::from_millis(to.age) - TRANSIT;
+        self.held = Some(to.hash);
+        self.read = self.read.max(Some(read));
+        self.differs = None;
+        Some(read)
     }
 
     /// A read begins.
@@ -93,18 +123,20 @@
         (self.asked, self.busy) = (Some(now), true);
     }
 
-    /// The read that was sent at `asked` showed something with `hash`.
-    pub fn took(&mut self, asked: Tick, hash: u64) {
-        self.busy = false;
-        self.held = Some(hash);
+    /// The read that was sent at `asked` showed something with `hash`. Returns what was held
+    /// before.
+    pub fn took(&mut self, asked: Tick, hash: u64) -> Option<u64> {
+        (self.busy, self.lost) = (false, false);
+        let old = self.held.replace(hash);
         self.read = self.read.max(Some(asked));
         if self.differs.is_some_and(|t| t <= asked) {
             self.differs = None;
         }
+        old
     }
 
     /// The read failed.
     pub fn failed(&mut self) {
-        self.busy = false;
+        (self.busy, self.lost) = (false, true);
     }
 }
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -72,6 +72,8 @@
     pub loading: u32,
     /// When an owner last told what is in place.
     pub told: Option<Tick>,
+    // What its entry listed last.
+    listed: Vec<Resident>,
     /// What its answers tell.
     pub health: Health,
     /// This host's authority over it.
@@ -129,6 +131,7 @@
             residents: BTreeMap::new(),
             loading: 0,
             told: None,
+            listed: e.residents.clone(),
             health: Health::default(),
             tenure: Tenure::default(),
             own: Own::default(),
@@ -334,7 +337,9 @@
                     out.push(Change::Leaving(k));
                 }
                 r.leaving = e.leaving;
-                if r.told.is_none_or(|t| now.since(t) > TOLD) {
+                // A list that a peer changed repeats what the entry said before.
+                if r.told.is_none_or(|t| now.since(t) > TOLD) && r.listed != e.residents {
+                    r.listed.clone_from(&e.residents);
                     r.hold(e.residents);
                 }
                 return k;
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -257,6 +257,14 @@
         mesh::send(&self.socket, to, message, &self.log);
     }
 
+    fn send_all(&self, message: &Peer) {
+        let bytes = mesh::encode(message);
+        for ip in self.peers.contacts() {
+            let to = (ip, self.settings.peer_port()).into();
+            mesh::send_bytes(&self.socket, to, &bytes, &self.log);
+        }
+    }
+
     fn interval(&self) -> Duration {
         let hosts = self.peers.iter().count() as u32;
         (DIGEST_PER_HOST * hosts).clamp(DIGEST_RANGE.0, DIGEST_RANGE.1)
@@ -299,10 +307,7 @@
             uses,
             kept,
         };
-        let message = Peer::Digest(Box::new(digest));
-        for ip in self.peers.contacts() {
-            self.send(ip, &message);
-        }
+        self.send_all(&Peer::Digest(Box::new(digest)));
     }
 
     fn tick(&mut self, ctx: &mut Context<Self>) {
@@ -360,6 +365,7 @@
             Peer::Digest(d) => self.heard(now, &d, ctx),
             Peer::Want(w) => self.wanted(now, msg.from, w, ctx),
             Peer::Ready(r) => self.ready(&r),
+            Peer::Listing(l) => self.listing_changed(now, &l),
         }
     }
 }
--- a/crates/daemon/src/front/control/beliefs.rs
+++ b/crates/daemon/src/front/control/beliefs.rs
@@ -1,17 +1,18 @@
 //! What the host believes of the store, its peers and the replicas, and how it learns it.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use slog::kv;
 use yuccawing_core::{
     fleet::{
         catalog::Catalog,
-        digest::Digest,
+        digest::{Digest, Listing, Message as Peer},
         hash,
         inventory::{Entry, Inventory},
+        listing::{self, List},
         peers::Change as PeerChange,
-        reading::Knowledge,
+        reading::{Knowledge, Mark, READS_PER_BOUND},
         replicas::{Change, ReplicaKey},
     },
     time::Tick,
@@ -38,6 +39,7 @@
 pub(super) struct Store {
     pub(super) operator: Knowledge,
     pub(super) listing: Knowledge,
+    list: List,
     operator_health: Health,
     listing_health: Health,
     // Revisions of the operator's items that are in force. Pages are no snapshot, so one number
@@ -52,6 +54,7 @@
         Self {
             operator: Knowledge::default(),
             listing: Knowledge::default(),
+            list: List::default(),
             operator_health: Health::new("operator"),
             listing_health: Health::new("replicas"),
             seen: HashMap::new(),
@@ -63,22 +66,38 @@
 impl Control {
     /// Begins the reads of the store that are due.
     pub(super) fn read_store(&mut self, now: Tick, ctx: &mut Context<Self>) {
-        let reader = self.peers.reader(now);
+        let rank = self.peers.reader_rank(now);
+        let bounds = &self.settings.bounds;
         for prefix in [Prefix::Operator, Prefix::Replicas] {
-            let (knowledge, name) = match prefix {
-                Prefix::Operator => (&mut self.store.operator, wire::OPERATOR),
-                Prefix::Replicas => (&mut self.store.listing, wire::REPLICAS),
+            let (knowledge, name, bound) = match prefix {
+                Prefix::Operator => (&mut self.store.operator, wire::OPERATOR, bounds.config_ms),
+                Prefix::Replicas => (&mut self.store.listing, wire::REPLICAS, bounds.drain_ms),
             };
-            if !knowledge.due(now, reader) {
+            let poll = Duration::from_millis(bound) / READS_PER_BOUND;
+            if !knowledge.due(now, rank, poll) {
                 continue;
             }
             knowledge.asks(now);
+            let first = !knowledge.behind();
             let read = store::read(self.client.clone(), self.settings.store, name);
-            ctx.spawn(read.into_actor(self).map(move |read, act, _| act.took(prefix, now, read)));
+            ctx.spawn(read.into_actor(self).map(move |read, act, _| {
+                act.took(prefix, now, read, first);
+                // The others learn the age of this read before they think of reading themselves.
+                if rank == 0 {
+                    act.digest(clock::now());
+                }
+            }));
         }
     }
 
-    fn took(&mut self, prefix: Prefix, asked: Tick, read: Result<(Vec<Item>, u64), store::Error>) {
+    // `first` tells that no peer had a change before this host read it.
+    fn took(
+        &mut self,
+        prefix: Prefix,
+        asked: Tick,
+        read: Result<(Vec<Item>, u64), store::Error>,
+        first: bool,
+    ) {
         let health = match prefix {
             Prefix::Operator => &mut self.store.operator_health,
             Prefix::Replicas => &mut self.store.listing_health,
@@ -103,18 +122,37 @@
                         _ => None,
                     })
                     .collect();
-                let states = entries.iter().map(|e| {
-                    format!("{}@{} {} {} {}", e.id, e.born, e.address, e.service, e.leaving)
-                });
-                let hash = fold(states);
+                let hash = listing::fold(entries.iter());
+                let old = self.store.listing.took(asked, hash);
+                if first && old.is_some_and(|o| o != hash) {
+                    self.tell_change(now, asked, &entries, hash);
+                }
+                self.store.list.replace(&entries);
                 self.take_listing(now, asked, entries, revision);
-                self.store.listing.took(asked, hash);
             }
             (Prefix::Operator, Err(_)) => self.store.operator.failed(),
             (Prefix::Replicas, Err(_)) => self.store.listing.failed(),
         }
     }
 
+    // Sends the others what a read of the replicas' entries changed.
+    fn tell_change(&self, now: Tick, asked: Tick, entries: &[Entry], hash: u64) {
+        let to = Mark { hash, age: now.since(asked).as_millis() as u64 };
+        if let Some(change) = self.store.list.change(entries, to, self.store.revision) {
+            self.send_all(&Peer::Listing(change));
+        }
+    }
+
+    /// Takes what a peer's read of the replicas' entries changed.
+    pub(super) fn listing_changed(&mut self, now: Tick, change: &Listing) {
+        // A change of another list leaves this host behind until it reads by itself.
+        let Some(entries) = self.store.list.changed(change) else { return };
+        let Some(asked) = self.store.listing.changed(now, change.from, change.to) else { return };
+        self.store.revision = self.store.revision.max(change.revision);
+        self.store.list.replace(&entries);
+        self.take_listing(now, asked, entries, change.revision);
+    }
+
     fn content(&self, item: &Item) -> Option<Content> {
         let content = item.content();
         if let Err(e) = &content {
--- a/crates/daemon/src/front/mesh.rs
+++ b/crates/daemon/src/front/mesh.rs
@@ -60,8 +60,17 @@
 
 /// Sends a message. A full link drops it, which the next digest makes up for.
 pub fn send(socket: &UdpSocket, to: SocketAddr, message: &Message, log: &Logger) {
-    let bytes = postcard::to_stdvec(message).expect("messages have no unsupported types");
-    if let Err(e) = socket.try_send_to(&bytes, to) {
+    send_bytes(socket, to, &encode(message), log);
+}
+
+/// Encodes a message, once for all hosts that it goes to.
+pub fn encode(message: &Message) -> Vec<u8> {
+    postcard::to_stdvec(message).expect("messages have no unsupported types")
+}
+
+/// Sends an encoded message.
+pub fn send_bytes(socket: &UdpSocket, to: SocketAddr, bytes: &[u8], log: &Logger) {
+    if let Err(e) = socket.try_send_to(bytes, to) {
         let bytes = bytes.len();
         emit(
             log,
--- a/crates/daemon/src/front/settings.rs
+++ b/crates/daemon/src/front/settings.rs
@@ -56,6 +56,10 @@
     pub fail_closed: bool,
     /// Milliseconds after which a withdrawn key must not work.
     pub revoke_ms: u64,
+    /// Milliseconds after which a configuration must be in force.
+    pub config_ms: u64,
+    /// Milliseconds after which a leaving replica must get no new work.
+    pub drain_ms: u64,
     /// Milliseconds between the orders of two hosts to one replica.
     pub lease_ms: u64,
     /// Longest time in seconds for which callers keep a look-up.
@@ -74,6 +78,8 @@
             grace_s: 8.0,
             fail_closed: true,
             revoke_ms: 5000,
+            config_ms: 2000,
+            drain_ms: 2000,
             lease_ms: 3000,
             ttl_s: 5.0,
             retry_ratio: 0.1,
@@ -144,6 +150,14 @@
         if self.ports.0 >= self.ports.1 {
             out.push(format!("ports: {} is not below {}", self.ports.0, self.ports.1));
         }
+        // The store is read several times within these bounds.
+        for (key, value) in
+            [("config_ms", self.bounds.config_ms), ("drain_ms", self.bounds.drain_ms)]
+        {
+            if value == 0 {
+                out.push(format!("bounds.{key}: 0 leaves no time to read the store"));
+            }
+        }
         for (key, value) in [
             ("grace_s", self.bounds.grace_s),
             ("ttl_s", self.bounds.ttl_s),
--- a/crates/daemon/src/front/settings/tests.rs
+++ b/crates/daemon/src/front/settings/tests.rs
@@ -45,6 +45,12 @@
         let e = load(&text).unwrap_err().to_string();
         assert!(e.contains("ports") && e.contains("grace_s"), "{e}");
     }
+    // Guards against a host that reads the store without a pause.
+    a_bound_without_time_is_a_finding: {
+        let text = GOOD.to_owned() + "[bounds]\nconfig_ms = 0\ndrain_ms = 0\n";
+        let e = load(&text).unwrap_err().to_string();
+        assert!(e.contains("config_ms") && e.contains("drain_ms"), "{e}");
+    }
     // Guards against an error without a place.
     a_parse_error_names_its_line: {
         let e = load(&GOOD.replace("\"10.1.0.25\"", "25")).unwrap_err().to_string();
