Tell peers of what changed; look up uses by replica

Tests: telling tests (a change that one lost datagram hides, a host that has just started), dispatch and replicas tests over the new form.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -15,12 +15,19 @@
 pub mod reading;
 pub mod replicas;
 pub mod report;
+pub mod telling;
 pub mod transfer;
 
 /// FNV-1a, which gives the same value in every process and release.
 pub fn hash(parts: &[&str]) -> u64 {
-    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-    let h = parts.iter().fold(0xcbf2_9ce4_8422_2325, |h, p| step(p.bytes().fold(h, step), 0xff));
+    hash_bytes(parts.iter().map(|p| p.as_bytes()))
+}
+
+/// [`hash`] of bytes.
+pub fn hash_bytes<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    let step = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3);
+    let part = |h: u64, p: &[u8]| step(p.iter().fold(h, step), &0xff);
+    let h = parts.into_iter().fold(0xcbf2_9ce4_8422_2325, part);
     // FNV leaves the high bits of short inputs poorly mixed.
     let h = (h ^ (h >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     h ^ (h >> 29)
--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -62,7 +62,7 @@
     pub number: u64,
     /// What it does with requests.
     pub state: State,
-    /// Hosts that it knows of.
+    /// Hosts that it knows of, empty in every other digest.
     pub members: Vec<Member>,
     /// Age of the process, in ms.
     pub age: u64,
@@ -78,11 +78,9 @@
     pub accounts: Vec<AccountUse>,
     /// Its requests at the replicas.
     pub loads: Vec<Load>,
-    /// Adapters that its requests use.
-    pub uses: Vec<Use>,
     /// Prompt parts that it sent since the digest before the last.
     pub kept: Vec<Kept>,
-    /// Engines that it gives orders to.
+    /// Engines that it gives orders to and that changed or were not told of for a while.
     pub engines: Vec<Engine>,
 }
 
@@ -116,7 +114,7 @@
 }
 
 /// Requests of one host at one replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Hash of the replica's id.
     pub replica: u32,
@@ -126,15 +124,8 @@
     pub runs: u16,
     /// Tokens of memory, in thousands.
     pub memory: u16,
-}
-
-/// An adapter in use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Use {
-    /// Hash of the replica's id.
-    pub replica: u32,
-    /// Hash of the artifact.
-    pub artifact: u32,
+    /// Hashes of the artifacts that they use.
+    pub uses: Vec<u32>,
 }
 
 /// A prompt part that was sent to a replica.
--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -10,7 +10,7 @@
 mod tests;
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     net::{Ipv4Addr, SocketAddr},
     time::Duration,
 };
@@ -20,7 +20,7 @@
 
 use super::{
     ask::{Ask, Demand},
-    digest::{Digest, Kept, Load, Use},
+    digest::{Digest, Kept, Load},
     hash, hash32,
     health::{Outcome, Standing},
     inventory::{EngineSpec, Inventory, Kind, VersionMark},
@@ -183,7 +183,6 @@
     runs: SlotMap<RunKey, Run>,
     engines: HashMap<ArcStr, EngineSpec>,
     versions: HashMap<ArcStr, u64>,
-    uses: HashMap<Ipv4Addr, HashSet<Use>>,
     // Parts sent since the last digest and in the one before.
     kept: [Vec<Kept>; 2],
     transfer: Transfer,
@@ -198,7 +197,6 @@
             runs: SlotMap::with_key(),
             engines: HashMap::new(),
             versions: HashMap::new(),
-            uses: HashMap::new(),
             kept: [Vec::new(), Vec::new()],
             transfer: Transfer::default(),
         }
@@ -242,7 +240,6 @@
     /// Takes a peer's digest.
     pub fn heard(&mut self, now: Tick, d: &Digest) {
         self.replicas.heard(d.ip, &d.loads);
-        self.uses.insert(d.ip, d.uses.iter().copied().collect());
         for k in &d.kept {
             let found = self.replicas.find(k.replica);
             if let Some(r) = found.and_then(|key| self.replicas.get_mut(key)) {
@@ -264,15 +261,11 @@
     /// Drops what a peer said.
     pub fn silent(&mut self, ip: Ipv4Addr) {
         self.replicas.silent(ip);
-        self.uses.remove(&ip);
     }
 
     /// Whether a request of any host uses the artifact at the replica.
     pub fn in_use(&self, k: ReplicaKey, artifact: &str) -> bool {
-        let Some(r) = self.replicas.get(k) else { return false };
-        let wanted = Use { replica: r.hash, artifact: hash32(&[artifact]) };
-        self.uses.values().any(|u| u.contains(&wanted))
-            || self.runs.values().any(|x| x.replica == k && x.artifact == Some(wanted.artifact))
+        self.replicas.get(k).is_some_and(|r| r.in_use(hash32(&[artifact])))
     }
 
     /// Chooses a replica and counts the request there.
@@ -284,7 +277,7 @@
         // Ejection must not take more than half of a service.
         let forced = sound * 2 < all.len();
         let mut best: Option<(f64, Cost, ReplicaKey)> = None;
-        let scene = ask.demand.as_ref().map(|d| self.scene(now, &d.artifact));
+        let cold = self.transfer.expected(now);
         let usable = !all.is_empty();
         let aim = ask.aim.since(now).as_secs_f64() * 1000.0 * AIM_SHARE;
         for (k, r) in all {
@@ -297,8 +290,8 @@
                 _ if forced => FULL_MS,
                 _ => continue,
             };
-            let cost = match (spec, &ask.demand, &scene) {
-                (Some(spec), Some(d), Some(scene)) => match self.engine_cost(r, spec, d, scene) {
+            let cost = match (spec, &ask.demand) {
+                (Some(spec), Some(d)) => match self.engine_cost(r, spec, d, cold) {
                     Some(c) => c,
                     None => continue,
                 },
@@ -327,25 +320,7 @@
         Choice::Granted(Box::new(self.grant(now, ask, k, &cost)))
     }
 
-    // What all engines of a service have in common for one request.
-    fn scene(&self, now: Tick, artifact: &str) -> Scene {
-        let mut pins: HashMap<u32, HashSet<u32>> = HashMap::new();
-        let own = self.runs.values().filter_map(|x| {
-            Some(Use { replica: self.replicas.get(x.replica)?.hash, artifact: x.artifact? })
-        });
-        for u in self.uses.values().flatten().copied().chain(own) {
-            pins.entry(u.replica).or_default().insert(u.artifact);
-        }
-        Scene { pins, artifact: hash32(&[artifact]), transfer: self.transfer.expected(now) }
-    }
-
-    fn engine_cost(
-        &self,
-        r: &Replica,
-        spec: &EngineSpec,
-        d: &Demand,
-        scene: &Scene,
-    ) -> Option<Cost> {
+    fn engine_cost(&self, r: &Replica, spec: &EngineSpec, d: &Demand, cold: f64) -> Option<Cost> {
         let model = d.artifact.split('/').next().unwrap_or_default();
         if !r.residents.contains_key(model) {
             return None;
@@ -357,18 +332,17 @@
         let (mut wait, mut preference) = (0.0, 0.0);
         if !self.resident(r, &d.artifact) {
             let old = r.residents.contains_key(&d.artifact);
-            let pins = scene.pins.get(&r.hash);
-            let pinned = pins.is_some_and(|p| p.contains(&scene.artifact));
+            let pinned = r.in_use(hash32(&[&d.artifact]));
             if !r.held || d.artifact == model || (old && pinned) {
                 return None;
             }
             // Adapters in use cannot make way.
-            if !pinned && pins.is_some_and(|p| p.len() >= spec.places as usize) {
+            if !pinned && r.used() >= spec.places as usize {
                 return None;
             }
             let warm = r.warm(&d.artifact) && !old;
             let rounds = f64::from(1 + r.loading / TRANSIT);
-            wait = rounds * if warm { WARM_MS } else { scene.transfer };
+            wait = rounds * if warm { WARM_MS } else { cold };
             preference = unit(&[&d.artifact, &r.id]) * HOME_MS;
             preference += if warm { WARM_COST_MS } else { COLD_COST_MS };
             load = Some(Resident {
@@ -402,9 +376,13 @@
         r.own.reading += cost.reading;
         r.own.runs += 1;
         r.own.memory += memory;
+        let artifact = ask.demand.as_ref().map(|d| hash32(&[&d.artifact]));
+        if let Some(a) = artifact {
+            r.begin_use(a);
+        }
         let run = self.runs.insert(Run {
             replica: k,
-            artifact: ask.demand.as_ref().map(|d| hash32(&[&d.artifact])),
+            artifact,
             reading: cost.reading,
             memory,
             expected: cost.time,
@@ -470,6 +448,9 @@
         }
         r.own.runs -= 1;
         r.own.memory -= x.memory;
+        if let Some(a) = x.artifact {
+            r.end_use(a);
+        }
         if r.own.runs == 0 {
             // Sums of fractions leave a rest.
             r.own.reading = 0.0;
@@ -492,38 +473,23 @@
     }
 
     /// This host's part of a digest.
-    pub fn tell(&mut self) -> (Vec<Load>, Vec<Use>, Vec<Kept>) {
+    pub fn tell(&mut self) -> (Vec<Load>, Vec<Kept>) {
         let busy = self.replicas.iter().filter(|(_, r)| r.own.runs > 0);
         let loads = busy.map(|(_, r)| Load {
             replica: r.hash,
             reading: r.own.reading as u32,
             runs: u16::try_from(r.own.runs).unwrap_or(u16::MAX),
             memory: u16::try_from(r.own.memory / 1000).unwrap_or(u16::MAX),
+            uses: r.own_uses(),
         });
         let loads = loads.collect();
-        let uses: HashSet<_> = self
-            .runs
-            .values()
-            .filter_map(|x| {
-                Some(Use { replica: self.replicas.get(x.replica)?.hash, artifact: x.artifact? })
-            })
-            .collect();
         let fresh = std::mem::take(&mut self.kept[0]);
         let mut kept = std::mem::replace(&mut self.kept[1], fresh.clone());
         kept.extend(fresh);
-        (loads, uses.into_iter().collect(), kept)
+        (loads, kept)
     }
 }
 
-struct Scene {
-    // Adapters in use, by replica.
-    pins: HashMap<u32, HashSet<u32>>,
-    // Hash of the adapter that is asked for.
-    artifact: u32,
-    // Expected time of a load from the weight store, in ms.
-    transfer: f64,
-}
-
 struct Cost {
     // Expected time to the first event, in ms.
     time: f64,
--- a/crates/core/src/fleet/dispatch/tests.rs
+++ b/crates/core/src/fleet/dispatch/tests.rs
@@ -4,7 +4,7 @@
 use crate::{
     fleet::{
         ask::{Ask, Demand, Part},
-        digest::{Digest, Engine, Load, State, Use},
+        digest::{Digest, Engine, Load, State},
         hash32,
         health::Outcome,
         inventory::{EngineSpec, Entry, Inventory, Kind, ModelSpec, Service, VersionMark},
@@ -101,7 +101,7 @@
     d.replicas.iter().find(|(_, r)| r.id == id).unwrap().0
 }
 
-fn digest(loads: Vec<Load>, uses: Vec<Use>, engines: Vec<Engine>) -> Digest {
+fn digest(loads: Vec<Load>, engines: Vec<Engine>) -> Digest {
     Digest {
         ip: Ipv4Addr::new(10, 0, 0, 2),
         front: "10.0.0.2:80".parse().unwrap(),
@@ -117,7 +117,6 @@
         listing: None,
         accounts: Vec::new(),
         loads,
-        uses,
         kept: Vec::new(),
         engines,
     }
@@ -160,7 +159,7 @@
             residents: vec![resident("m")],
         });
         let told = told.collect();
-        d.heard(at(0), &digest(Vec::new(), Vec::new(), told));
+        d.heard(at(0), &digest(Vec::new(), told));
         let grants: Vec<_> =
             (0..6).map(|i| grant(&mut d, &ask(&format!("r{i}"), "m/a1", 9000))).collect();
         assert!(grants.iter().any(|g| g.load.is_some()));
@@ -177,8 +176,8 @@
     peers_requests_count: {
         let mut d = engines(&[&["m/a1"], &["m/a1"]]);
         let replica = d.replicas.get(key(&d, "e0")).unwrap().hash;
-        let load = Load { replica, reading: 700, runs: 3, memory: 20 };
-        d.heard(at(0), &digest(vec![load], Vec::new(), Vec::new()));
+        let load = Load { replica, reading: 700, runs: 3, memory: 20, uses: Vec::new() };
+        d.heard(at(0), &digest(vec![load], Vec::new()));
         assert_eq!(grant(&mut d, &ask("r", "m/a1", 800)).id, "e1");
         d.silent(Ipv4Addr::new(10, 0, 0, 2));
         assert_eq!(d.replicas.get(key(&d, "e0")).unwrap().total().runs, 0);
@@ -207,8 +206,9 @@
     places_of_peers_count: {
         let mut d = engines(&[&["m/a1", "m/a2"]]);
         let replica = d.replicas.get(key(&d, "e0")).unwrap().hash;
-        let used = |a: &str| Use { replica, artifact: hash32(&[a]) };
-        d.heard(at(0), &digest(Vec::new(), vec![used("m/a1"), used("m/a2")], Vec::new()));
+        let uses = vec![hash32(&["m/a1"]), hash32(&["m/a2"])];
+        let load = Load { replica, reading: 0, runs: 2, memory: 2, uses };
+        d.heard(at(0), &digest(vec![load], Vec::new()));
         assert!(d.in_use(key(&d, "e0"), "m/a1"));
         assert_eq!(refusal(&mut d, &ask("r", "m/a3", 800)).0, Refusal::NoPlace);
     }
@@ -316,7 +316,7 @@
         let replica = d.replicas.get(key(&d, "e0")).unwrap().hash;
         let residents = vec![resident("m"), resident("m/a1")];
         let e = Engine { replica, held: true, alive: false, loading: 0, residents };
-        d.heard(at(0), &digest(Vec::new(), Vec::new(), vec![e]));
+        d.heard(at(0), &digest(Vec::new(), vec![e]));
         assert_eq!(refusal(&mut d, &ask("r", "m/a1", 800)).0, Refusal::NoReplica);
     }
 }
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -12,7 +12,7 @@
 use arcstr::ArcStr;
 
 use super::digest::{Digest, Member, State};
-use crate::{fleet::hash, time::Tick};
+use crate::{fleet::hash_bytes, time::Tick};
 
 /// Silence after which callers are no longer sent to a peer: six digests of the usual interval.
 pub const SILENT: Duration = Duration::from_millis(1200);
@@ -124,6 +124,7 @@
                 self.mentioned.insert(m.ip, now);
             }
         }
+        // A digest without members says nothing of whom its sender hears.
         let hears_me = d.members.iter().any(|m| m.ip == self.me && m.heard);
         let old = self.peers.get(&d.ip);
         if old.is_some_and(|p| {
@@ -275,5 +276,5 @@
 }
 
 fn weight(ip: Ipv4Addr, id: &str) -> u64 {
-    hash(&["owner", id, &ip.to_string()])
+    hash_bytes([b"owner", id.as_bytes(), &ip.octets()])
 }
--- a/crates/core/src/fleet/peers/tests.rs
+++ b/crates/core/src/fleet/peers/tests.rs
@@ -30,7 +30,6 @@
         listing: None,
         accounts: Vec::new(),
         loads: Vec::new(),
-        uses: Vec::new(),
         kept: Vec::new(),
         engines: Vec::new(),
     }
--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -38,6 +38,9 @@
 /// Time in which a host does not know what the others admit.
 const UNTOLD: Duration = Duration::from_millis(350);
 
+/// Interval at which the parts are worked out: short against [`UNTOLD`].
+const CHARGE: Duration = Duration::from_millis(50);
+
 /// Factor on rate and burst, of the quarter by which the users let a fleet exceed them. Callers'
 /// requests reach the hosts in another order than they were sent.
 const OVERAGE: f64 = 1.05;
@@ -197,8 +200,11 @@
             .collect()
     }
 
-    /// Charges silent peers their parts up to now.
+    /// Charges silent peers their parts up to now, and works out this host's parts.
     pub fn charge(&mut self, now: Tick) {
+        if now.since(self.charged) < CHARGE {
+            return;
+        }
         let passed = now.since(self.charged).as_secs_f64();
         self.charged = now;
         let hosts = (self.peers.len() + 1) as f64;
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -80,6 +80,8 @@
     pub tenure: Tenure,
     /// This host's requests there.
     pub own: Own,
+    // Artifacts that this host's requests use, with their number.
+    uses: Vec<(u32, u32)>,
     /// Observed time to the first event relative to the expected one.
     pub pace: f64,
     /// Observed duration of a request, in ms, for plain services.
@@ -135,6 +137,7 @@
             health: Health::default(),
             tenure: Tenure::default(),
             own: Own::default(),
+            uses: Vec::new(),
             pace: 1.0,
             latency: 0.0,
             peers: BTreeMap::new(),
@@ -165,6 +168,42 @@
         })
     }
 
+    /// Counts a request of this host that uses an artifact.
+    pub fn begin_use(&mut self, artifact: u32) {
+        match self.uses.iter_mut().find(|(a, _)| *a == artifact) {
+            Some((_, n)) => *n += 1,
+            None => self.uses.push((artifact, 1)),
+        }
+    }
+
+    /// Ends the use of an artifact by one request.
+    pub fn end_use(&mut self, artifact: u32) {
+        if let Some((_, n)) = self.uses.iter_mut().find(|(a, _)| *a == artifact) {
+            *n -= 1;
+        }
+        self.uses.retain(|(_, n)| *n > 0);
+    }
+
+    /// Artifacts that requests of this host use.
+    pub fn own_uses(&self) -> Vec<u32> {
+        self.uses.iter().map(|(a, _)| *a).collect()
+    }
+
+    /// Whether a request of any host uses the artifact.
+    pub fn in_use(&self, artifact: u32) -> bool {
+        self.uses.iter().any(|(a, _)| *a == artifact)
+            || self.peers.values().any(|l| l.uses.contains(&artifact))
+    }
+
+    /// Number of artifacts that requests of any host use.
+    pub fn used(&self) -> usize {
+        let mut all = self.own_uses();
+        all.extend(self.peers.values().flat_map(|l| &l.uses));
+        all.sort_unstable();
+        all.dedup();
+        all.len()
+    }
+
     /// Replaces what is in place.
     pub fn hold(&mut self, residents: Vec<Resident>) {
         for r in &residents {
@@ -247,6 +286,8 @@
     map: SlotMap<ReplicaKey, Replica>,
     ids: HashMap<ArcStr, ReplicaKey>,
     hashes: HashMap<u32, ReplicaKey>,
+    // Replicas at which a peer has requests.
+    told: HashMap<Ipv4Addr, Vec<ReplicaKey>>,
     // When the store last answered, and since when it has done so without a gap.
     answered: Option<Tick>,
     sound: Option<Tick>,
@@ -374,17 +415,23 @@
     /// Replaces what a peer says of its requests.
     pub fn heard(&mut self, ip: Ipv4Addr, loads: &[digest::Load]) {
         self.silent(ip);
+        let mut told = Vec::with_capacity(loads.len());
         for l in loads {
-            if let Some(r) = self.hashes.get(&l.replica).and_then(|k| self.map.get_mut(*k)) {
-                r.peers.insert(ip, *l);
+            let Some(k) = self.hashes.get(&l.replica).copied() else { continue };
+            if let Some(r) = self.map.get_mut(k) {
+                r.peers.insert(ip, l.clone());
+                told.push(k);
             }
         }
+        self.told.insert(ip, told);
     }
 
     /// Drops what a peer said of its requests.
     pub fn silent(&mut self, ip: Ipv4Addr) {
-        for r in self.map.values_mut() {
-            r.peers.remove(&ip);
+        for k in self.told.remove(&ip).unwrap_or_default() {
+            if let Some(r) = self.map.get_mut(k) {
+                r.peers.remove(&ip);
+            }
         }
     }
 }
--- a/crates/core/src/fleet/replicas/tests.rs
+++ b/crates/core/src/fleet/replicas/tests.rs
@@ -100,9 +100,9 @@
     a_peers_load_replaces_its_earlier_one: {
         let mut r = two();
         let (k, hash) = r.iter().map(|(k, x)| (k, x.hash)).next().unwrap();
-        let load = Load { replica: hash, reading: 100, runs: 2, memory: 3 };
+        let load = Load { replica: hash, reading: 100, runs: 2, memory: 3, uses: Vec::new() };
         let ip = "10.0.0.1".parse().unwrap();
-        r.heard(ip, &[load]);
+        r.heard(ip, std::slice::from_ref(&load));
         r.heard(ip, &[load]);
         assert_eq!(r.get(k).unwrap().total().runs, 2);
         r.heard(ip, &[]);
--- /dev/null
+++ b/crates/core/src/fleet/telling/tests.rs
@@ -0,0 +1,43 @@
+use super::{REFRESH, Telling};
+use crate::fleet::{digest::Engine, report::Resident};
+
+fn engine(replica: u32, adapters: &[&str]) -> Engine {
+    let residents = adapters.iter().map(|a| Resident { artifact: (*a).into(), version: 1 });
+    Engine { replica, held: true, alive: true, loading: 0, residents: residents.collect() }
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    // Guards against digests that grow with what all engines hold.
+    an_engine_that_stays_the_same_is_told_of_from_time_to_time: {
+        let mut t = Telling::default();
+        let told = (1..=40).filter(|n| !t.due(*n, vec![engine(7, &["m/a1"])]).is_empty()).count();
+        assert!((40 / REFRESH as usize..=40 / REFRESH as usize + 2).contains(&told), "{told}");
+    }
+    // Guards against a change that one lost datagram hides.
+    a_change_is_told_of_twice: {
+        let mut t = Telling::default();
+        for n in 1..=8 {
+            t.due(n, vec![engine(7, &["m/a1"])]);
+        }
+        let changed = vec![engine(7, &["m/a2"])];
+        assert_eq!(t.due(9, changed.clone()), changed);
+        assert_eq!(t.due(10, changed.clone()), changed);
+    }
+    // Guards against a host that has just started and learns nothing of an engine at rest.
+    every_engine_is_told_of_within_a_round: {
+        let mut t = Telling::default();
+        for n in 1..=10 {
+            t.due(n, (0..9).map(|r| engine(r, &[])).collect());
+        }
+        let mut heard: Vec<_> = (11..11 + REFRESH)
+            .flat_map(|n| t.due(n, (0..9).map(|r| engine(r, &[])).collect()))
+            .map(|e| e.replica)
+            .collect();
+        heard.sort_unstable();
+        assert_eq!(heard, (0..9).collect::<Vec<_>>());
+    }
+}
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -28,6 +28,7 @@
         peers::{FORGET, Peers, RECENT},
         quota::Quota,
         replicas::ReplicaKey,
+        telling::Telling,
     },
     retry::Budget,
     time::Tick,
@@ -119,6 +120,7 @@
     life: u64,
     number: u64,
     digested: Tick,
+    telling: Telling,
     store: Store,
     leaving: bool,
     closing: Option<Tick>,
@@ -199,6 +201,7 @@
             life: clock::unix_ms(),
             number: 0,
             digested: now,
+            telling: Telling::default(),
             store: Store::default(),
             leaving: false,
             closing: None,
@@ -273,7 +276,8 @@
     fn digest(&mut self, now: Tick) {
         self.digested = now;
         self.number += 1;
-        let (loads, uses, kept) = self.dispatcher.tell();
+        let odd = !self.number.is_multiple_of(2);
+        let (loads, kept) = self.dispatcher.tell();
         let lease = self.lease();
         let engines = self.keeps.iter().filter_map(|(k, keep)| {
             let r = self.dispatcher.replicas.get(*k)?;
@@ -285,6 +289,7 @@
                 residents: keep.keeper.residents(),
             })
         });
+        let engines = self.telling.due(self.number, engines.collect());
         let ordered = self.dispatcher.replicas.iter().filter_map(|(_, r)| {
             Some(Ordered { replica: r.hash, fence: r.tenure.token_since(now - RECENT)? })
         });
@@ -295,16 +300,15 @@
             life: self.life,
             number: self.number,
             state: self.state(),
-            members: self.peers.members(now),
+            members: if odd { Vec::new() } else { self.peers.members(now) },
             age: now.since(self.started).as_millis() as u64,
             revision: self.store.revision,
             ordered: ordered.collect(),
             operator: self.store.operator.mark(now),
             listing: self.store.listing.mark(now),
-            engines: engines.collect(),
+            engines,
             accounts: self.quota.uses(now),
             loads,
-            uses,
             kept,
         };
         self.send_all(&Peer::Digest(Box::new(digest)));
--- a/crates/daemon/src/front/control/beliefs.rs
+++ b/crates/daemon/src/front/control/beliefs.rs
@@ -261,10 +261,12 @@
             }
         }
         self.dispatcher.heard(now, d);
-        for u in &d.uses {
-            let found = self.dispatcher.replicas.find(u.replica);
+        for l in &d.loads {
+            let found = self.dispatcher.replicas.find(l.replica);
             if let Some(keep) = found.and_then(|k| self.keeps.get_mut(&k)) {
-                keep.keeper.used_by_peer(now, u.artifact);
+                for artifact in &l.uses {
+                    keep.keeper.used_by_peer(now, *artifact);
+                }
             }
         }
         self.release_present(now, ctx);
