Take header names from the platform's folder in tests and soak

Cause: names of the wire stood in the soak and in the daemon's tests beside their constants. No behaviour changes.

--- a/crates/bench/src/soak/caller.rs
+++ b/crates/bench/src/soak/caller.rs
@@ -16,6 +16,7 @@
     task::JoinHandle,
     time::timeout,
 };
+use yuccawing_platform::headers;
 use yuccawing_platform_standin::{config, replica::Replica};
 
 use super::{
@@ -192,8 +193,8 @@
         match n.to_ascii_lowercase().as_str() {
             "content-length" => length = v.trim().parse::<usize>().ok(),
             "connection" => close = v.contains("close"),
-            "yuccawing-request-id" => r.echoed = v.trim().to_owned(),
-            "yuccawing-response-seal" => r.seal = v.trim().to_owned(),
+            headers::REQUEST_ID => r.echoed = v.trim().to_owned(),
+            headers::SEAL => r.seal = v.trim().to_owned(),
             _ => {}
         }
     }
--- a/crates/bench/src/soak/fleet.rs
+++ b/crates/bench/src/soak/fleet.rs
@@ -12,6 +12,7 @@
 use rustix::process::Signal;
 use serde_json::Value;
 use tempfile::TempDir;
+use yuccawing_platform::headers;
 use yuccawing_platform_standin::{
     config::{self, Account},
     replica::{Plan as Replicated, Replica},
@@ -224,16 +225,12 @@
             let id = &r.plan.id;
             h.runs.extend(r.seen().into_iter().map(|s| Run {
                 replica: id.clone(),
-                id: s.request.header("yuccawing-request-id").to_owned(),
+                id: s.request.header(headers::REQUEST_ID).to_owned(),
                 at: s.at,
                 ran: s.ran,
-                account: s.request.header("yuccawing-tenant").to_owned(),
+                account: s.request.header(headers::ACCOUNT).to_owned(),
                 key: !s.request.header("authorization").is_empty(),
-                units: if s.request.header("yuccawing-token-count").is_empty() {
-                    200.0
-                } else {
-                    120.0
-                },
+                units: if s.request.header(headers::TOKENS).is_empty() { 200.0 } else { 120.0 },
             }));
             h.orders.extend(r.ordered().into_iter().map(|o| Order {
                 replica: id.clone(),
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -9,6 +9,7 @@
 };
 
 use serde_json::json;
+use yuccawing_platform::headers;
 use yuccawing_platform_standin::{
     config::{self, Account},
     replica::{Fault, Ordered, Replica, Seen},
@@ -22,12 +23,12 @@
 
 fn ran(replicas: &[Replica], id: &str) -> usize {
     let all = replicas.iter().flat_map(Replica::seen);
-    all.filter(|s| s.ran && s.request.header("yuccawing-request-id") == id).count()
+    all.filter(|s| s.ran && s.request.header(headers::REQUEST_ID) == id).count()
 }
 
 fn seen(replicas: &[Replica], id: &str) -> Vec<Seen> {
     let all = replicas.iter().flat_map(Replica::seen);
-    all.filter(|s| s.request.header("yuccawing-request-id") == id).collect()
+    all.filter(|s| s.request.header(headers::REQUEST_ID) == id).collect()
 }
 
 fn events(id: &str, n: u64) -> String {
@@ -57,20 +58,20 @@
         let f = Fleet::start(1, 1, 0);
         let mut c = f.connect(0);
         let (_, mut headers) = request("/unsafe/2f", "r1", Some(KEY));
-        headers.push(("Yuccawing-Tenant".into(), "other".into()));
+        headers.push((headers::ACCOUNT.into(), "other".into()));
         headers.push(("X-Own".into(), "kept".into()));
         send(&mut c, "POST", "/unsafe/2f?a=b", &headers, b"the body").unwrap();
         let a = receive(&mut c).unwrap();
         assert_eq!((a.status, a.body.as_str()), (200, "answer to r1"));
-        assert_eq!(a.headers["yuccawing-response-seal"], "seal-r1");
+        assert_eq!(a.headers[headers::SEAL], "seal-r1");
         let s = &seen(&f.plain, "r1")[0].request;
         assert_eq!((s.method.as_str(), s.path.as_str()), ("POST", "/unsafe/2f?a=b"));
         assert_eq!(s.body, b"the body");
-        assert_eq!(s.header("yuccawing-tenant"), "one");
+        assert_eq!(s.header(headers::ACCOUNT), "one");
         assert_eq!(s.header("authorization"), "");
-        assert_eq!(s.header("yuccawing-expect-instance"), "p0");
+        assert_eq!(s.header(headers::EXPECT_REPLICA), "p0");
         assert_eq!(s.header("x-own"), "kept");
-        assert!(s.header("yuccawing-deadline-ms").parse::<u64>().unwrap() <= 4000);
+        assert!(s.header(headers::DEADLINE_MS).parse::<u64>().unwrap() <= 4000);
     }
     // Guards against wrong requests that reach a replica, and against a 401 or 404 from a host that
     // knows no configuration.
@@ -326,7 +327,7 @@
         assert_eq!(a.status, 200);
         assert_eq!(f.engines[0].adapters(), ["a1@2"]);
         let s = seen(&f.engines, "n2");
-        assert!(s.iter().all(|s| s.request.header("yuccawing-expect-version") == "2"));
+        assert!(s.iter().all(|s| s.request.header(headers::EXPECT_VERSION) == "2"));
     }
     // Guards against an account that gets more than its limit, and a refusal without a time.
     a_limit_holds_over_all_hosts: {
