Add loads and queues up; let callers return when engines have owners

Change: load and queue add up; such callers return after 1.8 to 3 s, at most a third of their time, spread by their id. Tests: a_load_and_a_queue_add_up, callers_return_when_engines_have_owners; both fail without the change.

--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -103,6 +103,13 @@
 /// Longest part of a caller's time that a refusal asks it to wait; callers ignore more.
 const BACK_SHARE: u32 = 3;
 
+/// Time in ms in which the engines get owners after all hosts were lost: the lease, in which nobody
+/// may give orders.
+const UNOWNED_MS: f64 = 3000.0;
+
+/// Part of that time over which callers that are turned away then return.
+const UNOWNED_SPREAD: f64 = 0.4;
+
 /// Shortest wait that a refusal asks for.
 const BACK_MIN: Duration = Duration::from_millis(200);
 
@@ -279,6 +286,7 @@
         let mut best: Option<(f64, Cost, ReplicaKey)> = None;
         let cold = self.transfer.expected(now);
         let usable = !all.is_empty();
+        let owned = all.iter().any(|(_, r)| r.held);
         let aim = ask.aim.since(now).as_secs_f64() * 1000.0 * AIM_SHARE;
         for (k, r) in all {
             if ask.tried.contains(&k) {
@@ -308,7 +316,9 @@
         let Some((_, cost, k)) = best else {
             let places = usable && ask.demand.is_some() && spec.is_some();
             let reason = if places { Refusal::NoPlace } else { Refusal::NoReplica };
-            return Choice::Refused { reason, retry: back(now, ask, None) };
+            let unowned =
+                (places && !owned).then(|| UNOWNED_MS * (1.0 - UNOWNED_SPREAD * unit(&[&ask.id])));
+            return Choice::Refused { reason, retry: back(now, ask, unowned) };
         };
         let left = ask.left(now).as_secs_f64() * 1000.0;
         if cost.time > left {
@@ -350,7 +360,8 @@
                 version: self.version(&d.artifact).unwrap_or(0),
             });
         }
-        let mut time = (total.reading * r.pace).max(wait) + reading * r.pace + STEP_MS;
+        // A request is sent when its load has ended and then queues like any other.
+        let mut time = wait + (total.reading + reading) * r.pace + STEP_MS;
         if total.runs >= r.slots {
             time += FULL_MS;
         }
--- a/crates/core/src/fleet/dispatch/tests.rs
+++ b/crates/core/src/fleet/dispatch/tests.rs
@@ -220,6 +220,30 @@
         assert_eq!(refusal(&mut d, &ask("r", "m/a3", 800)).0, Refusal::NoPlace);
         assert_eq!(grant(&mut d, &ask("r", "m/a1", 800)).load, None);
     }
+    // Pattern: all hosts were lost and callers ask for adapters that no engine holds. Guards against
+    // callers that spend their one return while nobody may order a load yet, and against all of
+    // them returning at once.
+    callers_return_when_engines_have_owners: {
+        let mut d = engines(&[&["m/a1"], &[]]);
+        for (_, r) in d.replicas.iter_mut() {
+            r.held = false;
+        }
+        let asks = (0..40).map(|i| Ask { deadline: at(12_000), ..ask(&format!("r{i}"), "m/a3", 800) });
+        let mut backs: Vec<_> = asks.map(|a| refusal(&mut d, &a).1.as_millis()).collect();
+        backs.sort_unstable();
+        assert!(backs[0] >= 1800 && backs[39] <= 3000, "{backs:?}");
+        assert!(backs[39] - backs[0] > 600, "{backs:?}");
+    }
+    // Pattern: a load and a queue. Guards against a load that is believed to run beside the reading
+    // of what was admitted before: the request queues when the load has ended.
+    a_load_and_a_queue_add_up: {
+        let mut d = engines(&[&[]]);
+        let first = grant(&mut d, &ask("r1", "m/a1", 20_000));
+        let second = grant(&mut d, &ask("r2", "m/a2", 20_000));
+        assert!(second.load.is_some());
+        let read = Duration::from_millis(reading_ms(20_000, 20_000) as u64);
+        assert!(second.expected >= first.expected + read, "{second:?}");
+    }
     // Guards against a request on an older version than the newest one that was announced.
     an_old_version_is_not_used: {
         let mut d = engines(&[&["m/a1"]]);
