Drop reads that a peer's later change has overtaken

A slow read of the entries that was sent before a peer's change arrived would have put the older list back, so a leaving replica could have got work again. Change: such a read is dropped and logged (event 510); a new account starts with an even part. LimitReached also logs the host's part and share, and lines on replicas the age of the read. One constant for adapters in transit. Tests: an_overtaken_read_is_told_apart, a_new_account_is_limited_at_once.

--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -24,6 +24,7 @@
     hash, hash32,
     health::{Outcome, Standing},
     inventory::{EngineSpec, Inventory, Kind, VersionMark},
+    keeper::TRANSIT,
     replicas::{Replica, ReplicaKey, Replicas},
     report::Resident,
     transfer::Transfer,
@@ -44,9 +45,6 @@
 /// Time of a step with its share of other streams, and of the way there and back, in ms.
 const STEP_MS: f64 = 15.0;
 
-/// Adapters that may be on their way to one engine; a further one waits for them.
-const TRANSIT: u32 = 4;
-
 /// Cost of a load from the weight store, in ms of lateness: it delays other loads and takes a place
 /// that another adapter needs.
 const COLD_COST_MS: f64 = 250.0;
@@ -351,7 +349,7 @@
                 return None;
             }
             let warm = r.warm(&d.artifact) && !old;
-            let rounds = f64::from(1 + r.loading / TRANSIT);
+            let rounds = (1 + r.loading as usize / TRANSIT) as f64;
             wait = rounds * if warm { WARM_MS } else { cold };
             preference = unit(&[&d.artifact, &r.id]) * HOME_MS;
             preference += if warm { WARM_COST_MS } else { COLD_COST_MS };
--- a/crates/core/src/fleet/keeper.rs
+++ b/crates/core/src/fleet/keeper.rs
@@ -21,8 +21,8 @@
 };
 use crate::time::Tick;
 
-/// Adapters that may be on their way to one engine.
-const TRANSIT: usize = 4;
+/// Adapters that may be on their way to one engine, from the platform's data sheet.
+pub const TRANSIT: usize = 4;
 
 /// Time after which a wish is given up: callers choose another engine before that.
 const STALE: Duration = Duration::from_secs(2);
--- a/crates/core/src/fleet/listing.rs
+++ b/crates/core/src/fleet/listing.rs
@@ -6,14 +6,14 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use arcstr::ArcStr;
 
 use super::{digest::Listing, hash, inventory::Entry, reading::Mark};
 
-/// Entries that are sent to the other hosts at once. A datagram of that size passes a network
-/// without fragments in most cases, and larger changes come at starts, when each host reads anyway.
+/// Entries that are sent to the other hosts at once, a quarter of a kilobyte each. Larger changes
+/// come at starts, when each host reads anyway.
 const MAX_ENTRIES: usize = 16;
 
 /// All entries by id.
@@ -23,17 +23,16 @@
 }
 
 impl List {
-    /// Replaces the list by what was read. Returns its hash.
-    pub fn replace(&mut self, entries: &[Entry]) -> u64 {
+    /// Replaces the list by what was read.
+    pub fn replace(&mut self, entries: &[Entry]) {
         self.entries = entries.iter().map(|e| (e.id.clone(), e.clone())).collect();
-        self.hash()
     }
 
     /// What changes when `entries` replace the list, none if that is too much to send.
     pub fn change(&self, entries: &[Entry], to: Mark, revision: u64) -> Option<Listing> {
         let differs = |e: &&Entry| self.entries.get(&e.id).is_none_or(|o| state(o) != state(e));
         let new: Vec<_> = entries.iter().filter(differs).cloned().collect();
-        let listed: std::collections::HashSet<_> = entries.iter().map(|e| &e.id).collect();
+        let listed: HashSet<_> = entries.iter().map(|e| &e.id).collect();
         let gone: Vec<_> = self.entries.keys().filter(|id| !listed.contains(id)).cloned().collect();
         let fits = new.len() + gone.len() <= MAX_ENTRIES;
         fits.then(|| Listing { from: self.hash(), to, revision, entries: new, gone })
--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -129,6 +129,7 @@
     /// Takes the limits of a configuration. Levels of known accounts stay.
     pub fn configure(&mut self, now: Tick, inventory: &Inventory) {
         let mut old = std::mem::take(&mut self.meters);
+        let hosts = (self.peers.len() + 1) as f64;
         for a in inventory.accounts.iter().filter(|a| a.rate > 0.0) {
             let (rate, burst) = (a.rate * OVERAGE, a.burst * OVERAGE + self.slack);
             let meter = match old.remove(&a.name) {
@@ -139,7 +140,7 @@
                     burst,
                     level: burst * START_SHARE,
                     part: 0.0,
-                    share: 0.0,
+                    share: 1.0 / hosts,
                     total: 0.0,
                     spent: 0.0,
                     demand: 0.0,
@@ -260,9 +261,10 @@
         }
     }
 
-    /// Units that an account may use now, for logs.
-    pub fn level(&self, account: &str) -> f64 {
-        self.meters.get(account).map_or(f64::INFINITY, |m| m.level)
+    /// What decided an account's last check, for logs: units that the fleet may use, units of this
+    /// host's part, and this host's part of the demand.
+    pub fn inputs(&self, account: &str) -> (f64, f64, f64) {
+        self.meters.get(account).map_or((f64::INFINITY, 0.0, 0.0), |m| (m.level, m.part, m.share))
     }
 }
 
--- a/crates/core/src/fleet/quota/tests.rs
+++ b/crates/core/src/fleet/quota/tests.rs
@@ -215,6 +215,12 @@
         }
         assert!(sum <= RATE * 9.0 * 1.25 + SLACK, "{sum}");
     }
+    // Guards against an account that has no limit until the first digest after its configuration.
+    a_new_account_is_limited_at_once: {
+        let mut q = quota(RATE);
+        let within = (0..200).filter(|_| q.check(at(1), "one", 1000.0) == Verdict::Within).count();
+        assert!(within as f64 * 1000.0 <= RATE + SLACK, "{within}");
+    }
     // Guards against a request that is larger than the burst and would never be served.
     a_request_above_the_burst_is_served: {
         let mut q = quota(RATE);
--- a/crates/core/src/fleet/reading.rs
+++ b/crates/core/src/fleet/reading.rs
@@ -123,6 +123,12 @@
         (self.asked, self.busy) = (Some(now), true);
     }
 
+    /// Whether a read that was sent at `asked` and showed something with `hash` was overtaken by the
+    /// change of a later one.
+    pub fn overtaken(&self, asked: Tick, hash: u64) -> bool {
+        self.held.is_some_and(|h| h != hash) && self.read.is_some_and(|r| r > asked)
+    }
+
     /// The read that was sent at `asked` showed something with `hash`. Returns what was held
     /// before.
     pub fn took(&mut self, asked: Tick, hash: u64) -> Option<u64> {
--- a/crates/core/src/fleet/reading/tests.rs
+++ b/crates/core/src/fleet/reading/tests.rs
@@ -81,6 +81,15 @@
         assert!(!k.behind() && !k.due(at(700), 1, POLL));
         assert_eq!(k.mark(at(460)), Some(Mark { hash: 6, age: 100 }));
     }
+    // Guards against a slow read that puts back what a peer's later read has replaced, so that a
+    // leaving replica gets work again.
+    an_overtaken_read_is_told_apart: {
+        let mut k = knows(0, 5);
+        k.asks(at(500));
+        k.changed(at(900), 5, Mark { hash: 6, age: 50 });
+        assert!(k.overtaken(at(500), 5));
+        assert!(!k.overtaken(at(500), 6) && !k.overtaken(at(900), 7));
+    }
     // Guards against a change that was lost on the way and that nobody asks for.
     a_change_that_was_lost_is_read: {
         let mut k = knows(0, 5);
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -95,6 +95,7 @@
     507 ItemInvalid Warning "An item of the store cannot be read and is left out.";
     508 StoreLost Warning "Reads of the store began to fail.";
     509 StoreBack Info "Reads of the store work again.";
+    510 ReadOvertaken Info "A read of the store was overtaken by the change of a later one and is dropped.";
     600 PeerAlive Info "A peer answers.";
     601 PeerLost Warning "A peer does not answer.";
     602 PeerLeaving Info "A peer is shutting down.";
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -276,7 +276,7 @@
     fn digest(&mut self, now: Tick) {
         self.digested = now;
         self.number += 1;
-        let odd = !self.number.is_multiple_of(2);
+        let named = self.number.is_multiple_of(2);
         let (loads, kept) = self.dispatcher.tell();
         let lease = self.lease();
         let engines = self.keeps.iter().filter_map(|(k, keep)| {
@@ -300,7 +300,7 @@
             life: self.life,
             number: self.number,
             state: self.state(),
-            members: if odd { Vec::new() } else { self.peers.members(now) },
+            members: if named { self.peers.members(now) } else { Vec::new() },
             age: now.since(self.started).as_millis() as u64,
             revision: self.store.revision,
             ordered: ordered.collect(),
--- a/crates/daemon/src/front/control/admit.rs
+++ b/crates/daemon/src/front/control/admit.rs
@@ -135,10 +135,11 @@
         if let Some((account, cost)) = &msg.charge
             && let Limit::Over(wait) = self.quota.check(now, account, *cost)
         {
-            let level = self.quota.level(account);
+            let (left, part, share) = self.quota.inputs(account);
             let fields = kv!(
                 "id" => msg.ask.id.as_str(), "account" => account.as_str(), "cost" => *cost,
-                "left" => level, "wait_ms" => wait.as_millis() as u64,
+                "left" => left, "part" => part, "share" => share,
+                "wait_ms" => wait.as_millis() as u64,
             );
             emit(&self.log, Event::LimitReached, &fields);
             let retry = wait.min(LIMIT_BACK);
--- a/crates/daemon/src/front/control/beliefs.rs
+++ b/crates/daemon/src/front/control/beliefs.rs
@@ -123,6 +123,12 @@
                     })
                     .collect();
                 let hash = listing::fold(entries.iter());
+                if self.store.listing.overtaken(asked, hash) {
+                    let age = now.since(asked).as_millis() as u64;
+                    emit(&self.log, Event::ReadOvertaken, &kv!("read_ms" => age));
+                    self.store.listing.failed();
+                    return;
+                }
                 let old = self.store.listing.took(asked, hash);
                 if first && old.is_some_and(|o| o != hash) {
                     self.tell_change(now, asked, &entries, hash);
@@ -211,7 +217,7 @@
                 let fields = kv!(
                     "replica" => r.id.as_str(), "service" => r.service.as_str(),
                     "address" => r.address.to_string(), "zone" => r.zone.as_str(),
-                    "revision" => revision,
+                    "revision" => revision, "read_ms" => now.since(asked).as_millis() as u64,
                 );
                 emit(&self.log, event, &fields);
             }
