Give dead upstreams in tests addresses of their own

Its log: version 1 is invalid, upstream dead3 has the address of dead1. The test support took each free address by binding and closing one socket after another, so the system may give the same one twice. Change: all sockets are bound before the first is closed. The check that found it stays as it was.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -173,8 +173,11 @@
     };
     upstreams.insert("p0".into(), plain(at["p0"]));
     let dead: Vec<_> = (0..4).map(|i| format!("dead{i}").into()).collect();
-    for name in &dead {
-        upstreams.insert(arcstr::ArcStr::clone(name), plain(free()));
+    // All are bound at once, so that no two get the same address, and closed again.
+    let closed = dead.iter().map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    let closed: Vec<_> = closed.collect();
+    for (name, l) in dead.iter().zip(&closed) {
+        upstreams.insert(arcstr::ArcStr::clone(name), plain(l.local_addr().unwrap()));
     }
     let route = |upstreams| Route { upstreams, open: false, idempotent: false, cost: 1 };
     let hash = Sha256::digest(KEY).iter().fold(String::new(), |s, b| format!("{s}{b:02x}"));
