Let digests that waited for a paused host prove nothing

Traced by reading: a peer's mark counts the age of its read from when the digest is read here. A process that was paused reads the digests of the whole pause at its end and took the first ones, from before the withdrawal, for fresh; until the next publication, up to 0.5 s, keys were taken. Change: a gap of 250 ms in the control thread's work counts as a pause (event 109); for 0.5 s after it nothing that peers say renews the age of what is held.

--- a/crates/core/src/fleet/reading.rs
+++ b/crates/core/src/fleet/reading.rs
@@ -37,6 +37,39 @@
 /// Time that a digest may take, which its sender does not count.
 const TRANSIT: Duration = Duration::from_millis(30);
 
+/// Time without a sign of life of this process after which it was paused: five of its ticks.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Time after a pause in which datagrams are read that arrived during it.
+const BACKLOG: Duration = Duration::from_millis(500);
+
+/// Tells whether datagrams are read as they arrive.
+///
+/// The age that a peer states counts from when it is read. A process that was paused reads
+/// datagrams that are as old as the pause, which must not prove anything new.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pulse {
+    last: Option<Tick>,
+    woke: Option<Tick>,
+}
+
+impl Pulse {
+    /// Notes that the process runs. Returns the length of a pause that has just ended.
+    pub fn beat(&mut self, now: Tick) -> Option<Duration> {
+        let gap = self.last.map(|t| now.since(t)).filter(|d| *d > PAUSE);
+        self.last = Some(now);
+        if gap.is_some() {
+            self.woke = Some(now);
+        }
+        gap
+    }
+
+    /// Whether what is read now has arrived just now.
+    pub fn prompt(&self, now: Tick) -> bool {
+        self.woke.is_none_or(|t| now.since(t) >= BACKLOG)
+    }
+}
+
 /// What one host says of its knowledge.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mark {
--- a/crates/core/src/fleet/reading/tests.rs
+++ b/crates/core/src/fleet/reading/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{Knowledge, Mark};
+use super::{Knowledge, Mark, Pulse};
 use crate::time::Tick;
 
 const POLL: Duration = Duration::from_millis(500);
@@ -90,6 +90,19 @@
         assert!(k.overtaken(at(500), 5));
         assert!(!k.overtaken(at(500), 6) && !k.overtaken(at(900), 7));
     }
+    // Guards against keys that work again after a pause, since datagrams that waited meanwhile are
+    // taken for new ones.
+    nothing_is_proved_by_datagrams_of_a_pause: {
+        let mut p = Pulse::default();
+        for ms in (0..1000).step_by(50) {
+            assert_eq!(p.beat(at(ms)), None);
+            assert!(p.prompt(at(ms)));
+        }
+        assert_eq!(p.beat(at(3950)), Some(Duration::from_millis(3000)));
+        assert_eq!(p.beat(at(3951)), None);
+        assert!(!p.prompt(at(3951)) && !p.prompt(at(4400)));
+        assert!(p.prompt(at(4450)));
+    }
     // Guards against a change that was lost on the way and that nobody asks for.
     a_change_that_was_lost_is_read: {
         let mut k = knows(0, 5);
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -60,6 +60,7 @@
     106 Reloaded Info "The settings were read again.";
     107 ReloadFailed Error "Changed settings cannot be used; those in force stay.";
     108 ServingChanged Info "The host begins or stops to take requests.";
+    109 Paused Warning "The process did not run for a while; what arrived meanwhile proves nothing new.";
     200 RequestDone Debug "A request ended.";
     201 RequestRefused Debug "A request was refused.";
     202 RequestFailed Warning "A request failed after it was sent to an upstream.";
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -27,6 +27,7 @@
         order::Lease,
         peers::{FORGET, Peers, RECENT},
         quota::Quota,
+        reading::Pulse,
         replicas::ReplicaKey,
         telling::Telling,
     },
@@ -121,6 +122,7 @@
     number: u64,
     digested: Tick,
     telling: Telling,
+    pulse: Pulse,
     store: Store,
     leaving: bool,
     closing: Option<Tick>,
@@ -202,6 +204,7 @@
             number: 0,
             digested: now,
             telling: Telling::default(),
+            pulse: Pulse::default(),
             store: Store::default(),
             leaving: false,
             closing: None,
@@ -314,8 +317,17 @@
         self.send_all(&Peer::Digest(Box::new(digest)));
     }
 
-    fn tick(&mut self, ctx: &mut Context<Self>) {
+    // Notes that the control thread runs, before anything else is done with what waited for it.
+    fn beat(&mut self) -> Tick {
         let now = clock::now();
+        if let Some(gap) = self.pulse.beat(now) {
+            emit(&self.log, Event::Paused, &kv!("paused_ms" => gap.as_millis() as u64));
+        }
+        now
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        let now = self.beat();
         if now.since(self.digested) >= self.interval() {
             self.digest(now);
         }
@@ -364,7 +376,7 @@
     type Result = ();
 
     fn handle(&mut self, msg: Received, ctx: &mut Self::Context) {
-        let now = clock::now();
+        let now = self.beat();
         match msg.message {
             Peer::Digest(d) => self.heard(now, &d, ctx),
             Peer::Want(w) => self.wanted(now, msg.from, w, ctx),
--- a/crates/daemon/src/front/control/beliefs.rs
+++ b/crates/daemon/src/front/control/beliefs.rs
@@ -151,6 +151,9 @@
 
     /// Takes what a peer's read of the replicas' entries changed.
     pub(super) fn listing_changed(&mut self, now: Tick, change: &Listing) {
+        if !self.pulse.prompt(now) {
+            return;
+        }
         // A change of another list leaves this host behind until it reads by itself.
         let Some(entries) = self.store.list.changed(change) else { return };
         let Some(asked) = self.store.listing.changed(now, change.from, change.to) else { return };
@@ -227,6 +230,9 @@
 
     // Takes what a peer says of its knowledge of the store.
     fn confirm(&mut self, now: Tick, d: &Digest) {
+        if !self.pulse.prompt(now) {
+            return;
+        }
         if let Some(mark) = d.operator {
             self.store.operator.told(now, mark);
         }
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -134,6 +134,13 @@
         Host { child }
     }
 
+    /// Sends a signal to a host.
+    pub fn signal(&self, i: usize, name: &str) {
+        let pid = self.hosts[i].child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &pid]).status().unwrap();
+        assert!(sent.success(), "SIG{name} to host {i}");
+    }
+
     /// Settings file of host `i`.
     pub fn settings(&self, i: usize) -> String {
         fs::read_to_string(self.dir.path().join(format!("h{i}.toml"))).unwrap()
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -394,6 +394,34 @@
         let failed = lines.iter().find(|l| l["name"] == "AttemptFailed").unwrap();
         assert_eq!(failed["replica"], "p0");
     }
+    // Guards against a key that was withdrawn during a pause and works again after it: the digests
+    // of the pause are read at its end, and their ages do not count the time that they waited.
+    a_pause_does_not_bring_a_withdrawn_key_back: {
+        let f = Fleet::start(3, 1, 0);
+        wait(APPLY, "the hosts serve", || {
+            (0..3).all(|h| f.call(h, "/safe/1", "p0", Some(KEY)).status == 200)
+        });
+        // Of three hosts one reads the store, so two of those that are paused depend on digests.
+        for host in 0..3 {
+            let version = 2 + host as u64;
+            let key = |n: u64| if n == 2 { KEY.to_owned() } else { format!("key{}", n - 1) };
+            f.signal(host, "STOP");
+            thread::sleep(Duration::from_millis(400));
+            let next = Account { name: "one".into(), keys: vec![format!("key{version}")], rate: 0 };
+            f.store.put("op/config", &config::config(version, &[next]));
+            // The bound of these hosts is two seconds.
+            thread::sleep(Duration::from_millis(2300));
+            f.signal(host, "CONT");
+            let end = Instant::now() + Duration::from_millis(1200);
+            while Instant::now() < end {
+                let status = f.call(host, "/safe/1", "p1", Some(&key(version))).status;
+                assert!(status == 401 || status == 503, "host {host} answers {status}");
+            }
+            wait(APPLY, "the new key does not work", || {
+                f.call(host, "/safe/1", "p2", Some(&format!("key{version}"))).status == 200
+            });
+        }
+    }
     // Guards against seeds that stay stale when the settings file changes without a signal, and
     // against a wrong file that stops the host.
     changed_settings_are_read_again: {
