Let a new owner order only when all peers know of it

Cause: a host that starts or restarts could order a replica after the first digest of one old peer, while the host that had owned the replica until then had not been heard, or did not know of the new owner yet. Change: the host must have heard every live member that its peers list, and each of them must list it as alive; leaving hosts are not listed as alive; orders of hosts that have left or fallen silent are reported by the others. Result: five tests of peers, the first fails on the old code.

--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -68,7 +68,8 @@
     pub age_ms: u64,
     /// The newest revision of the store that it knows.
     pub revision: u64,
-    /// Replicas that it sent orders to within [`super::peers::ORDER_WINDOW`].
+    /// Replicas that it sent orders to within [`super::peers::ORDER_WINDOW`], and those that peers
+    /// did which have fallen silent since.
     pub fences: Vec<ReplicaFence>,
     /// State of its copy of the operator's keys.
     pub operator: Option<SnapshotMark>,
--- a/crates/core/src/fleet/order.rs
+++ b/crates/core/src/fleet/order.rs
@@ -147,6 +147,11 @@
         self.highest_fence = self.highest_fence.max(token);
     }
 
+    /// Highest known token of any host.
+    pub fn highest_fence(&self) -> u64 {
+        self.highest_fence
+    }
+
     /// Highest known token, if this host has sent an order since `t`.
     pub fn fence_since(&self, t: Tick) -> Option<u64> {
         self.last_order.filter(|o| *o >= t).and(Some(self.highest_fence))
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -53,10 +53,21 @@
     pub last_ack: Tick,
     /// Whether its process is old enough to know of all orders that may still matter.
     pub knows_orders: bool,
-    /// Hashes of the replicas that it sent orders to within [`ORDER_WINDOW`].
+    /// Whether its process has listed this host among the live members that it knows.
+    pub acked: bool,
+    /// Hashes of the replicas that it, or a host that has left or fallen silent since, sent orders
+    /// to within [`ORDER_WINDOW`].
     pub ordered: BTreeSet<u32>,
 }
 
+/// A host that peers list as a member and that has sent no digest to this host yet.
+#[derive(Clone, Copy, Debug)]
+struct Mention {
+    at: Tick,
+    // Whether the newest list states that it is alive.
+    alive: bool,
+}
+
 /// Effect of a digest on the membership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerChange {
@@ -91,9 +102,7 @@
     started: Tick,
     seeds: Vec<Ipv4Addr>,
     peers: BTreeMap<Ipv4Addr, Peer>,
-    // Hosts that peers listed as members and that have sent no digest to this host yet, with the
-    // time of the last mention.
-    mentioned: BTreeMap<Ipv4Addr, Tick>,
+    mentioned: BTreeMap<Ipv4Addr, Mention>,
 }
 
 impl Peers {
@@ -124,7 +133,7 @@
         for m in &d.members {
             let known = m.ip == self.local_ip || self.peers.contains_key(&m.ip);
             if !known && self.mentioned.len() < MAX_PEERS {
-                self.mentioned.insert(m.ip, now);
+                self.mentioned.insert(m.ip, Mention { at: now, alive: m.alive });
             }
         }
         // A digest without members does not state which hosts its sender receives digests from.
@@ -150,6 +159,7 @@
             Some(p) if !hears_me && p.incarnation == d.incarnation => p.last_ack,
             _ => now,
         };
+        let acked = old.is_some_and(|p| p.incarnation == d.incarnation && p.acked);
         if self.peers.len() < MAX_PEERS || old.is_some() {
             let peer = Peer {
                 front: d.front,
@@ -160,6 +170,7 @@
                 last_heard: now,
                 last_ack,
                 knows_orders: d.age_ms >= ORDER_WINDOW.as_millis() as u64,
+                acked: acked || hears_me,
                 ordered: d.fences.iter().map(|o| o.replica).collect(),
             };
             self.peers.insert(d.ip, peer);
@@ -181,7 +192,7 @@
         for ip in &gone {
             self.peers.remove(ip);
         }
-        self.mentioned.retain(|_, t| now.since(*t) < FORGET_AFTER);
+        self.mentioned.retain(|_, m| now.since(m.at) < FORGET_AFTER);
         gone
     }
 
@@ -200,21 +211,36 @@
         self.peers.get(&ip).is_some_and(|p| now.since(p.last_heard) <= SUSPECT_AFTER)
     }
 
-    /// Known hosts, for this host's digest.
+    /// Known hosts, for this host's digest. A leaving host is not listed as alive, so that its next
+    /// process is not taken for acknowledged before its own digest has arrived here.
     pub fn members(&self, now: Tick) -> Vec<Member> {
-        let heard = |p: &Peer| now.since(p.last_heard) <= SUSPECT_AFTER;
-        self.iter().map(|(ip, p)| Member { ip, alive: heard(p) }).collect()
+        let alive =
+            |p: &Peer| now.since(p.last_heard) <= SUSPECT_AFTER && p.state != HostState::Leaving;
+        self.iter().map(|(ip, p)| Member { ip, alive: alive(p) }).collect()
+    }
+
+    /// Hashes of the replicas that peers sent orders to within [`ORDER_WINDOW`] which have left or
+    /// fallen silent since. This host reports them in their place.
+    pub fn orphaned_orders(&self, now: Tick) -> BTreeSet<u32> {
+        let orphaned = self.peers.values().filter(|p| {
+            let silence = now.since(p.last_heard);
+            silence < ORDER_WINDOW && (silence > SUSPECT_AFTER || p.state == HostState::Leaving)
+        });
+        orphaned.flat_map(|p| p.ordered.iter().copied()).collect()
     }
 
-    /// Whether this host owned a replica before its restart and no other host has sent orders
-    /// since. `hash` is the hash of the replica in digests. Peers that are old enough know of every
-    /// host that could have sent one.
+    /// Whether this host, which has just started or restarted, may send orders to a replica at
+    /// once, because it has the highest weight and no other host has sent any. `hash` is the hash
+    /// of the replica in digests. Each host reports its own orders, so all live members must have
+    /// sent a digest, and they must know of this host, or one of them might still send orders.
     pub fn resumes_ownership(&self, now: Tick, id: &str, hash: u32) -> bool {
         let alive = || self.peers.values().filter(|p| now.since(p.last_heard) <= SUSPECT_AFTER);
         let own_weight = owner_weight(self.local_ip, id);
         let others = self.peers.keys().chain(self.mentioned.keys()).chain(&self.seeds);
+        let current = |p: &Peer| p.acked && now.since(p.last_ack) <= SUSPECT_AFTER;
         alive().any(|p| p.knows_orders)
-            && alive().all(|p| now.since(p.last_ack) <= SUSPECT_AFTER && !p.ordered.contains(&hash))
+            && !self.mentioned.values().any(|m| m.alive)
+            && alive().all(|p| current(p) && !p.ordered.contains(&hash))
             && others.into_iter().all(|ip| owner_weight(*ip, id) < own_weight)
     }
 
--- a/crates/core/src/fleet/peers/tests.rs
+++ b/crates/core/src/fleet/peers/tests.rs
@@ -161,6 +161,74 @@
         p.apply_digest(at(100), &d);
         assert!(!p.resumes_ownership(at(100), &r, 7));
     }
+    // Pattern: rolling restart of a small fleet. Guards against a restarted owner that orders at
+    // once after the first digest, although the host that replaced it has not been heard yet: two
+    // hosts then order one replica within the lease, the second with a lower token.
+    a_restarted_owner_hears_all_members_first: {
+        let mut p = Peers::new(ip(1), vec![ip(2)], at(0));
+        let mut first = digest(2, 1, 1);
+        first.members.clear();
+        p.apply_digest(at(0), &first);
+        let r = owned_by(&p, at(0), 1);
+        assert!(!p.resumes_ownership(at(0), &r, 7), "the members are not known yet");
+        let mut second = digest(2, 1, 2);
+        second.members.push(Member { ip: ip(3), alive: true });
+        p.apply_digest(at(50), &second);
+        assert!(!p.resumes_ownership(at(50), &r, 7), "host 3 has not reported its orders");
+        let mut third = digest(3, 1, 1);
+        third.fences = vec![ReplicaFence { replica: 7, fence: 1 }];
+        p.apply_digest(at(60), &third);
+        let owned = owned_by(&p, at(60), 1);
+        assert!(!p.resumes_ownership(at(60), &owned, 7));
+        assert!(p.resumes_ownership(at(60), &owned, 8));
+    }
+    // Guards against a restarted owner that waits for a member which its peers know to be down.
+    a_member_that_is_down_does_not_delay_a_restarted_owner: {
+        let mut p = Peers::new(ip(1), vec![ip(2)], at(0));
+        let mut d = digest(2, 1, 1);
+        let mut r = 0;
+        d.members.push(Member { ip: ip(3), alive: false });
+        p.apply_digest(at(0), &d);
+        let resumes = |p: &Peers, r: &str| p.resumes_ownership(at(0), r, 7);
+        while !resumes(&p, &format!("r{r}")) && r < 1000 {
+            r += 1;
+        }
+        assert!(r < 1000, "no replica is resumed");
+    }
+    // Guards against orders of a host that was killed right after it sent them and that no live
+    // host reports.
+    orders_of_silent_and_leaving_peers_are_reported: {
+        let mut p = peers(at(0));
+        let mut d = digest(4, 1, 2);
+        d.fences = vec![ReplicaFence { replica: 7, fence: 1 }];
+        p.apply_digest(at(100), &d);
+        assert!(p.orphaned_orders(at(1000)).is_empty(), "it reports them itself");
+        assert!(p.orphaned_orders(at(1500)).contains(&7));
+        assert!(p.orphaned_orders(at(4500)).is_empty(), "the lease has ended");
+        let leaving = Digest { state: HostState::Leaving, sequence: 3, ..d };
+        p.apply_digest(at(200), &leaving);
+        assert!(p.orphaned_orders(at(300)).contains(&7));
+    }
+    // Pattern: hosts are added to a fleet, or a host restarts after an orderly stop. Guards against
+    // a new owner that orders at once while a peer that does not know of it may still send orders.
+    a_new_owner_waits_until_its_peers_know_of_it: {
+        let mut p = Peers::new(ip(1), vec![ip(2)], at(0));
+        let mut d = digest(2, 1, 1);
+        d.members[0].alive = false;
+        p.apply_digest(at(0), &d);
+        let r = owned_by(&p, at(0), 1);
+        assert!(!p.resumes_ownership(at(0), &r, 7));
+        p.apply_digest(at(100), &digest(2, 1, 2));
+        assert!(p.resumes_ownership(at(100), &r, 7));
+    }
+    // Guards against a leaving host whose next process is taken for known by peers that have heard
+    // only the previous one.
+    a_leaving_host_is_not_listed_as_alive: {
+        let mut p = peers(at(0));
+        p.apply_digest(at(10), &Digest { state: HostState::Leaving, ..digest(3, 1, 2) });
+        let member = p.members(at(20)).into_iter().find(|m| m.ip == ip(3)).unwrap();
+        assert!(!member.alive);
+    }
     // Guards against trusting peers that are as new as the host itself and know of no earlier
     // order.
     new_peers_do_not_confirm_ownership: {
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -183,7 +183,7 @@
     pub fn new(setup: Setup) -> Self {
         let now = clock::now();
         let s = &setup.settings;
-        let mut quota = Quota::new(now, s.bounds.quota_slack);
+        let mut quota = Quota::new(now, s.bounds.tolerance());
         for seed in s.seeds.iter().filter(|a| *a.ip() != s.ip) {
             quota.expect_peer(now, *seed.ip());
         }
@@ -297,11 +297,11 @@
             })
         });
         let engines = self.engine_updates.due(self.sequence, engines.collect());
+        let orphaned = self.peers.orphaned_orders(now);
         let ordered = self.dispatcher.replicas.iter().filter_map(|(_, r)| {
-            Some(ReplicaFence {
-                replica: r.id_hash,
-                fence: r.ownership.fence_since(now - ORDER_WINDOW)?,
-            })
+            let own = r.ownership.fence_since(now - ORDER_WINDOW);
+            let reported = orphaned.contains(&r.id_hash).then(|| r.ownership.highest_fence());
+            Some(ReplicaFence { replica: r.id_hash, fence: own.or(reported)? })
         });
         let digest = Digest {
             ip: self.settings.ip,
