Bound responses without end and keep slow streams

Cause: hyper skips informational responses without a limit, so a request to a replica that sends them without end was held until its deadline; incomplete bodies of all calls could take 16 MiB each. A refusal was believed before its request id was checked, so a late copy of one on a reused connection said 'not run' of a request that ran. A stream with a gap of 2 s was closed before another replica was found, and cut if there was none; comments counted as progress. A pooled connection that was closed before the request was written cost an attempt, and with one replica a 503. Change: at most 16 informational responses, heads of 64 KiB, 32 MiB of incomplete bodies over all calls; the id is checked first; the slow attempt goes on until another replica is assigned, before the first event and between events; empty events are no progress; an unwritten request goes to another connection of the same replica; the event splitter searches each byte once.

--- a/crates/daemon/src/front/client.rs
+++ b/crates/daemon/src/front/client.rs
@@ -3,7 +3,17 @@
 //! It uses hyper because `awc` reports a chunked body that ends early as complete and does not
 //! report whether a request was written.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -13,7 +23,7 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+use tokio::{net::TcpStream, sync::Notify, task::JoinHandle, time::timeout};
 use yuccawing_core::time::Tick;
 
 use super::clock;
@@ -28,6 +38,16 @@
 /// Largest number of idle connections per address.
 const MAX_IDLE: usize = 8;
 
+/// Largest size of the head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Largest number of informational (1xx) responses before the final one.
+const MAX_INFORMATIONAL: usize = 16;
+
+/// Bytes of incomplete bodies that a client buffers over all of its calls. It bounds the memory
+/// that upstreams can fill by sending without end.
+const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
+
 /// Why a call failed. The texts are log values and metric labels.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -49,6 +69,12 @@
     /// The body is longer than the limit.
     #[error("the body is longer than {0} bytes")]
     TooLong(usize),
+    /// All calls together buffer as much as the client may.
+    #[error("incomplete bodies take more than {MAX_BUFFERED_BYTES} bytes")]
+    BuffersFull,
+    /// There was no final response after many informational ones.
+    #[error("more than {MAX_INFORMATIONAL} informational responses")]
+    Informational,
 }
 
 impl CallError {
@@ -76,6 +102,8 @@
 #[derive(Debug, Default)]
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    // Bytes of bodies that are being read.
+    buffered: Rc<Cell<usize>>,
 }
 
 /// Response whose body is still to be read. Dropping it closes the connection.
@@ -85,6 +113,31 @@
     pub response: Response<Incoming>,
     connection: Connection,
     address: SocketAddr,
+    buffers: Buffers,
+}
+
+/// Share of one response in the client's buffered bytes, returned when it is dropped.
+#[derive(Debug)]
+struct Buffers {
+    total: Rc<Cell<usize>>,
+    own: usize,
+}
+
+impl Buffers {
+    fn add(&mut self, bytes: usize) -> Result<(), CallError> {
+        if self.total.get() + bytes > MAX_BUFFERED_BYTES {
+            return Err(CallError::BuffersFull);
+        }
+        self.total.set(self.total.get() + bytes);
+        self.own += bytes;
+        Ok(())
+    }
+}
+
+impl Drop for Buffers {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.own);
+    }
 }
 
 /// Whether a call may use a pooled connection.
@@ -98,7 +151,8 @@
 }
 
 impl Client {
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response. If a pooled connection turns out to
+    /// be closed before the request was written, another connection is used.
     ///
     /// # Errors
     ///
@@ -106,24 +160,50 @@
     pub async fn send(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         reuse: Reuse,
         limit: Duration,
     ) -> Result<Reply, CallError> {
-        let pooled = if reuse == Reuse::Allowed { self.acquire(address) } else { None };
-        let mut c = match pooled {
-            Some(c) => c,
-            None => timeout(CONNECT_TIMEOUT.min(limit), connect(address))
-                .await
-                .unwrap_or(Err(CallError::ConnectTimeout))?,
+        let flood = Flood::watch(&mut request);
+        while reuse == Reuse::Allowed
+            && let Some(c) = self.acquire(address)
+        {
+            match self.send_on(c, address, request, &flood, limit).await {
+                Err((CallError::Unsent, Some(unsent))) => request = unsent,
+                out => return out.map_err(|(e, _)| e),
+            }
+        }
+        let c = timeout(CONNECT_TIMEOUT.min(limit), connect(address))
+            .await
+            .unwrap_or(Err(CallError::ConnectTimeout))?;
+        self.send_on(c, address, request, &flood, limit).await.map_err(|(e, _)| e)
+    }
+
+    // On an error, also returns the request if nothing of it was written.
+    async fn send_on(
+        &self,
+        mut c: Connection,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        flood: &Flood,
+        limit: Duration,
+    ) -> Result<Reply, (CallError, Option<Request<Full<Bytes>>>)> {
+        let call = async {
+            tokio::select! {
+                out = c.sender.try_send_request(request) => Ok(out),
+                () = flood.exceeded() => Err(CallError::Informational),
+            }
         };
-        match timeout(limit, c.sender.try_send_request(request)).await {
-            Ok(Ok(response)) => Ok(Reply { response, connection: c, address }),
-            Ok(Err(mut e)) => match e.take_message() {
-                Some(_) => Err(CallError::Unsent),
-                None => Err(CallError::Broken(e.into_error())),
-            },
-            Err(_) => Err(CallError::Timeout),
+        let out = timeout(limit, call).await.unwrap_or(Err(CallError::Timeout));
+        match out.map_err(|e| (e, None))? {
+            Ok(response) => {
+                let buffers = Buffers { total: self.buffered.clone(), own: 0 };
+                Ok(Reply { response, connection: c, address, buffers })
+            }
+            Err(mut e) => Err(match e.take_message() {
+                Some(unsent) => (CallError::Unsent, Some(unsent)),
+                None => (CallError::Broken(e.into_error()), None),
+            }),
         }
     }
 
@@ -152,7 +232,7 @@
 
     /// Returns the connection of a response that was read to its end to the pool.
     pub fn release(&self, reply: Reply) {
-        let Reply { response, mut connection, address } = reply;
+        let Reply { response, mut connection, address, .. } = reply;
         let close = response
             .headers()
             .get("connection")
@@ -190,10 +270,36 @@
     }
 }
 
+/// Counts the informational responses to one request. hyper skips them without a limit.
+#[derive(Clone, Debug, Default)]
+struct Flood {
+    count: Arc<AtomicUsize>,
+    limit_reached: Arc<Notify>,
+}
+
+impl Flood {
+    fn watch(request: &mut Request<Full<Bytes>>) -> Self {
+        let out = Self::default();
+        let flood = out.clone();
+        hyper::ext::on_informational(request, move |_| {
+            if flood.count.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL {
+                flood.limit_reached.notify_one();
+            }
+        });
+        out
+    }
+
+    async fn exceeded(&self) {
+        self.limit_reached.notified().await;
+    }
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, CallError> {
     let stream = TcpStream::connect(address).await.map_err(CallError::Connect)?;
     stream.set_nodelay(true).map_err(CallError::Connect)?;
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(CallError::Broken)?;
     let task = actix_rt::spawn(async move {
         // An error also reaches the caller that waits for the response, which reports it.
@@ -214,6 +320,7 @@
             if out.len() + data.len() > max_bytes {
                 return Err(CallError::TooLong(max_bytes));
             }
+            self.buffers.add(data.len())?;
             out.extend_from_slice(&data);
         }
         Ok(out.freeze())
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -2,7 +2,7 @@
 //! response.
 
 use std::{
-    pin::Pin,
+    pin::{Pin, pin},
     task::{Context, Poll},
     time::Duration,
 };
@@ -17,6 +17,7 @@
 use yuccawing_core::{
     fleet::{config::RouteKind, health::Outcome},
     retry::Cause,
+    time::Tick,
 };
 use yuccawing_platform::{headers, replica as wire};
 
@@ -89,6 +90,18 @@
     }
 }
 
+/// Failed attempt, with the replica that takes the request over if one was assigned already.
+struct Failed {
+    failure: Failure,
+    successor: Option<PlacedRequest>,
+}
+
+impl<F: Into<Failure>> From<F> for Failed {
+    fn from(failure: F) -> Self {
+        Self { failure: failure.into(), successor: None }
+    }
+}
+
 /// Response of a replica, to be passed to the caller.
 enum ReplicaResponse {
     Full { status: StatusCode, headers: Vec<(String, Vec<u8>)>, body: Bytes },
@@ -99,8 +112,13 @@
 pub async fn run(w: &Worker, mut r: CallerRequest, leaving: bool) -> HttpResponse {
     let mut retry_cause = None;
     let mut failed = Vec::new();
+    let mut successor = None;
     loop {
-        let placed = match admit(w, &r, retry_cause).await {
+        let admission = match successor.take() {
+            Some(placed) => Admission::Placed(placed),
+            None => admit(w, &r, retry_cause).await,
+        };
+        let placed = match admission {
             Admission::Placed(placed) => placed,
             Admission::Refused { over_limit, reason, retry_after } => {
                 return refuse(w, &r, over_limit, reason, retry_after, retry_cause, leaving);
@@ -116,10 +134,14 @@
                 }
                 return respond(w, r, response, leaving);
             }
-            Err(f) => {
+            Err(Failed { failure: f, successor: next }) => {
                 if matches!(f, Failure::Status(_)) {
                     failed.push(replica);
                 }
+                if next.is_some() {
+                    (successor, retry_cause) = (next, Some(f.cause()));
+                    continue;
+                }
                 let now = clock::now();
                 let may_retry =
                     r.request.attempts < r.route.max_attempts.max(1) && now < r.request.deadline;
@@ -211,13 +233,13 @@
     w: &Worker,
     r: &mut CallerRequest,
     mut placed: PlacedRequest,
-) -> Result<ReplicaResponse, Failure> {
+) -> Result<ReplicaResponse, Failed> {
     let begun = clock::now();
     let id = placed.assignment.id.clone();
-    let out = exchange(w, r, &mut placed).await;
+    let out = exchange(w, r, &placed).await;
     let name = match &out {
         Ok(_) => "answered".to_owned(),
-        Err(f) => f.to_string(),
+        Err(f) => f.failure.to_string(),
     };
     w.shared.metrics.attempt(&r.request.service, if out.is_ok() { "answered" } else { "failed" });
     match out {
@@ -243,7 +265,7 @@
             Ok(ReplicaResponse::Stream { status, headers, upstream: Box::new(upstream) })
         }
         Err(f) => {
-            placed.guard.outcome = f.outcome();
+            placed.guard.outcome = f.failure.outcome();
             let fields = kv!(
                 "id" => r.id.as_str(), "replica" => id.as_str(), "failure" => name,
                 "took_ms" => clock::now().since(begun).as_millis() as u64,
@@ -265,48 +287,69 @@
     StatusCode::from_u16(reply.response.status().as_u16()).map_err(|_| Failure::Unsigned)
 }
 
-// Sends the request and reads the whole response or the first event of a stream.
+// Sends the request and reads the whole response or the first event of a stream. If that takes
+// longer than expected, another replica is requested for an idempotent request; until one is
+// assigned, the response of the first one is still awaited.
 async fn exchange(
     w: &Worker,
     r: &CallerRequest,
-    placed: &mut PlacedRequest,
-) -> Result<Received, Failure> {
-    let now = clock::now();
-    let left = r.request.remaining(now);
+    placed: &PlacedRequest,
+) -> Result<Received, Failed> {
+    let left = r.request.remaining(clock::now());
     if left.is_zero() {
-        return Err(Failure::Deadline);
+        return Err(Failure::Deadline.into());
     }
     // The last replica may use all of the remaining time.
     let last = !r.request.kind.is_idempotent() || r.request.attempts >= r.route.max_attempts;
-    let attempt_timeout = if last { left } else { placed.assignment.failover_after.min(left) };
-    let request = request(r, placed, left, r.last_event);
-    let reuse = if r.request.kind.is_idempotent() { Reuse::Allowed } else { Reuse::Never };
-    let call = async {
-        // Longer than the timeout of the whole exchange, so that the latter applies.
-        let limit = left + Duration::from_secs(1);
-        let mut reply = w.client.send(placed.assignment.address, request, reuse, limit).await?;
-        check_response(r, &reply)?;
-        if !is_stream(&reply) {
-            let body = reply.body(MAX_BODY_BYTES).await?;
-            let (status, headers) = (status(&reply)?, response_headers(&reply));
-            if status.is_server_error() && r.request.kind.is_idempotent() && !last {
-                return Err(Failure::Status(status.as_u16()));
+    let mut call = pin!(call(w, r, placed, left, last));
+    let patience = placed.assignment.failover_after;
+    if !last && patience < left {
+        if let Ok(out) = timeout(patience, &mut call).await {
+            return out.map_err(Failed::from);
+        }
+        tokio::select! {
+            out = &mut call => return out.map_err(Failed::from),
+            admission = admit(w, r, Some(Cause::Unknown)) => {
+                if let Admission::Placed(next) = admission {
+                    let failure = Failure::AttemptTimeout(patience);
+                    return Err(Failed { failure, successor: Some(next) });
+                }
             }
-            w.client.release(reply);
-            return Ok(Received::Full(status, headers, body));
         }
-        let mut splitter = Splitter::default();
-        let first = next_event(&mut reply, &mut splitter).await?;
-        // A stream without any event counts as a complete response.
-        match first {
-            Some(first) => Ok(Received::Stream(Box::new(reply), splitter, first)),
-            None => Ok(Received::Full(status(&reply)?, response_headers(&reply), Bytes::new())),
+    }
+    match timeout(r.request.remaining(clock::now()), call).await {
+        Ok(out) => out.map_err(Failed::from),
+        Err(_) => Err(Failure::Deadline.into()),
+    }
+}
+
+async fn call(
+    w: &Worker,
+    r: &CallerRequest,
+    placed: &PlacedRequest,
+    left: Duration,
+    last: bool,
+) -> Result<Received, Failure> {
+    let request = request(r, placed, left, r.last_event);
+    let reuse = if r.request.kind.is_idempotent() { Reuse::Allowed } else { Reuse::Never };
+    // Longer than the timeout of the whole exchange, so that the latter applies.
+    let limit = left + Duration::from_secs(1);
+    let mut reply = w.client.send(placed.assignment.address, request, reuse, limit).await?;
+    check_response(r, &reply)?;
+    if !is_stream(&reply) {
+        let body = reply.body(MAX_BODY_BYTES).await?;
+        let (status, headers) = (status(&reply)?, response_headers(&reply));
+        if status.is_server_error() && r.request.kind.is_idempotent() && !last {
+            return Err(Failure::Status(status.as_u16()));
         }
-    };
-    match timeout(attempt_timeout, call).await {
-        Ok(out) => out,
-        Err(_) if attempt_timeout < left => Err(Failure::AttemptTimeout(attempt_timeout)),
-        Err(_) => Err(Failure::Deadline),
+        w.client.release(reply);
+        return Ok(Received::Full(status, headers, body));
+    }
+    let mut splitter = Splitter::default();
+    // A stream without any event counts as a complete response.
+    match next_event(&mut reply, &mut splitter).await? {
+        Some(first) => Ok(Received::Stream(Box::new(reply), splitter, first)),
+        None => Ok(Received::Full(status(&reply)?, response_headers(&reply), Bytes::new())),
     }
 }
 
@@ -345,11 +388,15 @@
 fn check_response(r: &CallerRequest, reply: &Reply) -> Result<(), Failure> {
     let head = reply.response.headers();
     let status = reply.response.status().as_u16();
+    let id = head.get(headers::REQUEST_ID).map(|v| v.as_bytes());
+    // Checked before the refusal: a late copy of a refusal says nothing about this request.
+    if id.is_some_and(|id| id != r.id.as_bytes()) {
+        return Err(Failure::WrongId);
+    }
     if wire::not_run(status, head.contains_key(headers::NOT_RUN)) {
         return Err(Failure::NotRun { status });
     }
-    let id = head.get(headers::REQUEST_ID).map(|v| v.as_bytes());
-    if id != Some(r.id.as_bytes()) {
+    if id.is_none() {
         return Err(Failure::WrongId);
     }
     let signed = head.contains_key(headers::SEAL) && !head.contains_key("content-encoding");
@@ -446,7 +493,9 @@
     fn new(w: Worker, r: CallerRequest, upstream: ReplicaStream) -> Self {
         let last_id = r.last_event;
         let time_to_first = clock::now().since(r.arrived);
-        let state = Some(StreamState { w, r, upstream, last_id, events: 0, time_to_first });
+        let progress_at = clock::now();
+        let state = StreamState { w, r, upstream, last_id, events: 0, time_to_first, progress_at };
+        let state = Some(state);
         let inner = stream::unfold(state, |state| async {
             let mut s = state?;
             match s.next_bytes().await {
@@ -482,23 +531,48 @@
     events: u64,
     // Time from the arrival of the request to its first event.
     time_to_first: Duration,
+    // When the last event that is not empty arrived, or another replica was last requested.
+    progress_at: Tick,
+}
+
+/// Result of waiting for an event of a replica.
+enum Progress {
+    Event(SseEvent),
+    End,
+    /// There was none for too long; another replica takes over.
+    Stalled(PlacedRequest),
+}
+
+impl From<Option<SseEvent>> for Progress {
+    fn from(event: Option<SseEvent>) -> Self {
+        event.map_or(Self::End, Self::Event)
+    }
 }
 
 impl StreamState {
     async fn next_bytes(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
             let event = match self.read_event().await {
-                Ok(Some(e)) => e,
-                Ok(None) => {
+                Ok(Progress::Event(e)) => e,
+                Ok(Progress::End) => {
                     self.finish(Outcome::Success);
                     return Ok(None);
                 }
+                Ok(Progress::Stalled(next)) => {
+                    let f = Failure::AttemptTimeout(MAX_EVENT_GAP);
+                    self.finish(f.outcome());
+                    self.resume(f, Some(next)).await?;
+                    continue;
+                }
                 Err(f) => {
                     self.finish(f.outcome());
-                    self.resume(f).await?;
+                    self.resume(f, None).await?;
                     continue;
                 }
             };
+            if !event.empty {
+                self.progress_at = clock::now();
+            }
             // A replica that resumes a stream may repeat events.
             if event.id.is_some() && event.id <= self.last_id {
                 continue;
@@ -509,23 +583,40 @@
         }
     }
 
-    async fn read_event(&mut self) -> Result<Option<SseEvent>, Failure> {
+    // Waits for an event. After a long gap another replica is requested for a resumable stream;
+    // until one is assigned, the stream goes on where it is, since it may only be slow.
+    async fn read_event(&mut self) -> Result<Progress, Failure> {
         if let Some(first) = self.upstream.first_event.take() {
-            return Ok(Some(first));
+            return Ok(Progress::Event(first));
         }
-        let left = self.r.request.remaining(clock::now());
-        let resumable = self.r.request.kind == RouteKind::Stream { resumable: true };
-        let limit = if resumable && self.may_retry() { MAX_EVENT_GAP.min(left) } else { left };
+        let may_resume = self.may_resume();
         let reply = self.upstream.reply.as_mut().ok_or(Failure::Deadline)?;
-        match timeout(limit, next_event(reply, &mut self.upstream.splitter)).await {
-            Ok(out) => out,
-            Err(_) if limit < left => Err(Failure::AttemptTimeout(limit)),
-            Err(_) => Err(Failure::Deadline),
+        let mut next = pin!(next_event(reply, &mut self.upstream.splitter));
+        loop {
+            let now = clock::now();
+            let left = self.r.request.remaining(now);
+            let gap = MAX_EVENT_GAP.saturating_sub(now.since(self.progress_at));
+            let limit = if may_resume { gap.min(left) } else { left };
+            match timeout(limit, &mut next).await {
+                Ok(out) => return out.map(Progress::from),
+                Err(_) if limit >= left => return Err(Failure::Deadline),
+                Err(_) => {}
+            }
+            tokio::select! {
+                out = &mut next => return out.map(Progress::from),
+                admission = admit(&self.w, &self.r, Some(Cause::Unknown)) => {
+                    if let Admission::Placed(placed) = admission {
+                        return Ok(Progress::Stalled(placed));
+                    }
+                }
+            }
+            self.progress_at = clock::now();
         }
     }
 
-    fn may_retry(&self) -> bool {
-        self.r.request.attempts < self.r.route.max_attempts
+    fn may_resume(&self) -> bool {
+        self.r.request.kind == RouteKind::Stream { resumable: true }
+            && self.r.request.attempts < self.r.route.max_attempts
     }
 
     fn finish(&mut self, outcome: Outcome) {
@@ -539,14 +630,19 @@
         }
     }
 
-    // Continues the stream at another replica after the last event that was passed on.
-    async fn resume(&mut self, mut f: Failure) -> Result<(), Failure> {
-        let resumable = self.r.request.kind == RouteKind::Stream { resumable: true };
-        while resumable && self.may_retry() && clock::now() < self.r.request.deadline {
-            let Admission::Placed(mut placed) = admit(&self.w, &self.r, Some(f.cause())).await
-            else {
-                return Err(f);
+    // Continues the stream at another replica, at `successor` if it is assigned already, after the
+    // last event that was passed on.
+    async fn resume(
+        &mut self,
+        mut f: Failure,
+        mut successor: Option<PlacedRequest>,
+    ) -> Result<(), Failure> {
+        while self.may_resume() && clock::now() < self.r.request.deadline {
+            let admission = match successor.take() {
+                Some(placed) => Admission::Placed(placed),
+                None => admit(&self.w, &self.r, Some(f.cause())).await,
             };
+            let Admission::Placed(mut placed) = admission else { return Err(f) };
             self.r.request.attempts += 1;
             self.r.request.excluded.push(placed.assignment.replica);
             self.r.last_event = self.last_id;
@@ -555,7 +651,7 @@
                 "replica" => placed.assignment.id.as_str(), "last" => self.last_id,
             );
             emit(&self.w.shared.log, Event::StreamResumed, &fields);
-            match exchange(&self.w, &self.r, &mut placed).await {
+            match exchange(&self.w, &self.r, &placed).await {
                 Ok(Received::Stream(reply, splitter, first)) => {
                     placed.guard.first_event();
                     self.upstream = ReplicaStream {
@@ -564,12 +660,13 @@
                         splitter,
                         first_event: Some(first),
                     };
+                    self.progress_at = clock::now();
                     return Ok(());
                 }
                 Ok(Received::Full(status, ..)) => f = Failure::Status(status.as_u16()),
                 Err(e) => {
-                    placed.guard.outcome = e.outcome();
-                    f = e;
+                    placed.guard.outcome = e.failure.outcome();
+                    (f, successor) = (e.failure, e.successor);
                 }
             }
         }
--- a/crates/daemon/src/front/sse.rs
+++ b/crates/daemon/src/front/sse.rs
@@ -21,12 +21,18 @@
     pub bytes: Bytes,
     /// Value of the `id` field, if it is a number.
     pub id: Option<u64>,
+    /// Whether it consists of comments or nothing. Such events keep a connection open without
+    /// progress.
+    pub empty: bool,
 }
 
 /// Buffer of one stream for bytes that are not yet passed on.
 #[derive(Debug, Default)]
 pub struct Splitter {
     buf: BytesMut,
+    // Start of the first incomplete line, and the position up to which no later line end was found.
+    line: usize,
+    searched: usize,
 }
 
 impl Splitter {
@@ -41,30 +47,39 @@
     ///
     /// Returns an error if the event is too long.
     pub fn event(&mut self) -> Result<Option<Event>, TooLong> {
-        let Some(end) = end(&self.buf) else {
+        let Some(end) = self.end() else {
             return if self.buf.len() > MAX_EVENT_BYTES { Err(TooLong) } else { Ok(None) };
         };
         let bytes = self.buf.split_to(end).freeze();
-        Ok(Some(Event { id: id(&bytes), bytes }))
+        (self.line, self.searched) = (0, 0);
+        Ok(Some(Event { id: id(&bytes), empty: is_empty(&bytes), bytes }))
     }
 
     /// Whether part of an event remains in the buffer.
     pub fn partial(&self) -> bool {
         !self.buf.is_empty()
     }
-}
 
-// Position after the first empty line.
-fn end(buf: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    while let Some(at) = buf[start..].iter().position(|b| *b == b'\n') {
-        let line = &buf[start..start + at];
-        start += at + 1;
-        if line.is_empty() || line == b"\r" {
-            return Some(start);
+    // Position after the first empty line. Bytes are searched once, however small the pieces are in
+    // which they arrive.
+    fn end(&mut self) -> Option<usize> {
+        while let Some(at) = self.buf[self.searched..].iter().position(|b| *b == b'\n') {
+            let end = self.searched + at;
+            let line = &self.buf[self.line..end];
+            let empty = line.is_empty() || line == b"\r";
+            (self.line, self.searched) = (end + 1, end + 1);
+            if empty {
+                return Some(end + 1);
+            }
         }
+        self.searched = self.buf.len();
+        None
     }
-    None
+}
+
+fn is_empty(event: &[u8]) -> bool {
+    let mut lines = event.split(|b| *b == b'\n').map(|l| l.strip_suffix(b"\r").unwrap_or(l));
+    lines.all(|l| l.is_empty() || l.starts_with(b":"))
 }
 
 fn id(event: &[u8]) -> Option<u64> {
--- a/crates/daemon/src/front/sse/tests.rs
+++ b/crates/daemon/src/front/sse/tests.rs
@@ -4,7 +4,7 @@
 use super::{Event, MAX_EVENT_BYTES, Splitter};
 
 fn event(text: &str, id: Option<u64>) -> Event {
-    Event { bytes: Bytes::copy_from_slice(text.as_bytes()), id }
+    Event { bytes: Bytes::copy_from_slice(text.as_bytes()), id, empty: false }
 }
 
 fn split(parts: &[&[u8]]) -> (Vec<Event>, bool) {
@@ -39,6 +39,12 @@
         assert_eq!(events.len(), 1);
         assert!(partial);
     }
+    // Guards against a stalled stream that counts as progressing because of comments or empty events.
+    comments_and_empty_events_are_told_apart: {
+        let (events, _) = split(&[b": ping\n\n\r\n:\r\n\r\ndata: a\n\nid: 3\n\n"]);
+        let empty: Vec<_> = events.iter().map(|e| e.empty).collect();
+        assert_eq!(empty, [true, true, true, false, false]);
+    }
     // Guards against unbounded memory use for a stream without an empty line.
     an_endless_event_is_an_error: {
         let mut s = Splitter::default();
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -153,6 +153,14 @@
         fs::write(self.dir.path().join(format!("h{i}.toml")), text).unwrap();
     }
 
+    /// Largest resident memory of host `i` so far, in MB.
+    pub fn peak_memory_mb(&self, i: usize) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.hosts[i].child.id()));
+        let status = status.unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() / 1024
+    }
+
     fn log_path(&self, i: usize) -> std::path::PathBuf {
         self.dir.path().join(format!("h{i}.log"))
     }
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -13,7 +13,7 @@
 use yuccawing_platform::headers;
 use yuccawing_platform_standin::{
     config::{self, Account},
-    replica::{Fault, RecordedOrder, RecordedRequest, Replica},
+    replica::{Fault, Flood, RecordedOrder, RecordedRequest, Replica},
     store::Mode,
 };
 
@@ -23,6 +23,9 @@
 /// `drain_ms`.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest memory of a host in MB: half of the smallest host that the product is run on.
+const MAX_MEMORY_MB: u64 = 130;
+
 fn run_count(replicas: &[Replica], id: &str) -> usize {
     let all = replicas.iter().flat_map(Replica::requests);
     all.filter(|s| s.ran && s.request.header(headers::REQUEST_ID) == id).count()
@@ -153,6 +156,84 @@
             assert!(a.status == 502 || a.body == format!("answer to {id}"), "{a:?}");
         }
     }
+    // Guards against a late copy of a refusal on a connection that is in use again: it says nothing
+    // about the request that is running there, which must not be reported as not run.
+    a_repeated_refusal_is_not_taken_for_an_answer: {
+        let f = Fleet::start(1, 1, 0);
+        f.plain[0].set_fault(Fault::RepeatedRefusal);
+        for n in 0..10 {
+            let id = format!("rr{n}");
+            let a = f.call(0, "/safe/1", &id, Some(KEY));
+            let right = a.status == 200 && a.body == format!("answer to {id}");
+            assert!(right || a.status == 502, "{a:?}");
+        }
+    }
+    // Guards against a replica that fills the host's memory with a response without end, against
+    // one that keeps a request longer than its deadline, and against an untrue "not run".
+    endless_responses_are_bounded: {
+        let f = Fleet::start(1, 1, 1);
+        call_stream(&f, 0, "/once/a1", "warm");
+        for flood in Flood::ALL {
+            let (replica, path) = match flood {
+                Flood::Event => (&f.engines[0], "/once/a1"),
+                _ => (&f.plain[0], "/unsafe/1"),
+            };
+            replica.set_fault(Fault::Flood(flood));
+            let ids: Vec<_> = (0..24).map(|n| format!("{flood:?}{n}")).collect();
+            thread::scope(|s| {
+                for id in &ids {
+                    s.spawn(|| {
+                        let begun = Instant::now();
+                        let a = f.call(0, path, id, Some(KEY));
+                        // Streams of several requests may be refused while the replica is ejected.
+                        let ran = run_count(std::slice::from_ref(replica), id) > 0;
+                        assert!(a.status >= 500, "{flood:?}: {a:?}");
+                        assert!(!ran || a.status != 503, "{flood:?}: {a:?}");
+                        // The deadline of the request is 4 s.
+                        assert!(begun.elapsed() < Duration::from_secs(6), "{flood:?}");
+                    });
+                }
+            });
+            replica.set_fault(Fault::None);
+            let open = || {
+                ids.iter().flat_map(|id| requests(std::slice::from_ref(replica), id))
+                    .any(|r| r.ran && !r.cancelled)
+            };
+            wait_until(Duration::from_secs(2), "the connection stays open", || !open());
+            thread::sleep(Duration::from_millis(1600));
+        }
+        let peak = f.peak_memory_mb(0);
+        assert!(peak < MAX_MEMORY_MB, "{peak} MB");
+    }
+    // Guards against a slow but sound stream that is cut because no other engine can continue it.
+    a_slow_stream_is_not_cut: {
+        let f = Fleet::start(1, 0, 1);
+        call_stream(&f, 0, "/stream/a1", "warm");
+        f.engines[0].set_fault(Fault::Pause(2600));
+        let a = f.call(0, "/stream/a1", "ss1", Some(KEY));
+        assert_eq!((a.status, a.complete, a.body), (200, true, event_texts("ss1", 5)));
+        assert_eq!(run_count(&f.engines, "ss1"), 1);
+    }
+    // Guards against a stalled stream that never ends because its engine sends a comment now and
+    // then. A resumable one goes on at another engine; the other ends at its deadline.
+    a_stalled_stream_ends: {
+        let f = Fleet::start(1, 0, 2);
+        for path in ["/stream/a1", "/once/a1"] {
+            call_stream(&f, 0, path, &format!("warm{path}"));
+        }
+        f.engines[0].set_fault(Fault::Stall);
+        f.engines[1].set_fault(Fault::Stall);
+        let begun = Instant::now();
+        let a = f.call(0, "/once/a1", "st1", Some(KEY));
+        assert!(!a.complete, "{a:?}");
+        assert!(begun.elapsed() < Duration::from_secs(5));
+        f.engines[1].set_fault(Fault::None);
+        for n in 0..4 {
+            let a = call_stream(&f, 0, "/stream/a1", &format!("sr{n}"));
+            let events: String = a.body.split_inclusive("\n\n").filter(|e| *e != ":\n\n").collect();
+            assert_eq!((a.complete, events), (true, event_texts(&format!("sr{n}"), 5)));
+        }
+    }
     // Guards against a response without a length that is cut or rejected.
     a_response_may_end_with_its_connection: {
         let f = Fleet::start(1, 1, 0);
