Let all hosts load an adapter at the same engine

The preference between 78 engines differed by 1 ms from one to the next, less than the jitter. Change: three engines are preferred for an adapter, 40 ms apart, without jitter; a request joins a load that another one waits for without the cost of a load; a load that takes one of the last slots costs more; queued loads count as loads.

--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -147,7 +147,7 @@
     pub orderable: bool,
     /// Whether it responds to reads of its report.
     pub alive: bool,
-    /// Number of adapters in transfer to it.
+    /// Number of loads that are under way or queued at it.
     pub loading: u8,
     /// Resident models and adapters.
     pub residents: Vec<Resident>,
--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -69,9 +69,17 @@
 /// Cost of a replica in another zone, in ms: network latency and the price of the traffic.
 const ZONE_COST_MS: f64 = 5.0;
 
-/// Largest preference between engines for an adapter that is resident nowhere, in ms. It makes all
-/// hosts choose the same engines, whose machines then have the adapter in memory.
-const AFFINITY_COST_MS: f64 = 60.0;
+/// Cost in ms of an engine that is none of the preferred ones for an adapter that is resident
+/// nowhere. All hosts prefer the same engines, so that requests for one adapter share a load, and
+/// its later loads find it in memory.
+const AFFINITY_COST_MS: f64 = 120.0;
+
+/// Number of engines that are preferred for an adapter, with rising costs.
+const PREFERRED_ENGINES: f64 = 3.0;
+
+/// Cost in ms of a load that takes the last free adapter slot. Hosts learn late of each other's
+/// loads, and a load beyond the last slot is refused.
+const LAST_SLOT_COST_MS: f64 = 60.0;
 
 /// Largest pseudo-random part of a cost, in ms, so that hosts with the same outdated view choose
 /// different replicas.
@@ -292,7 +300,7 @@
         let forced = healthy * 2 < all.len();
         let mut best: Option<(f64, Cost, ReplicaKey)> = None;
         let cold_ms = self.load_time.expected_ms(now);
-        let usable = !all.is_empty();
+        let (usable, engines) = (!all.is_empty(), all.len());
         let has_owner = all.iter().any(|(_, r)| r.orderable);
         let slo_ms = request.slo_deadline.since(now).as_secs_f64() * 1000.0 * SLO_SHARE;
         for (k, r) in all {
@@ -306,14 +314,18 @@
                 _ => continue,
             };
             let cost = match (spec, &request.inference) {
-                (Some(spec), Some(d)) => match self.engine_cost(r, spec, d, cold_ms) {
+                (Some(spec), Some(d)) => match self.engine_cost(r, spec, d, cold_ms, engines) {
                     Some(c) => c,
                     None => continue,
                 },
                 _ => plain_cost(r),
             };
             let zone_cost = if r.zone == self.zone { 0.0 } else { ZONE_COST_MS };
-            let jitter = hash_fraction(&[&request.id, &r.id]) * JITTER_COST_MS;
+            // Hosts that need a load are to choose the same replica.
+            let jitter = match cost.load {
+                Some(_) => 0.0,
+                None => hash_fraction(&[&request.id, &r.id]) * JITTER_COST_MS,
+            };
             let latency_cost =
                 COST_WITHIN_SLO * cost.time_ms + COST_BEYOND_SLO * (cost.time_ms - slo_ms).max(0.0);
             let score = latency_cost + cost.preference_ms + penalty + zone_cost + jitter;
@@ -347,6 +359,7 @@
         spec: &EngineSpec,
         inference: &InferenceSpec,
         cold_ms: f64,
+        engines: usize,
     ) -> Option<Cost> {
         let model = inference.artifact.split('/').next().unwrap_or_default();
         if !r.residents.contains_key(model) {
@@ -364,14 +377,21 @@
                 return None;
             }
             // An adapter in use cannot be evicted.
-            if !in_use && r.used_artifacts() >= spec.adapter_slots as usize {
+            let used = r.used_artifacts();
+            if !in_use && used >= spec.adapter_slots as usize {
                 return None;
             }
             let warm = r.is_warm(&inference.artifact) && !outdated;
             let rounds = (1 + r.loading as usize / MAX_TRANSFERS) as f64;
             load_ms = rounds * if warm { WARM_LOAD_MS } else { cold_ms };
-            preference_ms = hash_fraction(&[&inference.artifact, &r.id]) * AFFINITY_COST_MS;
-            preference_ms += if warm { WARM_LOAD_COST_MS } else { COLD_LOAD_COST_MS };
+            // A request that waits for the same load has paid for it.
+            if !in_use {
+                let affinity = hash_fraction(&[&inference.artifact, &r.id]) * engines as f64;
+                preference_ms = (affinity / PREFERRED_ENGINES).min(1.0) * AFFINITY_COST_MS;
+                preference_ms += if warm { WARM_LOAD_COST_MS } else { COLD_LOAD_COST_MS };
+                let taken = (used + 1) as f64 / f64::from(spec.adapter_slots);
+                preference_ms += taken * taken * LAST_SLOT_COST_MS;
+            }
             load = Some(Resident {
                 artifact: inference.artifact.clone(),
                 version: self.newest_version(&inference.artifact).unwrap_or(0),
--- a/crates/core/src/fleet/dispatch/tests.rs
+++ b/crates/core/src/fleet/dispatch/tests.rs
@@ -182,6 +182,39 @@
             (0..6).map(|i| assign(&mut d, &request(&format!("r{i}"), "m/a1", 9000))).collect();
         assert!(assignments.iter().any(|g| g.required_load.is_some()));
     }
+    // Pattern: rare adapters asked for at several hosts at once in a large fleet, each host busy
+    // elsewhere. Guards against hosts that load one adapter at different engines before they learn
+    // of each other's loads.
+    hosts_choose_the_same_engine_for_a_rare_adapter: {
+        let adapters: Vec<&[&str]> = vec![&[]; 78];
+        let mut hosts: Vec<_> = (0..20).map(|_| engines(&adapters)).collect();
+        let mut copies = 0;
+        for a in 0..40 {
+            let adapter = format!("m/a{a}");
+            let mut chosen = std::collections::BTreeSet::new();
+            for (h, d) in hosts.iter_mut().enumerate() {
+                // Each host has a prompt of its own at some engine.
+                let own = format!("m/own{h}-{a}");
+                let busy = assign(d, &request(&own, &own, 3000));
+                let rare = assign(d, &request(&format!("{h}-{a}"), &adapter, 800));
+                for attempt in [busy.attempt, rare.attempt] {
+                    d.finish(at(0), attempt, Outcome::Neutral);
+                }
+                chosen.insert(rare.id);
+            }
+            copies += chosen.len();
+        }
+        assert!(copies <= 40 * 2, "{copies} loads of 40 adapters");
+    }
+    // Pattern: several requests for one adapter while it is loading. Guards against a second load at
+    // another engine.
+    requests_share_a_load: {
+        let mut d = engines(&[&[], &[], &[]]);
+        let first = assign(&mut d, &request("r1", "m/a1", 2000));
+        let second = assign(&mut d, &request("r2", "m/a1", 2000));
+        assert!(first.required_load.is_some());
+        assert_eq!(second.id, first.id);
+    }
     // Pattern: prompts of very different lengths. Guards against a short prompt that waits behind a
     // long one.
     short_prompts_avoid_long_ones: {
--- a/crates/core/src/fleet/loader.rs
+++ b/crates/core/src/fleet/loader.rs
@@ -308,9 +308,9 @@
         ordered.map(|(_, at)| now.since(at))
     }
 
-    /// Number of loads under way.
+    /// Number of loads that are under way or queued.
     pub fn load_count(&self) -> usize {
-        self.loading.len()
+        self.loading.len() + self.queue.len()
     }
 
     /// Whether a load of the artifact is under way.
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -70,7 +70,7 @@
     pub orderable: bool,
     /// Resident models and adapters with their versions.
     pub residents: BTreeMap<ArcStr, u64>,
-    /// Number of adapters in transfer to it.
+    /// Number of loads that are under way or queued at it.
     pub loading: u32,
     /// When an owner last reported its resident artifacts.
     pub reported_at: Option<Tick>,
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -292,7 +292,7 @@
                 replica: r.id_hash,
                 orderable: !self.leaving && r.ownership.may_order(now, lease),
                 alive: r.alive,
-                loading: engine.loader.load_count() as u8,
+                loading: u8::try_from(engine.loader.load_count()).unwrap_or(u8::MAX),
                 residents: engine.loader.residents(),
             })
         });
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use tempfile::TempDir;
+use tokio::net::TcpSocket;
 use yuccawing_core::rules::{Account, Adapter, Route, Rules, Store, Upstream};
 
 /// API key of the only account.
@@ -125,6 +126,16 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
+// Address that refuses connections. Its port stays bound for the life of the test process, so that no
+// other process can listen on it.
+fn closed_port() -> SocketAddr {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    std::mem::forget(socket);
+    address
+}
+
 fn daemon_path() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_yuccawingd"))
 }
@@ -174,11 +185,8 @@
     };
     upstreams.insert("p0".into(), plain(at["p0"]));
     let dead: Vec<_> = (0..4).map(|i| format!("dead{i}").into()).collect();
-    // All are bound at the same time, so that no two get the same address, and then closed.
-    let closed = dead.iter().map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-    let closed: Vec<_> = closed.collect();
-    for (name, l) in dead.iter().zip(&closed) {
-        upstreams.insert(arcstr::ArcStr::clone(name), plain(l.local_addr().unwrap()));
+    for name in &dead {
+        upstreams.insert(arcstr::ArcStr::clone(name), plain(closed_port()));
     }
     let route = |upstreams| Route { upstreams, open: false, idempotent: false, cost: 1 };
     let hash = Sha256::digest(KEY).iter().fold(String::new(), |s, b| format!("{s}{b:02x}"));
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -268,7 +268,7 @@
                 std::future::pending::<()>().await;
             }
             if faults.cut_after > 0 && self.sent >= faults.cut_after {
-                return self.disconnect("cut");
+                return self.disconnect("cut").await;
             }
             if self.next < p.generated {
                 let text = self.chunk(&faults);
@@ -289,7 +289,7 @@
                     }))
                     .into()));
                 }
-                Phase::Cancelled | Phase::Lost => return self.disconnect("ended"),
+                Phase::Cancelled | Phase::Lost => return self.disconnect("ended").await,
             }
         }
     }
@@ -310,8 +310,11 @@
         text
     }
 
-    fn disconnect(&mut self, why: &str) -> Option<Event> {
+    // Breaks the connection. The server drops events that it has not written yet, and it writes them
+    // when the body is pending.
+    async fn disconnect(&mut self, why: &str) -> Option<Event> {
         self.ended = true;
+        tokio::task::yield_now().await;
         Some(Err(std::io::Error::other(why.to_owned())))
     }
 }
