Relay digests between failure domains

Change: in a fleet of more than relay_above hosts (12), one host of each other domain gets the digest and passes it on within its domain. Three hosts take turns, by rendezvous hashing, so a lost relay costs every third digest until it is noticed; domains with fewer live hosts, silent and unknown hosts are addressed directly. A relayed digest says nothing about the age of a read of the store, since a relay may delay it: readers announce their reads to all hosts directly. A host that was paused passes nothing on that waited. Result: four tests of peers (coverage of 40 hosts, lost relay, small fleets, silent domain).

--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -30,6 +30,10 @@
     LoadResult(LoadResult),
     /// Change of the list of replicas, from the sender's read of the store.
     ListingDelta(ListingDelta),
+    /// State of the sender, which the receiver passes on within its failure domain.
+    Relay(Box<Digest>),
+    /// State of another host, passed on by the sender.
+    Relayed(Box<Digest>),
 }
 
 /// Changes of the list of replicas.
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -31,6 +31,10 @@
 /// Time after an order in which no other host may send one, with a margin for network delay.
 pub const ORDER_WINDOW: Duration = Duration::from_millis(4000);
 
+/// Hosts of another failure domain that take turns in passing on a host's digests. If one is lost,
+/// its domain misses every third digest until the loss is noticed.
+const RELAYS: usize = 3;
+
 /// Peers that a host keeps, which bounds memory and the number of messages.
 pub const MAX_PEERS: usize = 1200;
 
@@ -95,6 +99,15 @@
     Peer(Ipv4Addr),
 }
 
+/// Receivers of one digest.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DigestRoutes {
+    /// Hosts that only apply it.
+    pub direct: Vec<Ipv4Addr>,
+    /// Hosts that also pass it on within their failure domain.
+    pub relays: Vec<Ipv4Addr>,
+}
+
 /// Members of the fleet as one host sees them.
 #[derive(Debug)]
 pub struct Peers {
@@ -254,6 +267,48 @@
         out
     }
 
+    /// Receivers of digest `sequence` of this host in `zone`. In a fleet of more than `relay_above`
+    /// hosts, one host of each other failure domain passes it on, so that the traffic between
+    /// domains does not grow with the square of the fleet.
+    pub fn digest_routes(
+        &self,
+        now: Tick,
+        zone: &str,
+        sequence: u64,
+        relay_above: usize,
+    ) -> DigestRoutes {
+        let mut direct = self.digest_targets();
+        if self.peers.len() < relay_above {
+            return DigestRoutes { direct, relays: Vec::new() };
+        }
+        let mut domains: BTreeMap<&ArcStr, Vec<Ipv4Addr>> = BTreeMap::new();
+        for (ip, p) in self.iter().filter(|(_, p)| p.zone != zone) {
+            let usable = p.state != HostState::Leaving && now.since(p.last_heard) <= SUSPECT_AFTER;
+            let relays = domains.entry(&p.zone).or_default();
+            if usable {
+                relays.push(ip);
+            }
+        }
+        domains.retain(|_, hosts| hosts.len() >= RELAYS);
+        let relays: Vec<_> = domains
+            .values_mut()
+            .map(|hosts| {
+                hosts.sort_by_key(|ip| {
+                    hash_bytes([b"relay".as_slice(), &self.local_ip.octets(), &ip.octets()])
+                });
+                hosts[(sequence % RELAYS as u64) as usize]
+            })
+            .collect();
+        direct.retain(|ip| self.peers.get(ip).is_none_or(|p| !domains.contains_key(&p.zone)));
+        DigestRoutes { direct, relays }
+    }
+
+    /// Hosts of `zone` to which this host passes on a digest of `from`.
+    pub fn relay_targets(&self, zone: &str, from: Ipv4Addr) -> Vec<Ipv4Addr> {
+        let peers = self.iter().filter(|(ip, p)| *ip != from && p.zone == zone);
+        peers.map(|(ip, _)| ip).collect()
+    }
+
     /// Rank of this host among those that may read the store; rank 0 reads.
     pub fn reader_rank(&self, now: Tick) -> usize {
         let own_weight = owner_weight(self.local_ip, "store");
--- a/crates/core/src/fleet/peers/tests.rs
+++ b/crates/core/src/fleet/peers/tests.rs
@@ -1,4 +1,7 @@
-use std::net::{Ipv4Addr, SocketAddr};
+use std::{
+    collections::BTreeSet,
+    net::{Ipv4Addr, SocketAddr},
+};
 
 use super::{Owner, PeerChange, Peers};
 use crate::{
@@ -57,6 +60,37 @@
     (0..1000).map(|n| format!("r{n}")).find(|r| wanted(p.owner(now, r))).unwrap()
 }
 
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+
+fn zone_of(i: u8) -> &'static str {
+    ZONES[usize::from(i) % ZONES.len()]
+}
+
+// Host `me` of a fleet of `n` in four failure domains, all of which it has heard.
+fn large_fleet(me: u8, n: u8) -> Peers {
+    let mut p = Peers::new(ip(me), Vec::new(), at(0));
+    for i in (1..=n).filter(|i| *i != me) {
+        p.apply_digest(at(0), &Digest { zone: zone_of(i).into(), ..digest(i, 1, 1) });
+    }
+    p
+}
+
+// Hosts that receive a digest of host `me`, and the number of datagrams between domains.
+fn spread(fleet: &[Peers], me: u8, sequence: u64, lost: &[u8]) -> (BTreeSet<Ipv4Addr>, usize) {
+    let routes = fleet[usize::from(me) - 1].digest_routes(at(100), zone_of(me), sequence, 12);
+    let domain = |ip: Ipv4Addr| zone_of(ip.octets()[3]);
+    let sent = routes.direct.iter().chain(&routes.relays);
+    let crossing = sent.filter(|ip| domain(**ip) != zone_of(me)).count();
+    let mut reached: BTreeSet<_> = routes.direct.into_iter().collect();
+    for relay in routes.relays.into_iter().filter(|ip| !lost.contains(&ip.octets()[3])) {
+        let host = &fleet[usize::from(relay.octets()[3]) - 1];
+        reached.insert(relay);
+        reached.extend(host.relay_targets(domain(relay), ip(me)));
+    }
+    reached.retain(|ip| !lost.contains(&ip.octets()[3]));
+    (reached, crossing)
+}
+
 macro_rules! cases {
     ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
 }
@@ -239,6 +273,53 @@
         let r = owned_by(&p, at(0), 1);
         assert!(!p.resumes_ownership(at(100), &r, 7));
     }
+    // Pattern: a large fleet in several failure domains. Guards against hosts that no relay reaches,
+    // and against traffic between domains that grows with the square of the fleet.
+    relays_reach_every_host: {
+        let fleet: Vec<_> = (1..=40).map(|i| large_fleet(i, 40)).collect();
+        for me in 1..=40 {
+            for sequence in 0..4 {
+                let (reached, crossing) = spread(&fleet, me, sequence, &[]);
+                assert_eq!(reached.len(), 39);
+                assert_eq!(crossing, ZONES.len() - 1);
+            }
+        }
+    }
+    // Guards against a failure domain that hears nothing of a host because one relay is lost and the
+    // loss has not been noticed.
+    one_lost_relay_delays_a_digest: {
+        let fleet: Vec<_> = (1..=40).map(|i| large_fleet(i, 40)).collect();
+        for lost in 2..=40 {
+            let sequences = 0..3;
+            let reached = sequences.flat_map(|s| spread(&fleet, 1, s, &[lost]).0);
+            assert_eq!(reached.collect::<BTreeSet<_>>().len(), 38, "host {lost} is lost");
+        }
+    }
+    // Guards against relays in a fleet where a few hosts are all that a domain has.
+    small_fleets_and_domains_need_no_relay: {
+        let routes = |n| large_fleet(1, n).digest_routes(at(100), zone_of(1), 0, 12);
+        assert_eq!((routes(9).direct.len(), routes(9).relays.len()), (8, 0));
+        let mut p = large_fleet(1, 40);
+        for i in (2..=40).filter(|i| zone_of(*i) == "c" && *i > 6) {
+            let leaving = digest(i, 1, 2);
+            let d = Digest { zone: "c".into(), state: HostState::Leaving, ..leaving };
+            p.apply_digest(at(50), &d);
+        }
+        let routes = p.digest_routes(at(100), zone_of(1), 0, 12);
+        assert_eq!(routes.relays.len(), 2);
+        assert_eq!(routes.direct.iter().filter(|ip| zone_of(ip.octets()[3]) == "c").count(), 10);
+    }
+    // Guards against a partition after which the sides do not find each other again because relays
+    // are silent.
+    a_silent_domain_is_addressed_directly: {
+        let mut p = large_fleet(1, 40);
+        for i in (2..=40).filter(|i| zone_of(*i) != "d") {
+            p.apply_digest(at(3000), &Digest { zone: zone_of(i).into(), ..digest(i, 1, 2) });
+        }
+        let routes = p.digest_routes(at(3000), zone_of(1), 0, 12);
+        assert_eq!(routes.relays.len(), 2);
+        assert_eq!(routes.direct.iter().filter(|ip| zone_of(ip.octets()[3]) == "d").count(), 10);
+    }
     // Guards against a table that keeps every host that ever existed.
     lost_peers_are_forgotten: {
         let mut p = peers(at(0));
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -8,6 +8,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    net::Ipv4Addr,
     path::PathBuf,
     rc::Rc,
     sync::Arc,
@@ -37,7 +38,11 @@
 };
 
 pub use self::admit::{Admission, Admit, PlacedRequest, ReplicaFailed};
-use self::{loads::Waiters, orders::OwnedEngine, sync::StoreState};
+use self::{
+    loads::Waiters,
+    orders::OwnedEngine,
+    sync::{Route, StoreState},
+};
 use super::{
     client::Client,
     clock,
@@ -262,15 +267,22 @@
         }));
     }
 
-    fn send(&self, ip: std::net::Ipv4Addr, message: &PeerMessage) {
+    fn send(&self, ip: Ipv4Addr, message: &PeerMessage) {
         let to = (ip, self.settings.peer_port()).into();
         datagrams::send(&self.socket, to, message, &self.log);
     }
 
     fn broadcast(&self, message: &PeerMessage) {
+        self.multicast(&self.peers.digest_targets(), message);
+    }
+
+    fn multicast(&self, targets: &[Ipv4Addr], message: &PeerMessage) {
+        if targets.is_empty() {
+            return;
+        }
         let bytes = datagrams::encode(message);
-        for ip in self.peers.digest_targets() {
-            let to = (ip, self.settings.peer_port()).into();
+        for ip in targets {
+            let to = (*ip, self.settings.peer_port()).into();
             datagrams::send_bytes(&self.socket, to, &bytes, &self.log);
         }
     }
@@ -280,7 +292,33 @@
         (DIGEST_PER_HOST * hosts).clamp(DIGEST_RANGE.0, DIGEST_RANGE.1)
     }
 
+    // Sends this host's digest along the relays.
     fn send_digest(&mut self, now: Tick) {
+        let digest = Box::new(self.digest(now));
+        let settings = &self.settings;
+        let routes =
+            self.peers.digest_routes(now, &settings.zone, self.sequence, settings.relay_above);
+        self.multicast(&routes.relays, &PeerMessage::Relay(digest.clone()));
+        self.multicast(&routes.direct, &PeerMessage::Digest(digest));
+    }
+
+    // Sends this host's digest to all hosts, without relays: only such a digest tells how old a
+    // read of the store is.
+    fn announce_read(&mut self, now: Tick) {
+        let digest = Box::new(self.digest(now));
+        self.broadcast(&PeerMessage::Digest(digest));
+    }
+
+    // Passes on a digest within the failure domain. What waited while this host was paused is
+    // outdated.
+    fn relay(&self, now: Tick, digest: &Digest) {
+        if self.stalls.is_current(now) {
+            let targets = self.peers.relay_targets(&self.settings.zone, digest.ip);
+            self.multicast(&targets, &PeerMessage::Relayed(Box::new(digest.clone())));
+        }
+    }
+
+    fn digest(&mut self, now: Tick) -> Digest {
         self.last_digest = now;
         self.sequence += 1;
         let with_members = self.sequence.is_multiple_of(2);
@@ -303,7 +341,7 @@
             let reported = orphaned.contains(&r.id_hash).then(|| r.ownership.highest_fence());
             Some(ReplicaFence { replica: r.id_hash, fence: own.or(reported)? })
         });
-        let digest = Digest {
+        Digest {
             ip: self.settings.ip,
             front: self.settings.listen.front,
             zone: self.settings.zone.clone(),
@@ -320,8 +358,7 @@
             accounts: self.quota.usage(now),
             loads,
             cached: kept,
-        };
-        self.broadcast(&PeerMessage::Digest(Box::new(digest)));
+        }
     }
 
     // Updates the stall detector. Must run before a message that waited in the mailbox is handled.
@@ -386,7 +423,12 @@
     fn handle(&mut self, msg: Received, ctx: &mut Self::Context) {
         let now = self.note_running();
         match msg.message {
-            PeerMessage::Digest(d) => self.handle_digest(now, &d, ctx),
+            PeerMessage::Digest(d) => self.handle_digest(now, &d, Route::Direct, ctx),
+            PeerMessage::Relay(d) => {
+                self.relay(now, &d);
+                self.handle_digest(now, &d, Route::Direct, ctx);
+            }
+            PeerMessage::Relayed(d) => self.handle_digest(now, &d, Route::Relayed, ctx),
             PeerMessage::LoadRequest(w) => self.handle_load_request(now, msg.from, w, ctx),
             PeerMessage::LoadResult(r) => self.handle_load_result(&r),
             PeerMessage::ListingDelta(l) => self.handle_listing(now, &l),
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -29,6 +29,19 @@
     },
 };
 
+/// Largest rank of a reader that announces its reads to all hosts. If that many in a row cannot reach
+/// the store, the others read it themselves.
+const MAX_ANNOUNCING_RANK: usize = 4;
+
+/// How a digest reached this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Route {
+    /// From the host that it describes.
+    Direct,
+    /// Through a relay, which may have delayed it.
+    Relayed,
+}
+
 /// Key prefix of the store that is read as one listing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Prefix {
@@ -87,10 +100,11 @@
             let unannounced = !freshness.is_behind();
             let read = store::read(self.client.clone(), self.settings.store, name);
             ctx.spawn(read.into_actor(self).map(move |read, act, _| {
+                let ok = read.is_ok() && rank <= MAX_ANNOUNCING_RANK;
                 act.finish_read(prefix, now, read, unannounced);
                 // Peers learn of this read before they would start one themselves.
-                if rank == 0 {
-                    act.send_digest(clock::now());
+                if ok || rank == 0 {
+                    act.announce_read(clock::now());
                 }
             }));
         }
@@ -259,7 +273,13 @@
         }
     }
 
-    pub(super) fn handle_digest(&mut self, now: Tick, d: &Digest, ctx: &mut Context<Self>) {
+    pub(super) fn handle_digest(
+        &mut self,
+        now: Tick,
+        d: &Digest,
+        route: Route,
+        ctx: &mut Context<Self>,
+    ) {
         let change = self.peers.apply_digest(now, d);
         let event = match change {
             PeerChange::Stale => return,
@@ -280,7 +300,9 @@
         } else {
             self.quota.apply_usage(now, d.ip, d.incarnation, &d.accounts);
         }
-        self.confirm_reads(now, d);
+        if route == Route::Direct {
+            self.confirm_reads(now, d);
+        }
         self.store.revision = self.store.revision.max(d.revision);
         for o in &d.fences {
             let found = self.dispatcher.replicas.find_hash(o.replica);
--- a/crates/daemon/src/front/settings.rs
+++ b/crates/daemon/src/front/settings.rs
@@ -30,6 +30,11 @@
     /// Addresses of hosts to contact first. They may be outdated.
     #[serde(default)]
     pub seeds: Vec<SocketAddrV4>,
+    /// Number of hosts above which digests between failure domains go through relays. Hosts of a
+    /// release without relays do not understand them, so it is raised above the size of the fleet
+    /// while such hosts run.
+    #[serde(default = "default_relay_above")]
+    pub relay_above: usize,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Addresses that the host listens on.
@@ -80,6 +85,10 @@
     pub quota_window_s: f64,
 }
 
+fn default_relay_above() -> usize {
+    12
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
