Send large changes of the list of replicas in parts

Change: up to eight deltas of 16 entries, each with the hashes before and after it; only the last one counts as a read. Result: a_large_change_is_split and the property test.

--- a/crates/core/src/fleet/listing/tests.rs
+++ b/crates/core/src/fleet/listing/tests.rs
@@ -1,7 +1,17 @@
 use proptest::prelude::*;
 
 use super::{ReplicaList, list_hash};
-use crate::fleet::{config::ReplicaEntry, freshness::SnapshotMark};
+use crate::{
+    fleet::{
+        config::ReplicaEntry,
+        freshness::{Freshness, SnapshotMark},
+    },
+    time::Tick,
+};
+
+fn at(ms: u64) -> Tick {
+    Tick(1_000_000_000 + ms * 1000)
+}
 
 fn entry(n: u8, started_ms: u64, leaving: bool) -> ReplicaEntry {
     ReplicaEntry {
@@ -35,14 +45,36 @@
     // Guards against a delta that is applied to another list than the one it was computed from.
     a_change_of_another_list_is_not_taken: {
         let (old, new) = ([entry(1, 1, false)], [entry(1, 1, true)]);
-        let change = list(&old).diff(&new, mark(&new), 5).unwrap();
-        assert!(list(&[entry(1, 1, false), entry(2, 1, false)]).apply(&change).is_none());
-        assert_eq!(list(&old).apply(&change).unwrap(), new);
+        let changes = list(&old).diff(&new, mark(&new), 5);
+        assert_eq!(changes.len(), 1);
+        assert!(list(&[entry(1, 1, false), entry(2, 1, false)]).apply(&changes[0]).is_none());
+        assert_eq!(list(&old).apply(&changes[0]).unwrap(), new);
+    }
+    // Pattern: a fifth of a large fleet's engines restart at once. Guards against datagrams that grow
+    // with the number of replicas, and against a copy that counts as read before it is complete.
+    a_large_change_is_split: {
+        let (old, new): (Vec<_>, Vec<_>) =
+            (0..100).map(|n| (entry(n, 1, false), entry(n, 1 + u64::from(n % 2), false))).unzip();
+        let changes = list(&old).diff(&new, mark(&new), 5);
+        assert!(changes.len() > 1 && changes.iter().all(|c| c.entries.len() <= 16));
+        let mut copy = old;
+        let mut freshness = Freshness::default();
+        freshness.start_read(at(0));
+        freshness.finish_read(at(0), list_hash(copy.iter()));
+        for c in &changes {
+            assert_eq!(freshness.read_at(), Some(at(0)));
+            assert!(freshness.apply_delta(at(900), c.base_hash, c.to).is_some());
+            copy = list(&copy).apply(c).unwrap();
+        }
+        assert!(freshness.read_at() > Some(at(800)));
+        let mut new = new;
+        new.sort_by(|a, b| a.id.cmp(&b.id));
+        assert_eq!(copy, new);
     }
-    // Guards against datagrams that grow with the number of replicas.
-    a_large_change_is_not_sent: {
-        let new: Vec<_> = (0..40).map(|n| entry(n, 1, false)).collect();
-        assert!(list(&[]).diff(&new, mark(&new), 5).is_none());
+    // Guards against a burst of datagrams at startup, when each host reads the list anyway.
+    a_very_large_change_is_not_sent: {
+        let new: Vec<_> = (0..200).map(|n| entry(n, 1, false)).collect();
+        assert!(list(&[]).diff(&new, mark(&new), 5).is_empty());
     }
 }
 
@@ -59,8 +91,8 @@
                 .collect::<Vec<_>>()
         };
         let (old, new) = (entries(old), entries(new));
-        let change = list(&old).diff(&new, mark(&new), 5).unwrap();
-        let mut got = list(&old).apply(&change).unwrap();
+        let changes = list(&old).diff(&new, mark(&new), 5);
+        let mut got = changes.iter().fold(old, |l, c| list(&l).apply(c).unwrap());
         got.sort_by(|a, b| a.id.cmp(&b.id));
         let mut wanted = new;
         wanted.sort_by(|a, b| a.id.cmp(&b.id));
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -165,7 +165,7 @@
     // Sends the peers the difference between the last listing and this one.
     fn send_change(&self, now: Tick, sent_at: Tick, entries: &[ReplicaEntry], hash: u64) {
         let to = SnapshotMark { hash, age_ms: now.since(sent_at).as_millis() as u64 };
-        if let Some(change) = self.store.list.diff(entries, to, self.store.revision) {
+        for change in self.store.list.diff(entries, to, self.store.revision) {
             self.broadcast(&PeerMessage::ListingDelta(change));
         }
     }
