Wait for requests that are being read before the process exits

Cause: a host that stops counted only requests that have a replica. One whose body was still arriving 3 s after SIGTERM was cut, and the forced end of the server could drop the last bytes of a response that were not written yet. Change: requests are counted from their head on; the process exits after three ticks without an open one. Refused load requests of peers are logged (LoadRefused).

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -116,6 +116,7 @@
     706 OrderAnswered Info "An order to an engine was answered or got no response.";
     707 LoadAwaited Info "The load that a request waited for has ended.";
     708 LoadLate Info "A request gave up waiting for a load.";
+    709 LoadRefused Info "The owner of an engine refused the load request of a peer.";
     800 TlsLoaded Info "Certificates were loaded.";
     801 TlsRejected Error "The changed certificates cannot be used; the previous ones stay in use.";
 }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -31,7 +31,7 @@
 
 use self::{
     control::{Control, Drain, Reload, Snapshot},
-    edge::Shared,
+    edge::{OpenCalls, Shared},
     metrics::Metrics,
     settings::Settings,
 };
@@ -102,7 +102,9 @@
         socket: Arc::new(tokio::net::UdpSocket::from_std(socket)?),
     })
     .start();
+    let open = OpenCalls::default();
     let shared = Shared {
+        open: open.clone(),
         settings: settings.clone(),
         published,
         control: control.clone(),
@@ -146,7 +148,7 @@
     }
     emit(&log, Event::StopBegun, &kv!());
     control.do_send(Drain);
-    control::wait_drained(&control, settings.bounds.grace()).await;
+    control::wait_drained(&control, &open, settings.bounds.grace()).await;
     handle.stop(false).await;
     token.cancel();
     emit(&log, Event::StopDrained, &kv!());
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -47,6 +47,7 @@
     client::Client,
     clock,
     datagrams::{self, Received},
+    edge::OpenCalls,
     metrics::Metrics,
     settings::Settings,
 };
@@ -169,15 +170,22 @@
 /// Time before SIGKILL at which the process exits by itself.
 const KILL_MARGIN: Duration = Duration::from_millis(800);
 
-/// Waits until all requests have ended, at most until shortly before `grace` is over.
-pub async fn wait_drained(control: &Addr<Control>, grace: Duration) {
+/// Ticks without an open request before the process exits, in which the server writes the end of the
+/// last responses.
+const IDLE_TICKS: u32 = 3;
+
+/// Waits until all requests have ended, at most until shortly before `grace` is over. `calls` are
+/// the requests that have no replica yet.
+pub async fn wait_drained(control: &Addr<Control>, calls: &OpenCalls, grace: Duration) {
     let begun = clock::now();
     let last = grace.saturating_sub(KILL_MARGIN);
+    let mut idle = 0;
     loop {
         tokio::time::sleep(TICK).await;
         let passed = clock::now().since(begun);
-        let open = control.send(OpenRequests).await.unwrap_or(0);
-        if passed >= last || (passed >= MIN_SHUTDOWN.min(last) && open == 0) {
+        let open = control.send(OpenRequests).await.unwrap_or(0) + calls.count();
+        idle = if open == 0 { idle + 1 } else { 0 };
+        if passed >= last || (passed >= MIN_SHUTDOWN.min(last) && idle >= IDLE_TICKS) {
             return;
         }
     }
--- a/crates/daemon/src/front/control/orders.rs
+++ b/crates/daemon/src/front/control/orders.rs
@@ -114,6 +114,14 @@
                 engine.waiting_peers.push(peer);
             }
         }
+        if status == LoadStatus::Refused {
+            let fields = kv!(
+                "from" => from.ip().to_string(), "artifact" => request.resident.artifact.as_str(),
+                "replica_hash" => request.replica,
+                "reason" => if may_order { "no_slot" } else { "not_owner" },
+            );
+            emit(&self.log, Event::LoadRefused, &fields);
+        }
         if status != LoadStatus::Queued {
             let loaded = status == LoadStatus::Loaded;
             let result =
--- a/crates/daemon/src/front/edge.rs
+++ b/crates/daemon/src/front/edge.rs
@@ -1,7 +1,15 @@
 //! HTTP server of a host in platform mode: requests of callers, readiness checks, address lookups
 //! and metrics.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use actix::Addr;
 use actix_web::{
@@ -65,6 +73,32 @@
     pub metrics: Metrics,
     /// Logger of the process.
     pub log: Logger,
+    /// Requests that are being read or answered.
+    pub open: OpenCalls,
+}
+
+/// Number of requests of callers from their head to their response, or to its first event.
+#[derive(Clone, Debug, Default)]
+pub struct OpenCalls(Arc<AtomicUsize>);
+
+impl OpenCalls {
+    /// Current number.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn enter(&self) -> OpenCall {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        OpenCall(self.clone())
+    }
+}
+
+struct OpenCall(OpenCalls);
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// State of one HTTP worker thread.
@@ -191,6 +225,7 @@
 
 async fn serve_caller(req: HttpRequest, payload: web::Payload, worker: &Worker) -> HttpResponse {
     let arrived = clock::now();
+    let _open = worker.shared.open.enter();
     if arrived.since(*worker.last_sweep.borrow()) > Duration::from_secs(1) {
         *worker.last_sweep.borrow_mut() = arrived;
         worker.client.sweep();
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 
 use std::{
+    io::Write,
     process::Command,
     thread,
     time::{Duration, Instant},
@@ -486,6 +487,26 @@
         let names: Vec<_> = f.log_lines(0).iter().map(|l| l["name"].to_string()).collect();
         assert!(names.iter().any(|n| n.contains("StopDrained")), "{names:?}");
     }
+    // Guards against a shutdown that cuts a request which was accepted before it and whose body is
+    // still arriving.
+    a_stop_waits_for_a_request_that_is_being_read: {
+        let mut f = Fleet::start(1, 1, 0);
+        let mut c = f.connect(0);
+        let (_, headers) = request("/unsafe/1", "sl1", Some(KEY));
+        let mut head = String::from("POST /unsafe/1 HTTP/1.1\r\n");
+        for (n, v) in headers.iter().filter(|(n, _)| !n.eq_ignore_ascii_case(headers::DEADLINE_MS)) {
+            head.push_str(&format!("{n}: {v}\r\n"));
+        }
+        head.push_str("Content-Length: 4\r\n\r\nbo");
+        c.write_all(head.as_bytes()).unwrap();
+        thread::sleep(Duration::from_millis(300));
+        f.signal(0, "TERM");
+        thread::sleep(Duration::from_millis(3500));
+        c.write_all(b"dy").unwrap();
+        let a = receive(&mut c).unwrap();
+        assert_eq!((a.status, a.body.as_str()), (200, "answer to sl1"));
+        assert!(f.hosts[0].child.wait().unwrap().success());
+    }
     // Guards against a failed request whose cause is not in the log.
     a_failure_is_logged_with_its_request_id: {
         let f = Fleet::start(1, 1, 0);
