Load fewer adapters at once while the weight store is congested

Change: an engine loads one adapter at a time while loads take over 1.5 times their uncontended duration or none is known, two up to that, four below 1.2 times. Result: a_congested_store_gets_fewer_loads.

--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -26,7 +26,6 @@
     hash, hash32,
     health::{HealthState, Outcome},
     load_time::LoadTime,
-    loader::MAX_TRANSFERS,
     replicas::{Replica, ReplicaKey, Replicas},
     report::Resident,
     request::{InferenceSpec, ReplicaRequest},
@@ -299,7 +298,10 @@
         // Ejection must not take more than half of a service out of use.
         let forced = healthy * 2 < all.len();
         let mut best: Option<(f64, Cost, ReplicaKey)> = None;
-        let cold_ms = self.load_time.expected_ms(now);
+        let loads = Loads {
+            cold_ms: self.load_time.expected_ms(now),
+            transfers: self.load_time.transfers(now),
+        };
         let (usable, engines) = (!all.is_empty(), all.len());
         let has_owner = all.iter().any(|(_, r)| r.orderable);
         let slo_ms = request.slo_deadline.since(now).as_secs_f64() * 1000.0 * SLO_SHARE;
@@ -314,7 +316,7 @@
                 _ => continue,
             };
             let cost = match (spec, &request.inference) {
-                (Some(spec), Some(d)) => match self.engine_cost(r, spec, d, cold_ms, engines) {
+                (Some(spec), Some(d)) => match self.engine_cost(r, spec, d, loads, engines) {
                     Some(c) => c,
                     None => continue,
                 },
@@ -358,7 +360,7 @@
         r: &Replica,
         spec: &EngineSpec,
         inference: &InferenceSpec,
-        cold_ms: f64,
+        loads: Loads,
         engines: usize,
     ) -> Option<Cost> {
         let model = inference.artifact.split('/').next().unwrap_or_default();
@@ -382,8 +384,8 @@
                 return None;
             }
             let warm = r.is_warm(&inference.artifact) && !outdated;
-            let rounds = (1 + r.loading as usize / MAX_TRANSFERS) as f64;
-            load_ms = rounds * if warm { WARM_LOAD_MS } else { cold_ms };
+            let rounds = (1 + r.loading as usize / loads.transfers) as f64;
+            load_ms = rounds * if warm { WARM_LOAD_MS } else { loads.cold_ms };
             // A request that waits for the same load has paid for it.
             if !in_use {
                 let affinity = hash_fraction(&[&inference.artifact, &r.id]) * engines as f64;
@@ -470,6 +472,11 @@
         }
     }
 
+    /// Number of adapters that an engine should load at the same time.
+    pub fn transfers(&self, now: Tick) -> usize {
+        self.load_time.transfers(now)
+    }
+
     /// Counts the time of an attempt from now, since it is sent only after a load.
     pub fn record_sent(&mut self, now: Tick, attempt: AttemptKey) {
         if let Some(x) = self.attempts.get_mut(attempt) {
@@ -549,6 +556,14 @@
     }
 }
 
+// What is known of loads from the weight store.
+#[derive(Clone, Copy)]
+struct Loads {
+    cold_ms: f64,
+    // Loads at the same time at one engine.
+    transfers: usize,
+}
+
 struct Cost {
     // Expected time to the first event.
     time_ms: f64,
--- a/crates/core/src/fleet/load_time.rs
+++ b/crates/core/src/fleet/load_time.rs
@@ -2,7 +2,9 @@
 //!
 //! All engines share the store, which slows down when many adapters are in transfer. The number of
 //! loads that it serves at full speed differs between deployments and is not configured, so a host
-//! estimates the duration from its own orders.
+//! estimates the duration from its own orders. While the store is congested, engines load fewer
+//! adapters at the same time: the store transfers as many bytes as before, but the first adapters
+//! arrive earlier.
 
 #[cfg(test)]
 mod tests;
@@ -24,6 +26,15 @@
 /// Time after which an observation expires: congestion at the store comes and goes within seconds.
 const SAMPLE_LIFETIME: Duration = Duration::from_secs(3);
 
+/// Adapters that may be in transfer to one engine, from the platform's data sheet.
+pub const MAX_TRANSFERS: usize = 4;
+
+/// Ratio between observed and uncontended duration up to which an engine may use all transfers.
+const UNCONTENDED_RATIO: f64 = 1.2;
+
+/// Ratio above which an engine loads one adapter at a time.
+const CONGESTED_RATIO: f64 = 1.5;
+
 /// Moving average of load durations.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadTime {
@@ -43,6 +54,19 @@
         self.mean(now) + ORDER_OVERHEAD_MS
     }
 
+    /// Number of adapters that an engine should load at the same time, one while no duration is
+    /// known, since all engines start together.
+    pub fn transfers(&self, now: Tick) -> usize {
+        if !self.mean.is_some_and(|(_, at)| now.since(at) < SAMPLE_LIFETIME) {
+            return 1;
+        }
+        match self.mean(now) / UNCONTENDED_MS {
+            ratio if ratio <= UNCONTENDED_RATIO => MAX_TRANSFERS,
+            ratio if ratio <= CONGESTED_RATIO => MAX_TRANSFERS / 2,
+            _ => 1,
+        }
+    }
+
     fn mean(&self, now: Tick) -> f64 {
         match self.mean {
             Some((mean, at)) if now.since(at) < SAMPLE_LIFETIME => mean.max(UNCONTENDED_MS),
--- a/crates/core/src/fleet/load_time/tests.rs
+++ b/crates/core/src/fleet/load_time/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::LoadTime;
+use super::{LoadTime, MAX_TRANSFERS};
 use crate::time::Tick;
 
 fn at(ms: u64) -> Tick {
@@ -41,4 +41,19 @@
         }
         assert!(t.expected_ms(at(5000)) < 330.0);
     }
+    // Pattern: all engines load at the same time after a start. Guards against loads that slow each
+    // other down so that all of them end late.
+    a_congested_store_gets_fewer_loads: {
+        let mut t = LoadTime::default();
+        assert_eq!(t.transfers(at(0)), 1, "all engines start together");
+        for i in 0..20 {
+            t.record(at(i), ms(1200));
+        }
+        assert_eq!(t.transfers(at(30)), 1);
+        for i in 100..120 {
+            t.record(at(i), ms(270));
+        }
+        assert_eq!(t.transfers(at(130)), MAX_TRANSFERS);
+        assert_eq!(t.transfers(at(9000)), 1, "the last load is too long ago");
+    }
 }
--- a/crates/core/src/fleet/loader.rs
+++ b/crates/core/src/fleet/loader.rs
@@ -21,9 +21,6 @@
 };
 use crate::time::Tick;
 
-/// Adapters that may be in transfer to one engine, from the platform's data sheet.
-pub const MAX_TRANSFERS: usize = 4;
-
 /// Time after which a queued load is dropped: callers choose another engine before that.
 const QUEUE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -183,11 +180,13 @@
         LoadStatus::Queued
     }
 
-    /// Returns the next order, if one is due. `in_use` tells whether a request uses an artifact.
+    /// Returns the next order, if one is due. `transfers` is the number of adapters that may be in
+    /// transfer to the engine; `in_use` tells whether a request uses an artifact.
     pub fn next_step(
         &mut self,
         now: Tick,
         spec: &EngineSpec,
+        transfers: usize,
         in_use: impl Fn(&str) -> bool,
     ) -> Option<Step> {
         self.loading.retain(|a, (_, t)| {
@@ -217,7 +216,7 @@
             let model = w.artifact.split('/').next().unwrap_or_default();
             !self.loading.contains_key(&w.artifact) && residents.iter().any(|r| r.artifact == model)
         })?;
-        if transferring >= MAX_TRANSFERS {
+        if transferring >= transfers {
             return None;
         }
         let request = self.queue[index].0.clone();
--- a/crates/core/src/fleet/loader/tests.rs
+++ b/crates/core/src/fleet/loader/tests.rs
@@ -2,6 +2,7 @@
 use crate::{
     fleet::{
         config::{EngineSpec, ModelSpec},
+        load_time::MAX_TRANSFERS,
         order::{OrderResponse, Verb},
         report::{Report, Resident},
     },
@@ -39,7 +40,9 @@
 }
 
 fn next(l: &mut Loader, ms: u64, slots: u32, used: &[u32]) -> Option<Step> {
-    l.next_step(at(ms), &spec(slots), |a| used.iter().any(|u| adapter(*u).artifact == a))
+    l.next_step(at(ms), &spec(slots), MAX_TRANSFERS, |a| {
+        used.iter().any(|u| adapter(*u).artifact == a)
+    })
 }
 
 macro_rules! cases {
--- a/crates/daemon/src/front/control/orders.rs
+++ b/crates/daemon/src/front/control/orders.rs
@@ -160,9 +160,9 @@
         let Some(spec) = self.dispatcher.engine_spec(&r.service) else { return };
         let dispatcher = &self.dispatcher;
         let Some(engine) = self.engines.get_mut(&k) else { return };
-        let Some(step) = engine.loader.next_step(now, spec, |a| dispatcher.in_use(k, a)) else {
-            return;
-        };
+        let transfers = dispatcher.transfers(now);
+        let in_use = |a: &str| dispatcher.in_use(k, a);
+        let Some(step) = engine.loader.next_step(now, spec, transfers, in_use) else { return };
         engine.loader.record_sent(now, &step);
         let loading = engine.loader.load_count() as u32;
         if let Some(r) = self.dispatcher.replicas.get_mut(k) {
