Adapt the number of loads at once to their durations

Change: additive increase while loads take up to 1.2 of their uncontended duration, multiplicative decrease above 1.5, between one and four, two at the start.

--- a/crates/core/src/fleet/load_time.rs
+++ b/crates/core/src/fleet/load_time.rs
@@ -29,16 +29,34 @@
 /// Adapters that may be in transfer to one engine, from the platform's data sheet.
 pub const MAX_TRANSFERS: usize = 4;
 
-/// Ratio between observed and uncontended duration up to which an engine may use all transfers.
+/// Loads at the same time at one engine while no duration is known. All engines of a fleet start
+/// together.
+const START_TRANSFERS: f64 = 2.0;
+
+/// Ratio between observed and uncontended duration up to which the number of loads grows.
 const UNCONTENDED_RATIO: f64 = 1.2;
 
-/// Ratio above which an engine loads one adapter at a time.
+/// Ratio above which the number of loads shrinks.
 const CONGESTED_RATIO: f64 = 1.5;
 
+/// Growth of the number of loads with each uncontended one.
+const GROWTH: f64 = 0.25;
+
+/// Factor on the number of loads with each congested one.
+const BACKOFF: f64 = 0.8;
+
 /// Moving average of load durations.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct LoadTime {
     mean: Option<(f64, Tick)>,
+    // Loads at the same time at one engine: additive increase, multiplicative decrease.
+    transfers: f64,
+}
+
+impl Default for LoadTime {
+    fn default() -> Self {
+        Self { mean: None, transfers: START_TRANSFERS }
+    }
 }
 
 impl LoadTime {
@@ -46,6 +64,15 @@
     pub fn record(&mut self, now: Tick, took: Duration) {
         let took = took.as_secs_f64() * 1000.0;
         let old = self.mean(now);
+        let ratio = took / UNCONTENDED_MS;
+        let transfers = self.current_transfers(now);
+        self.transfers = if ratio > CONGESTED_RATIO {
+            (transfers * BACKOFF).max(1.0)
+        } else if ratio <= UNCONTENDED_RATIO {
+            (transfers + GROWTH).min(MAX_TRANSFERS as f64)
+        } else {
+            transfers
+        };
         self.mean = Some((old + (took - old) * AVERAGE_WEIGHT, now));
     }
 
@@ -54,16 +81,16 @@
         self.mean(now) + ORDER_OVERHEAD_MS
     }
 
-    /// Number of adapters that an engine should load at the same time, one while no duration is
-    /// known, since all engines start together.
+    /// Number of adapters that an engine should load at the same time.
     pub fn transfers(&self, now: Tick) -> usize {
-        if !self.mean.is_some_and(|(_, at)| now.since(at) < SAMPLE_LIFETIME) {
-            return 1;
-        }
-        match self.mean(now) / UNCONTENDED_MS {
-            ratio if ratio <= UNCONTENDED_RATIO => MAX_TRANSFERS,
-            ratio if ratio <= CONGESTED_RATIO => MAX_TRANSFERS / 2,
-            _ => 1,
+        self.current_transfers(now) as usize
+    }
+
+    fn current_transfers(&self, now: Tick) -> f64 {
+        if self.mean.is_some_and(|(_, at)| now.since(at) < SAMPLE_LIFETIME) {
+            self.transfers
+        } else {
+            START_TRANSFERS
         }
     }
 
