Assume growth of demand at silent peers only

Cause: read, not shown by a test: a host of 78 sees few requests of an account; one large request multiplies its own demand, which was taken for growth at all peers, so its share falls and it holds back most of the level.

--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -128,7 +128,7 @@
 }
 
 impl PeerUsage {
-    // Demand of the peer now. Demand that has grown here since its report is assumed to have grown
+    // Demand of a silent peer. Demand that has grown here since its report is assumed to have grown
     // there too, so that the sides of a partition do not both take a larger share.
     fn demand_now(&self, local: f64) -> f64 {
         self.demand * (local / self.local_demand.max(f64::MIN_POSITIVE)).clamp(1.0, MAX_GROWTH)
@@ -266,7 +266,10 @@
             // A host that never sent a digest is assumed to have the same demand as this one.
             let known = |p: &Peer| match p.incarnation {
                 0 => own,
-                _ => p.usage.get(&b.hash).map_or(0.0, |s| s.demand_now(own)),
+                _ if now.since(p.last_heard) > MAX_SILENCE => {
+                    p.usage.get(&b.hash).map_or(0.0, |s| s.demand_now(own))
+                }
+                _ => p.usage.get(&b.hash).map_or(0.0, |s| s.demand),
             };
             let floor = DEMAND_FLOOR * b.rate / hosts;
             b.total_demand = own + self.peers.values().map(known).sum::<f64>();
--- a/crates/core/src/fleet/quota/tests.rs
+++ b/crates/core/src/fleet/quota/tests.rs
@@ -195,6 +195,27 @@
         });
         f.assert_bound();
     }
+    // Pattern: an account within its limit at 78 hosts, each of which gets one large request now and
+    // then. Guards against a host that takes the growth of its own demand by one request for growth
+    // at all hosts, holds everything back for them and refuses small requests.
+    sparse_large_requests_do_not_hold_back_small_ones: {
+        let mut f = Fleet::new(78);
+        let mut refused = 0;
+        for ms in (0..20_000u64).step_by(10) {
+            if ms % 300 == 0 {
+                f.exchange(ms, |_, _| true);
+            }
+            let host = |n: u64| (n * 7919 % 78) as usize;
+            if ms % 350 == 0 {
+                f.send(ms, host(ms), 4000.0);
+            }
+            let before = f.refused;
+            f.send(ms, host(ms + 5), 20.0);
+            refused += u32::from(f.refused > before);
+        }
+        assert!(refused < 20, "{refused} of 2000 small requests");
+        f.assert_bound();
+    }
     // Pattern: a partition that begins while demand rises. Guards against sides that compare their
     // own demand of now with the other side's demand of before, so that both take a larger share.
     a_partition_during_rising_demand_stays_within_the_bound: {
