Test that a prompt block which crashes engines is held back

The stand-in engine can end as it begins a response to a request with one prompt block, and starts again after 1.5 s. On this code 38 lives of eight engines ended in 9 s, and 21 requests with the block reached engines more than 3 s after the fifth crash; no host refuses them, a restarted one neither.

--- /dev/null
+++ b/crates/daemon/tests/platform/crashes.rs
@@ -0,0 +1,120 @@
+//! Tests of a fleet whose engines crash on requests with one prompt block.
+
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use yuccawing_platform::headers;
+use yuccawing_platform_standin::{
+    config,
+    replica::{Fault, Replica},
+};
+
+use crate::fleet::{Fleet, KEY, Response, receive, send, wait_until};
+
+/// Prompt block on which engines crash.
+const CRASH_BLOCK: u64 = 0xbad;
+
+/// Time after the fifth crash by which all hosts must know the block.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Requests with the block that may still reach engines after [`CONTACT`].
+const MAX_LATE: usize = 3;
+
+/// How long requests are sent, and the pause between two of each kind.
+const DURATION: Duration = Duration::from_secs(9);
+const PAUSE: Duration = Duration::from_millis(100);
+
+// Sends a request for the base model with `blocks` before a block of its own.
+fn call(f: &Fleet, host: usize, id: &str, blocks: &str) -> Response {
+    let mut c = f.connect(host);
+    let mut h = config::caller_headers(id, Some(KEY), 4000);
+    h.push((headers::MODEL.into(), config::MODEL.into()));
+    h.push((headers::TOKEN_COUNT.into(), "100,20".into()));
+    let own = id.bytes().fold(0x1000_u64, |x, b| x * 31 + u64::from(b));
+    h.push((headers::PREFIX_BLOCKS.into(), format!("{blocks},{own:x}:20")));
+    send(&mut c, "POST", "/stream/x", &h, b"").unwrap();
+    receive(&mut c).unwrap_or_default()
+}
+
+fn crashes(engines: &[Replica]) -> Vec<Instant> {
+    let mut all: Vec<_> = engines.iter().flat_map(Replica::crashes).collect();
+    all.sort();
+    all
+}
+
+// When requests with the crashing block reached an engine.
+fn arrivals(engines: &[Replica]) -> Vec<Instant> {
+    let all = engines.iter().flat_map(Replica::requests);
+    let crashing = all.filter(|r| {
+        r.request.header(headers::PREFIX_BLOCKS).contains(&format!("{CRASH_BLOCK:x}:"))
+    });
+    crashing.map(|r| r.at).collect()
+}
+
+cases! {
+    // Guards against requests that end engine after engine, at every host that they are sent to,
+    // and against sound requests that are refused for a block that they share with them.
+    a_block_that_crashes_engines_is_held_back: {
+        let f = Arc::new(Fleet::start(3, 0, 8));
+        f.engines.iter().for_each(|e| e.set_fault(Fault::Crash(CRASH_BLOCK)));
+        let begun = Instant::now();
+        let mut calls = Vec::new();
+        for n in 0.. {
+            if begun.elapsed() > DURATION {
+                break;
+            }
+            for kind in ["crash", "sound"] {
+                let f = f.clone();
+                calls.push(thread::spawn(move || {
+                    let blocks = match kind {
+                        "crash" => format!("5c:40,{CRASH_BLOCK:x}:20"),
+                        _ => format!("5c:40,{:x}:20", 0x900 + n % 4),
+                    };
+                    let sent = Instant::now();
+                    (kind, sent, call(&f, n % 3, &format!("{kind}{n}"), &blocks).status)
+                }));
+            }
+            thread::sleep(PAUSE);
+        }
+        let calls: Vec<_> = calls.into_iter().map(|c| c.join().unwrap()).collect();
+        let crashes = crashes(&f.engines);
+        let known = crashes.get(4).copied().unwrap_or(begun) + CONTACT;
+        let late = arrivals(&f.engines).into_iter().filter(|t| *t > known).count();
+        assert!(late <= MAX_LATE, "{late} late requests, {} engines ended", crashes.len());
+        let sound: Vec<_> =
+            calls.iter().filter(|(kind, sent, _)| *kind == "sound" && *sent > known).collect();
+        let served = sound.iter().filter(|(.., status)| *status == 200).count();
+        assert!(served * 2 >= sound.len(), "{served} of {} sound requests served", sound.len());
+        let refused = calls.iter().filter(|(kind, sent, _)| *kind == "crash" && *sent > known);
+        for (.., status) in refused {
+            assert_eq!(*status, 503);
+        }
+    }
+    // Guards against a host that has just started and sends on what its peers hold back.
+    a_started_host_learns_the_block_from_its_peers: {
+        let mut f = Fleet::start(3, 0, 8);
+        f.engines.iter().for_each(|e| e.set_fault(Fault::Crash(CRASH_BLOCK)));
+        let mut n = 0;
+        wait_until(Duration::from_secs(15), "the block is not held back", || {
+            n += 1;
+            let crash = format!("5c:40,{CRASH_BLOCK:x}:20");
+            let refused = call(&f, n % 2, &format!("crash{n}"), &crash).status == 503;
+            refused && call(&f, n % 2, &format!("sound{n}"), "5c:40,900:20").status == 200
+        });
+        f.signal(2, "KILL");
+        let restarted = f.spawn_host(2, 3);
+        f.hosts[2] = restarted;
+        f.wait_ready();
+        thread::sleep(CONTACT);
+        let before = arrivals(&f.engines).len();
+        for n in 0..10 {
+            let a = call(&f, 2, &format!("late{n}"), &format!("5c:40,{CRASH_BLOCK:x}:20"));
+            assert_eq!(a.status, 503);
+        }
+        let late = arrivals(&f.engines).len() - before;
+        assert!(late <= MAX_LATE, "{late} requests reached engines");
+    }
+}
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -3,6 +3,12 @@
 
 mod fleet;
 
+macro_rules! cases {
+    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+mod crashes;
+
 use std::{
     io::Write,
     process::Command,
@@ -54,10 +60,6 @@
     }
 }
 
-macro_rules! cases {
-    ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
-}
-
 cases! {
     // Guards against a key that reaches a replica, an account name set by the caller, and a request
     // or response that is changed on the way.
