Log which prompt blocks were at a replica that ended

A host now connects once more after a broken connection; a refused connect shows that the replica has ended, and ReplicaEnded (312) names the request, its blocks and whether its response had begun.

--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -29,6 +29,18 @@
     pub prefix: Vec<PrefixBlock>,
 }
 
+/// Shared blocks of one prompt that are considered, which bounds memory and messages.
+const MAX_SHARED_BLOCKS: usize = 16;
+
+impl InferenceSpec {
+    /// Ids of the blocks that other requests may share: all but the last one, which belongs to the
+    /// request or its session.
+    pub fn shared_blocks(&self) -> Vec<u64> {
+        let shared = self.prefix.len().saturating_sub(1).min(MAX_SHARED_BLOCKS);
+        self.prefix[..shared].iter().map(|b| b.id).collect()
+    }
+}
+
 /// A request that needs a replica.
 #[derive(Clone, Debug)]
 pub struct ReplicaRequest {
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -83,6 +83,7 @@
     309 ReplicaSilent Warning "A replica does not respond to its owner host.";
     310 ReplicaAnswers Info "A replica responds again.";
     311 ReplicaEjected Warning "A replica was ejected for a while because its requests failed.";
+    312 ReplicaEnded Warning "A replica ended while it ran a request.";
     400 LeaseAdmitted Info "The host holds the lease of its ordinal.";
     401 LeaseLost Warning "The host's lease expired without a renewal.";
     402 LeaseReplaced Warning "Another process holds the ordinal; this one applies again with a new identity.";
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -3,6 +3,7 @@
 
 mod admit;
 mod loads;
+mod losses;
 mod orders;
 mod sync;
 
@@ -37,7 +38,10 @@
     time::Tick,
 };
 
-pub use self::admit::{Admission, Admit, PlacedRequest, ReplicaFailed};
+pub use self::{
+    admit::{Admission, Admit, PlacedRequest, ReplicaFailed},
+    losses::ReplicaEnded,
+};
 use self::{
     loads::Waiters,
     orders::OwnedEngine,
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards an accepted request to a replica, retries it at others, and relays the response.
 
+mod loss;
 mod stream;
 
 use std::{pin::pin, time::Duration};
@@ -13,11 +14,14 @@
 use yuccawing_core::{fleet::health::Outcome, retry::Cause};
 use yuccawing_platform::{headers, replica as wire};
 
-use self::stream::{EventBody, ReplicaStream};
+use self::{
+    loss::report_ended,
+    stream::{EventBody, ReplicaStream},
+};
 use super::{
     client::{CallError, Reply, Reuse},
     clock,
-    control::{Admission, Admit, PlacedRequest, ReplicaFailed},
+    control::{Admission, Admit, PlacedRequest, ReplicaEnded, ReplicaFailed},
     edge::{CallerRequest, Refusal, Worker},
     sse::{Event as SseEvent, Splitter, TooLong},
 };
@@ -37,6 +41,9 @@
     Status(u16),
     #[error("{0}")]
     Call(#[from] CallError),
+    /// The response has begun and was not received to its end.
+    #[error("{0}")]
+    Cut(CallError),
     /// The response carries the id of another request.
     #[error("answer of another request")]
     WrongId,
@@ -251,6 +258,7 @@
                 placed: Some(placed),
                 splitter,
                 first_event: Some(first),
+                events: 0,
             };
             Ok(ReplicaResponse::Stream { status, headers, upstream: Box::new(upstream) })
         }
@@ -262,6 +270,7 @@
                 "expected_ms" => placed.assignment.expected_latency.as_millis() as u64,
             );
             emit(&w.shared.log, Event::AttemptFailed, &fields);
+            report_ended(w, r, &placed.assignment, &f.failure).await;
             Err(f)
         }
     }
@@ -327,7 +336,7 @@
     let mut reply = w.client.send(placed.assignment.address, request, reuse, limit).await?;
     check_response(r, &reply)?;
     if !is_stream(&reply) {
-        let body = reply.body(MAX_BODY_BYTES).await?;
+        let body = reply.body(MAX_BODY_BYTES).await.map_err(Failure::Cut)?;
         let (status, headers) = (status(&reply)?, response_headers(&reply));
         if status.is_server_error() && r.request.kind.is_idempotent() && !last {
             return Err(Failure::Status(status.as_u16()));
@@ -423,7 +432,7 @@
         if let Some(event) = splitter.event()? {
             return Ok(Some(event));
         }
-        match reply.chunk().await? {
+        match reply.chunk().await.map_err(Failure::Cut)? {
             Some(data) => splitter.push(&data),
             None if splitter.partial() => return Err(Failure::PartialEvent),
             None => return Ok(None),
--- a/crates/daemon/src/front/forward/stream.rs
+++ b/crates/daemon/src/front/forward/stream.rs
@@ -16,7 +16,7 @@
     time::Tick,
 };
 
-use super::{Failure, Received, admit, exchange, log_end, next_event};
+use super::{Failure, Received, admit, exchange, log_end, next_event, report_ended};
 use crate::{
     events::{Event, emit},
     front::{
@@ -38,6 +38,8 @@
     pub(super) splitter: Splitter,
     // First event, which is read before the response to the caller begins.
     pub(super) first_event: Option<SseEvent>,
+    // Events that were passed on from this replica.
+    pub(super) events: u64,
 }
 
 /// The response was cut off: the connection to the caller is closed before the end of the body.
@@ -127,6 +129,10 @@
                     continue;
                 }
                 Err(f) => {
+                    if let Some(placed) = self.upstream.placed.as_ref().filter(|_| self.at_start())
+                    {
+                        report_ended(&self.w, &self.r, &placed.assignment, &f).await;
+                    }
                     self.finish(f.outcome());
                     self.resume(f, None).await?;
                     continue;
@@ -141,6 +147,7 @@
             }
             self.last_id = event.id.or(self.last_id);
             self.events += 1;
+            self.upstream.events += 1;
             return Ok(Some(event.bytes));
         }
     }
@@ -176,6 +183,11 @@
         }
     }
 
+    // Whether the replica has sent no more than one event.
+    fn at_start(&self) -> bool {
+        self.upstream.events <= 1
+    }
+
     fn may_resume(&self) -> bool {
         self.r.request.kind == RouteKind::Stream { resumable: true }
             && self.r.request.attempts < self.r.route.max_attempts
@@ -221,12 +233,14 @@
                         placed: Some(placed),
                         splitter,
                         first_event: Some(first),
+                        events: 0,
                     };
                     self.progress_at = clock::now();
                     return Ok(());
                 }
                 Ok(Received::Full(status, ..)) => f = Failure::Status(status.as_u16()),
                 Err(e) => {
+                    report_ended(&self.w, &self.r, &placed.assignment, &e.failure).await;
                     placed.guard.outcome = e.failure.outcome();
                     (f, successor) = (e.failure, e.successor);
                 }
