Hold back prompt blocks under which replicas end

Hosts now collect which blocks were at the replicas that ended and tell each other. The smallest set of blocks that explains the ends is held: two ends with a begun response, or four without. A response that goes on clears the blocks of its prompt. Held blocks are refused at once with a Retry-After of a minute; requests that wait for a load or a response are ended.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -14,6 +14,7 @@
 pub mod loader;
 pub mod order;
 pub mod peers;
+pub mod quarantine;
 pub mod quota;
 pub mod replicas;
 pub mod report;
--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -34,6 +34,64 @@
     Relay(Box<Digest>),
     /// State of another host, passed on by the sender.
     Relayed(Box<Digest>),
+    /// Prompt blocks under which replicas ended.
+    Losses(Box<LossReport>),
+}
+
+/// What a host knows of prompt blocks under which replicas ended. Hosts of an earlier release drop
+/// it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LossReport {
+    /// Address at which the sender listens for peers.
+    pub ip: Ipv4Addr,
+    /// Identifies its process.
+    pub incarnation: u64,
+    /// Rises with each report of the process.
+    pub sequence: u64,
+    /// Replicas that ended.
+    pub losses: Vec<ReplicaLoss>,
+    /// Blocks of which responses have gone beyond the first event.
+    pub served: Vec<ServedBlock>,
+    /// Blocks that it holds back.
+    pub held: Vec<HeldBlock>,
+}
+
+/// A replica that ended while it ran requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaLoss {
+    /// [`super::replicas::Replica::id_hash`] of the replica.
+    pub replica: u32,
+    /// Time since it ended, in ms.
+    pub age_ms: u32,
+    /// Requests that may have ended it.
+    pub suspects: Vec<Suspect>,
+}
+
+/// A request that had got no more than one event when its replica ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// Ids of the prompt blocks that other requests may share, in order.
+    pub blocks: Vec<u64>,
+    /// Whether its response had begun.
+    pub begun: bool,
+}
+
+/// A block of which a response has gone beyond its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServedBlock {
+    /// Id of the block.
+    pub block: u64,
+    /// Time since the newest such response, in ms.
+    pub age_ms: u32,
+}
+
+/// A block that is held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldBlock {
+    /// Id of the block.
+    pub block: u64,
+    /// Time since the last request with it, in ms.
+    pub idle_ms: u32,
 }
 
 /// Changes of the list of replicas.
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -71,6 +71,7 @@
     206 AttemptFailed Info "An attempt to serve a request at a replica failed.";
     207 LimitReached Info "A request exceeded its account's limit.";
     208 RequestTurnedAway Info "A request was refused before it was forwarded.";
+    209 RequestHeld Info "A request was refused because replicas ended under one of its prompt blocks.";
     300 UpstreamConnect Warning "The connection to an upstream failed.";
     301 UpstreamSilent Warning "An upstream stopped responding; its connection is replaced.";
     302 StreamResumed Info "An interrupted stream was resumed.";
@@ -84,6 +85,8 @@
     310 ReplicaAnswers Info "A replica responds again.";
     311 ReplicaEjected Warning "A replica was ejected for a while because its requests failed.";
     312 ReplicaEnded Warning "A replica ended while it ran a request.";
+    313 BlockHeld Warning "Requests with a prompt block are refused because replicas ended under it.";
+    314 BlockReleased Warning "Requests with a prompt block are served again.";
     400 LeaseAdmitted Info "The host holds the lease of its ordinal.";
     401 LeaseLost Warning "The host's lease expired without a renewal.";
     402 LeaseReplaced Warning "Another process holds the ordinal; this one applies again with a new identity.";
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -31,6 +31,7 @@
         freshness::StallDetector,
         order::OrderLease,
         peers::{FORGET_AFTER, ORDER_WINDOW, Peers},
+        quarantine::Quarantine,
         quota::Quota,
         replicas::ReplicaKey,
     },
@@ -40,10 +41,11 @@
 
 pub use self::{
     admit::{Admission, Admit, PlacedRequest, ReplicaFailed},
-    losses::ReplicaEnded,
+    losses::{ReplicaEnded, Served},
 };
 use self::{
     loads::Waiters,
+    losses::Starting,
     orders::OwnedEngine,
     sync::{Route, StoreState},
 };
@@ -129,6 +131,8 @@
     budgets: HashMap<ArcStr, Budget>,
     engines: BTreeMap<ReplicaKey, OwnedEngine>,
     waiters: Waiters,
+    quarantine: Quarantine,
+    starting: Starting,
     catalog: Option<Arc<Catalog>>,
     started: Tick,
     incarnation: u64,
@@ -204,6 +208,8 @@
         for seed in s.seeds.iter().filter(|a| *a.ip() != s.ip) {
             quota.expect_peer(now, *seed.ip());
         }
+        let mut quarantine = Quarantine::default();
+        quarantine.set_released(now, &s.released());
         Self {
             peers: Peers::new(s.ip, s.seeds.iter().map(|a| *a.ip()).collect(), now),
             dispatcher: Dispatcher::new(s.zone.clone()),
@@ -218,6 +224,8 @@
             budgets: HashMap::new(),
             engines: BTreeMap::new(),
             waiters: Waiters::default(),
+            quarantine,
+            starting: Starting::default(),
             catalog: None,
             started: now,
             incarnation: clock::unix_ms(),
@@ -387,6 +395,7 @@
         if now.since(self.last_digest) >= self.digest_interval() {
             self.send_digest(now);
         }
+        self.report_losses(now);
         self.check_waiters(now, ctx);
         self.read_reports(now, ctx);
         self.read_store(now, ctx);
@@ -398,11 +407,13 @@
             emit(&self.log, Event::PeerGone, &kv!("ip" => ip.to_string()));
             self.quota.remove_peer(ip);
             self.dispatcher.remove_peer(ip);
+            self.quarantine.remove_peer(ip);
         }
         if now.since(self.started) > FORGET_AFTER {
             self.quota.remove_unheard();
         }
         self.quota.charge_silent(now);
+        self.expire_losses(now);
         self.assign_owners(now);
         self.client.sweep();
         self.publish(now);
@@ -443,6 +454,7 @@
             PeerMessage::Relayed(d) => self.handle_digest(now, &d, Route::Relayed, ctx),
             PeerMessage::LoadRequest(w) => self.handle_load_request(now, msg.from, w, ctx),
             PeerMessage::LoadResult(r) => self.handle_load_result(&r),
+            PeerMessage::Losses(r) => self.handle_losses(now, &r),
             PeerMessage::ListingDelta(l) => self.handle_listing(now, &l),
         }
     }
@@ -476,9 +488,14 @@
             Ok(s) => {
                 self.peers.set_seeds(s.seeds.iter().map(|a| *a.ip()).collect());
                 let seeds = s.seeds.len();
-                let bounds = s.bounds.clone();
-                self.settings =
-                    Arc::new(Settings { seeds: s.seeds, bounds, ..(*self.settings).clone() });
+                let changes = self.quarantine.set_released(clock::now(), &s.released());
+                self.settings = Arc::new(Settings {
+                    seeds: s.seeds,
+                    bounds: s.bounds,
+                    released_blocks: s.released_blocks,
+                    ..(*self.settings).clone()
+                });
+                self.apply_holds(&changes);
                 emit(&self.log, Event::Reloaded, &kv!("signal" => msg.signal, "seeds" => seeds));
             }
             Err(e) => emit(&self.log, Event::ReloadFailed, &kv!("error" => e.to_string())),
--- a/crates/daemon/src/front/control/admit.rs
+++ b/crates/daemon/src/front/control/admit.rs
@@ -7,6 +7,7 @@
 use arcstr::ArcStr;
 use slog::kv;
 use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
 use yuccawing_core::{
     fleet::{
         dispatch::{Assignment, AttemptKey, DispatchDecision},
@@ -19,7 +20,7 @@
     time::Tick,
 };
 
-use super::Control;
+use super::{Control, Served};
 use crate::{
     events::{Event, emit},
     front::clock,
@@ -74,6 +75,8 @@
     pub assignment: Assignment,
     /// Keeps the request counted at the replica until it is dropped.
     pub guard: AttemptGuard,
+    /// Cancelled if the request must not go on because replicas end under one of its blocks.
+    pub held: CancellationToken,
 }
 
 /// Reports the end of an attempt at a replica when it is dropped, so that an attempt whose caller
@@ -92,6 +95,11 @@
         Self { attempt, outcome: Outcome::Neutral, control }
     }
 
+    /// Reports that the response has gone beyond its first event.
+    pub fn served(&self) {
+        self.control.do_send(Served { attempt: self.attempt });
+    }
+
     /// Reports that the first event has arrived.
     pub fn first_event(&self) {
         self.control.do_send(FirstEvent { attempt: self.attempt });
@@ -135,6 +143,11 @@
 
     fn handle(&mut self, msg: Admit, ctx: &mut Self::Context) {
         let now = clock::now();
+        if let Some(refused) = self.refuse_held(now, &msg.request) {
+            // Sending fails only if the caller has left.
+            let _ = msg.reply.send(refused);
+            return;
+        }
         if let Some((account, cost)) = &msg.charge
             && let QuotaCheck::Limited(wait) = self.quota.check(now, account, *cost)
         {
@@ -147,7 +160,6 @@
             emit(&self.log, Event::LimitReached, &fields);
             let retry_after = wait.min(MAX_LIMIT_WAIT);
             let refused = Admission::Refused { over_limit: true, reason: "limit", retry_after };
-            // Sending fails only if the caller has left.
             let _ = msg.reply.send(refused);
             return;
         }
@@ -219,6 +231,7 @@
                 self.log_assignment(&request, &assignment);
                 let placed = PlacedRequest {
                     guard: AttemptGuard::new(assignment.attempt, control),
+                    held: self.starting.add(assignment.attempt, &request),
                     assignment: *assignment,
                 };
                 self.open_requests += 1;
@@ -259,6 +272,7 @@
 
     fn handle(&mut self, msg: AttemptEnded, _: &mut Self::Context) {
         self.open_requests = self.open_requests.saturating_sub(1);
+        self.starting.remove(msg.attempt);
         let Some(k) = self.dispatcher.replica_of(msg.attempt) else { return };
         if self.dispatcher.finish(clock::now(), msg.attempt, msg.outcome) {
             self.log_ejected(k);
--- a/crates/daemon/src/front/control/loads.rs
+++ b/crates/daemon/src/front/control/loads.rs
@@ -57,6 +57,8 @@
     Loaded,
     Reroute,
     CallerGone,
+    /// Replicas end under one of its blocks.
+    Held,
 }
 
 impl Control {
@@ -104,6 +106,7 @@
         for mut w in std::mem::take(&mut self.waiters.list) {
             match self.progress(now, &w) {
                 Progress::CallerGone => {}
+                Progress::Held => self.drop_held(now, w),
                 Progress::Loaded => self.release(now, w),
                 Progress::Reroute => self.reroute(now, w, ctx.address()),
                 Progress::Loading => {
@@ -134,6 +137,9 @@
         if w.reply.is_closed() {
             return Progress::CallerGone;
         }
+        if w.placed.held.is_cancelled() {
+            return Progress::Held;
+        }
         let Some(r) = self.dispatcher.replicas.get(w.placed.assignment.replica) else {
             return Progress::Reroute;
         };
@@ -164,6 +170,19 @@
         let _ = w.reply.send(Admission::Placed(w.placed));
     }
 
+    // Refuses a waiting request of which a block was held, and may have been released, meanwhile.
+    fn drop_held(&mut self, now: Tick, w: Waiter) {
+        let refused = self.refuse_held(now, &w.request).unwrap_or(Admission::Refused {
+            over_limit: false,
+            reason: "load",
+            retry_after: w.request.remaining(now) / 4,
+        });
+        if let Some((account, cost)) = &w.charge {
+            self.quota.refund(account, *cost);
+        }
+        let _ = w.reply.send(refused);
+    }
+
     fn reroute(&mut self, now: Tick, w: Waiter, control: Addr<Self>) {
         let fields = kv!(
             "id" => w.request.id.as_str(), "replica" => w.placed.assignment.id.as_str(),
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -295,6 +295,9 @@
             self.assign_owners(now);
             self.publish(now);
         }
+        if matches!(change, PeerChange::Joined | PeerChange::Restarted) {
+            self.introduce_losses(now, d.ip);
+        }
         if change == PeerChange::Leaving {
             self.quota.remove_peer(d.ip);
         } else {
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -58,6 +58,9 @@
     /// No response within the time limit of one attempt.
     #[error("no answer in {0:?}")]
     AttemptTimeout(Duration),
+    /// Replicas end under one of the prompt's blocks.
+    #[error("a prompt block is held")]
+    Held,
     /// The caller's deadline has passed.
     #[error("out of time")]
     Deadline,
@@ -81,7 +84,7 @@
         match self {
             // The request itself may have caused the error, so the replica is blamed only if
             // another one serves it.
-            Self::NotRun { .. } | Self::Deadline | Self::Status(_) => Outcome::Neutral,
+            Self::NotRun { .. } | Self::Deadline | Self::Held | Self::Status(_) => Outcome::Neutral,
             _ => Outcome::NoResponse,
         }
     }
@@ -241,6 +244,9 @@
     w.shared.metrics.attempt(&r.request.service, if out.is_ok() { "answered" } else { "failed" });
     match out {
         Ok(Received::Full(status, headers, body)) => {
+            if status.is_success() {
+                placed.guard.served();
+            }
             placed.guard.outcome = match (status.is_server_error(), r.request.kind) {
                 (false, _) => Outcome::Success,
                 (true, kind) if kind.is_idempotent() => Outcome::Neutral,
@@ -286,10 +292,23 @@
     StatusCode::from_u16(reply.response.status().as_u16()).map_err(|_| Failure::Unsigned)
 }
 
+// Sends the request and reads the whole response or the first event of a stream, unless one of its
+// blocks is held meanwhile.
+async fn exchange(
+    w: &Worker,
+    r: &CallerRequest,
+    placed: &PlacedRequest,
+) -> Result<Received, Failed> {
+    tokio::select! {
+        out = exchange_at(w, r, placed) => out,
+        () = placed.held.cancelled() => Err(Failure::Held.into()),
+    }
+}
+
 // Sends the request and reads the whole response or the first event of a stream. If that takes
 // longer than expected, another replica is requested for an idempotent request; until one is
 // assigned, the response of the first one is still awaited.
-async fn exchange(
+async fn exchange_at(
     w: &Worker,
     r: &CallerRequest,
     placed: &PlacedRequest,
--- a/crates/daemon/src/front/forward/stream.rs
+++ b/crates/daemon/src/front/forward/stream.rs
@@ -148,6 +148,9 @@
             self.last_id = event.id.or(self.last_id);
             self.events += 1;
             self.upstream.events += 1;
+            if let (2, Some(placed)) = (self.upstream.events, &self.upstream.placed) {
+                placed.guard.served();
+            }
             return Ok(Some(event.bytes));
         }
     }
@@ -195,6 +198,9 @@
 
     fn finish(&mut self, outcome: Outcome) {
         if let Some(mut placed) = self.upstream.placed.take() {
+            if outcome == Outcome::Success {
+                placed.guard.served();
+            }
             placed.guard.outcome = outcome;
         }
         match self.upstream.reply.take() {
--- a/crates/daemon/src/front/metrics.rs
+++ b/crates/daemon/src/front/metrics.rs
@@ -28,6 +28,8 @@
     pub peers: IntGauge,
     /// Replicas that may receive requests.
     pub replicas: IntGauge,
+    /// Prompt blocks that are held back.
+    pub held_blocks: IntGauge,
     /// Age of the last read of the configuration, in ms; -1 before the first one.
     pub config_age: IntGauge,
 }
@@ -71,6 +73,7 @@
             config_version: gauge(&r, "front_config_version", "Configuration version in force."),
             peers: gauge(&r, "front_peers", "Peers that were heard lately."),
             replicas: gauge(&r, "front_replicas", "Replicas that may get work."),
+            held_blocks: gauge(&r, "front_held_blocks", "Prompt blocks that are held back."),
             config_age: gauge(
                 &r,
                 "front_config_age_ms",
--- a/crates/daemon/src/front/settings.rs
+++ b/crates/daemon/src/front/settings.rs
@@ -37,6 +37,9 @@
     pub relay_above: usize,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Prompt blocks, as callers write them (hexadecimal), that are never held back.
+    #[serde(default)]
+    pub released_blocks: Vec<String>,
     /// Addresses that the host listens on.
     pub listen: Listen,
     /// Limits that the operators of the platform set.
@@ -178,6 +181,11 @@
                 self.ports.0, self.ports.1
             ));
         }
+        for (i, b) in self.released_blocks.iter().enumerate() {
+            if u64::from_str_radix(b, 16).is_err() {
+                out.push(format!("released_blocks[{i}]: \"{b}\" is not a hexadecimal number"));
+            }
+        }
         // The store is read several times within each of these bounds.
         for (key, value) in
             [("config_ms", self.bounds.config_ms), ("drain_ms", self.bounds.drain_ms)]
@@ -211,6 +219,12 @@
         out
     }
 
+    /// Ids of the prompt blocks that are never held back.
+    pub fn released(&self) -> Vec<u64> {
+        let ids = self.released_blocks.iter();
+        ids.filter_map(|b| u64::from_str_radix(b, 16).ok()).collect()
+    }
+
     /// UDP port for messages between hosts.
     pub fn peer_port(&self) -> u16 {
         self.ports.0
