--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -8,6 +8,7 @@
 }
 
 mod crashes;
+mod limits;
 
 use std::{
     io::Write,
