Keep the limits that replicas name, over all hosts together

Five hosts, by rendezvous hashing, send to a replica that names a limit; each keeps a bucket for the fleet and reports each request there at once to the others. A response to a request that was sent after the newest naming one ends the limit. Requests for which every replica's limit is used up are refused at once with the time until the next one may be sent.

--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -36,6 +36,32 @@
     Relayed(Box<Digest>),
     /// Prompt blocks under which replicas ended.
     Losses(Box<LossReport>),
+    /// Limits that replicas name.
+    Limits(Box<LimitReport>),
+}
+
+/// What a host knows of the limits that replicas name. Hosts of an earlier release drop it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Address at which the sender listens for peers.
+    pub ip: Ipv4Addr,
+    /// Identifies its process.
+    pub incarnation: u64,
+    /// Replicas with a limit, or whose limit has just ended.
+    pub limits: Vec<NamedLimit>,
+}
+
+/// Limit that one replica names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NamedLimit {
+    /// [`super::replicas::Replica::id_hash`] of the replica.
+    pub replica: u32,
+    /// Requests per 1,000 s that it takes from all hosts together; none if its limit has ended.
+    pub limit_milli: Option<u32>,
+    /// Time since the newest response that told so, in ms.
+    pub age_ms: u32,
+    /// Requests that the sender's process has sent to it.
+    pub sent: u32,
 }
 
 /// What a host knows of prompt blocks under which replicas ended. Hosts of an earlier release drop
--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -9,11 +9,12 @@
 //! miss the SLO.
 
 mod cost;
+mod limits;
 #[cfg(test)]
 mod tests;
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::{Ipv4Addr, SocketAddr},
     time::Duration,
 };
@@ -28,6 +29,7 @@
     digest::{CachedBlock, Digest, ReplicaLoad},
     hash, hash32,
     health::{HealthState, Outcome},
+    limit::SendState,
     load_time::LoadTime,
     replicas::{Replica, ReplicaKey, Replicas},
     report::Resident,
@@ -112,6 +114,8 @@
     pub expected_latency: Duration,
     /// Adapter that must be loaded before the request is sent.
     pub required_load: Option<Resident>,
+    /// Whether the replica names a limit.
+    pub limited: bool,
 }
 
 /// Why a request gets no replica.
@@ -124,6 +128,8 @@
     NoAdapterSlot,
     /// No replica can respond before the deadline.
     Late,
+    /// The limits that the replicas name are used up.
+    Limited,
 }
 
 impl Refusal {
@@ -133,6 +139,7 @@
             Self::NoReplica => "no_replica",
             Self::NoAdapterSlot => "no_place",
             Self::Late => "late",
+            Self::Limited => "replica_limit",
         }
     }
 }
@@ -174,6 +181,8 @@
     // Blocks sent since the last digest, and those of the digest before.
     cached: [Vec<CachedBlock>; 2],
     load_time: LoadTime,
+    // Replicas with a limit about which the other senders must hear.
+    unreported: BTreeSet<ReplicaKey>,
 }
 
 impl Dispatcher {
@@ -187,6 +196,7 @@
             versions: HashMap::new(),
             cached: [Vec::new(), Vec::new()],
             load_time: LoadTime::default(),
+            unreported: BTreeSet::new(),
         }
     }
 
@@ -273,11 +283,22 @@
         };
         let (usable, engines) = (!all.is_empty(), all.len());
         let has_owner = all.iter().any(|(_, r)| r.orderable);
+        // Time until a replica that is passed over for its limit may be sent a request.
+        let mut limited: Option<Duration> = None;
         let slo_ms = request.slo_deadline.since(now).as_secs_f64() * 1000.0 * SLO_SHARE;
         for (k, r) in all {
             if request.excluded.contains(&k) {
                 continue;
             }
+            let wait = match r.limit.state(now) {
+                SendState::Free => None,
+                SendState::Wait(wait) => Some(wait),
+                SendState::Closed => Some(Duration::MAX),
+            };
+            if let Some(wait) = wait {
+                limited = Some(limited.map_or(wait, |l| l.min(wait)));
+                continue;
+            }
             let penalty = match r.health.state(now) {
                 HealthState::Healthy => 0.0,
                 HealthState::Probe if request.kind.is_idempotent() => 0.0,
@@ -305,6 +326,11 @@
             }
         }
         let Some((_, cost, k)) = best else {
+            if let Some(wait) = limited {
+                let reason = Refusal::Limited;
+                let retry_after = retry_after(now, request, Some(wait.as_secs_f64() * 1000.0));
+                return DispatchDecision::Refused { reason, retry_after };
+            }
             let no_engine = usable && request.inference.is_some() && spec.is_some();
             let reason = if no_engine { Refusal::NoAdapterSlot } else { Refusal::NoReplica };
             let ownerless = (no_engine && !has_owner)
@@ -345,6 +371,9 @@
         }
         r.local.prefill_ms += cost.prefill_ms;
         r.local.inflight += 1;
+        if r.limit.record_send(now) {
+            self.unreported.insert(k);
+        }
         r.local.kv_tokens += kv_tokens;
         let artifact = request.inference.as_ref().map(|d| hash32(&[&d.artifact]));
         if let Some(a) = artifact {
@@ -372,6 +401,7 @@
             failover_after: minimum.max(millis(cost.time_ms * FAILOVER_FACTOR)),
             expected_latency: millis(cost.time_ms),
             required_load: cost.load.clone(),
+            limited: r.limit.is_limited(),
         }
     }
 
--- /dev/null
+++ b/crates/core/src/fleet/dispatch/limits.rs
@@ -0,0 +1,55 @@
+//! Limits that replicas name: what responses and peers tell of them, and what peers are told.
+
+use super::{Dispatcher, ReplicaKey};
+use crate::{
+    fleet::{
+        digest::{LimitReport, NamedLimit},
+        limit::LimitChange,
+    },
+    time::Tick,
+};
+
+impl Dispatcher {
+    /// Applies a response of a replica to a request that was sent at `sent_at`, and the limit in
+    /// requests per second that it names.
+    pub fn observe_limit(
+        &mut self,
+        now: Tick,
+        k: ReplicaKey,
+        sent_at: Tick,
+        named: Option<f64>,
+    ) -> Option<LimitChange> {
+        let change = self.replicas.get_mut(k)?.limit.observe(now, sent_at, named);
+        if change.is_some() {
+            self.unreported.insert(k);
+        }
+        change
+    }
+
+    /// Applies the report of a peer. Returns what changed.
+    pub fn apply_limits(&mut self, now: Tick, r: &LimitReport) -> Vec<(ReplicaKey, LimitChange)> {
+        let mut out = Vec::new();
+        for l in &r.limits {
+            let Some(k) = self.replicas.find_hash(l.replica) else { continue };
+            let Some(replica) = self.replicas.get_mut(k) else { continue };
+            let change = replica.limit.apply(now, r.ip, r.incarnation, l);
+            out.extend(change.map(|c| (k, c)));
+        }
+        out
+    }
+
+    /// Takes the replicas about which the other senders must hear at once.
+    pub fn take_unreported(&mut self) -> Vec<ReplicaKey> {
+        std::mem::take(&mut self.unreported).into_iter().collect()
+    }
+
+    /// What peers are told of the limits of `replicas`.
+    pub fn limit_entries(
+        &self,
+        now: Tick,
+        replicas: impl IntoIterator<Item = ReplicaKey>,
+    ) -> Vec<NamedLimit> {
+        let known = replicas.into_iter().filter_map(|k| self.replicas.get(k));
+        known.filter_map(|r| r.limit.entry(now, r.id_hash)).collect()
+    }
+}
--- a/crates/core/src/fleet/dispatch/tests.rs
+++ b/crates/core/src/fleet/dispatch/tests.rs
@@ -143,6 +143,41 @@
 }
 
 cases! {
+    // Pattern: some replicas in need. Guards against requests beyond the limit that a replica names
+    // while another one has room.
+    a_replica_whose_limit_is_used_up_is_passed_over: {
+        let mut d = engines(&[&["m/a1"], &["m/a1"]]);
+        let e0 = key(&d, "e0");
+        d.observe_limit(at(0), e0, at(0), Some(2.0));
+        d.replicas.get_mut(e0).unwrap().limit.set_sender(true);
+        for i in 0..5 {
+            assert_eq!(assign(&mut d, &request(&format!("r{i}"), "m/a1", 800)).id, "e1");
+        }
+    }
+    // Pattern: all replicas in need. Guards against requests that wait for what no replica takes,
+    // and against a time to return at which nothing has changed.
+    requests_beyond_all_limits_return_when_one_may_be_sent: {
+        let mut d = engines(&[&["m/a1"], &["m/a1"]]);
+        for id in ["e0", "e1"] {
+            let k = key(&d, id);
+            d.observe_limit(at(0), k, at(0), Some(0.8));
+            d.replicas.get_mut(k).unwrap().limit.set_sender(true);
+        }
+        let (reason, wait) = refusal(&mut d, &request("r", "m/a1", 800));
+        assert_eq!(reason, Refusal::Limited);
+        assert_eq!(wait, Duration::from_secs(1));
+    }
+    // Pattern: a fleet with more hosts than a limited replica takes requests a second. Guards
+    // against hosts that all use the same request of its limit.
+    other_hosts_send_nothing_to_a_limited_replica: {
+        let mut d = engines(&[&["m/a1"]]);
+        let e0 = key(&d, "e0");
+        d.observe_limit(at(0), e0, at(0), Some(50.0));
+        match d.choose(at(5000), &request("r", "m/a1", 800)) {
+            DispatchDecision::Refused { reason, .. } => assert_eq!(reason, Refusal::Limited),
+            DispatchDecision::Assigned(g) => panic!("{g:?}"),
+        }
+    }
     // Pattern: many rarely used adapters. Guards against a load of an adapter that another engine
     // holds already.
     a_resident_adapter_is_used: {
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -320,6 +320,18 @@
         better.count()
     }
 
+    /// The first `count` members in an order that depends on the replica with `id`, which send
+    /// requests to it if it names a limit.
+    pub fn senders(&self, now: Tick, id: &str, count: usize) -> Vec<Ipv4Addr> {
+        let usable =
+            |p: &Peer| p.state != HostState::Leaving && now.since(p.last_heard) <= SUSPECT_AFTER;
+        let live = self.iter().filter(|(_, p)| usable(p)).map(|(ip, _)| ip);
+        let mut out: Vec<_> = live.chain([self.local_ip]).collect();
+        out.sort_by_key(|ip| hash_bytes([b"sender".as_slice(), id.as_bytes(), &ip.octets()]));
+        out.truncate(count);
+        out
+    }
+
     /// Peers that take requests.
     pub fn serving(&self, now: Tick) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(move |p| {
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -14,8 +14,8 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::{
-    config::ReplicaEntry, digest, hash32, health::Health, order::Ownership, report::Resident,
-    request::InferenceSpec,
+    config::ReplicaEntry, digest, hash32, health::Health, limit::SendLimit, order::Ownership,
+    report::Resident, request::InferenceSpec,
 };
 use crate::time::Tick;
 
@@ -80,6 +80,8 @@
     pub health: Health,
     /// This host's authority to send it orders.
     pub ownership: Ownership,
+    /// Limit that it names.
+    pub limit: SendLimit,
     /// Load from requests of this host.
     pub local: LocalLoad,
     // Hashes of the artifacts that requests of this host use, with the number of requests.
@@ -139,6 +141,7 @@
             listed_residents: e.residents.clone(),
             health: Health::default(),
             ownership: Ownership::default(),
+            limit: SendLimit::default(),
             local: LocalLoad::default(),
             local_uses: Vec::new(),
             slowdown: 1.0,
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -87,6 +87,9 @@
     312 ReplicaEnded Warning "A replica ended while it ran a request.";
     313 BlockHeld Warning "Requests with a prompt block are refused because replicas ended under it.";
     314 BlockReleased Warning "Requests with a prompt block are served again.";
+    315 LimitNamed Info "A replica names a limit on the requests of all hosts.";
+    316 LimitLifted Info "A replica names no limit any more.";
+    317 LimitInvalid Warning "A response names a limit that is no number of at least 0; the limit in force stays.";
     400 LeaseAdmitted Info "The host holds the lease of its ordinal.";
     401 LeaseLost Warning "The host's lease expired without a renewal.";
     402 LeaseReplaced Warning "Another process holds the ordinal; this one applies again with a new identity.";
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -2,6 +2,7 @@
 //! quotas, replicas, engine ownership) and runs on one thread.
 
 mod admit;
+mod limits;
 mod loads;
 mod losses;
 mod orders;
@@ -41,6 +42,7 @@
 
 pub use self::{
     admit::{Admission, Admit, PlacedRequest, ReplicaFailed},
+    limits::LimitSeen,
     losses::{ReplicaEnded, Served},
 };
 use self::{
@@ -133,6 +135,7 @@
     waiters: Waiters,
     quarantine: Quarantine,
     starting: Starting,
+    limits_repeated: Tick,
     catalog: Option<Arc<Catalog>>,
     started: Tick,
     incarnation: u64,
@@ -226,6 +229,7 @@
             waiters: Waiters::default(),
             quarantine,
             starting: Starting::default(),
+            limits_repeated: now,
             catalog: None,
             started: now,
             incarnation: clock::unix_ms(),
@@ -396,6 +400,7 @@
             self.send_digest(now);
         }
         self.report_losses(now);
+        self.repeat_limits(now);
         self.check_waiters(now, ctx);
         self.read_reports(now, ctx);
         self.read_store(now, ctx);
@@ -454,6 +459,7 @@
             PeerMessage::Relayed(d) => self.handle_digest(now, &d, Route::Relayed, ctx),
             PeerMessage::LoadRequest(w) => self.handle_load_request(now, msg.from, w, ctx),
             PeerMessage::LoadResult(r) => self.handle_load_result(&r),
+            PeerMessage::Limits(r) => self.handle_limits(now, &r),
             PeerMessage::Losses(r) => self.handle_losses(now, &r),
             PeerMessage::ListingDelta(l) => self.handle_listing(now, &l),
         }
--- a/crates/daemon/src/front/control/admit.rs
+++ b/crates/daemon/src/front/control/admit.rs
@@ -229,6 +229,7 @@
             }
             DispatchDecision::Assigned(assignment) => {
                 self.log_assignment(&request, &assignment);
+                self.report_limits(now);
                 let placed = PlacedRequest {
                     guard: AttemptGuard::new(assignment.attempt, control),
                     held: self.starting.add(assignment.attempt, &request),
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -331,6 +331,7 @@
 
         let keys: Vec<ReplicaKey> = self.dispatcher.replicas.iter().map(|(k, _)| k).collect();
         for k in keys {
+            self.assign_sender(now, k);
             let Some(r) = self.dispatcher.replicas.get_mut(k) else { continue };
             let is_engine = self.catalog.as_ref().is_some_and(|c| {
                 c.config.services.iter().any(|s| s.name == r.service && s.engine.is_some())
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards an accepted request to a replica, retries it at others, and relays the response.
 
+mod limit;
 mod loss;
 mod stream;
 
@@ -15,13 +16,14 @@
 use yuccawing_platform::{headers, replica as wire};
 
 use self::{
+    limit::report_limit,
     loss::report_ended,
     stream::{EventBody, ReplicaStream},
 };
 use super::{
     client::{CallError, Reply, Reuse},
     clock,
-    control::{Admission, Admit, PlacedRequest, ReplicaEnded, ReplicaFailed},
+    control::{Admission, Admit, LimitSeen, PlacedRequest, ReplicaEnded, ReplicaFailed},
     edge::{CallerRequest, Refusal, Worker},
     sse::{Event as SseEvent, Splitter, TooLong},
 };
@@ -352,7 +354,9 @@
     let reuse = if r.request.kind.is_idempotent() { Reuse::Allowed } else { Reuse::Never };
     // Longer than the timeout of the whole exchange, so that the latter applies.
     let limit = left + Duration::from_secs(1);
+    let sent_at = clock::now();
     let mut reply = w.client.send(placed.assignment.address, request, reuse, limit).await?;
+    report_limit(w, placed, &reply, sent_at);
     check_response(r, &reply)?;
     if !is_stream(&reply) {
         let body = reply.body(MAX_BODY_BYTES).await.map_err(Failure::Cut)?;
--- a/crates/daemon/tests/platform/limits.rs
+++ b/crates/daemon/tests/platform/limits.rs
@@ -46,8 +46,7 @@
         thread::sleep(Duration::from_secs(1) / rate);
     }
     calls.into_iter().for_each(|c| c.join().unwrap());
-    let out = out.lock().unwrap().drain(..).collect();
-    out
+    std::mem::take(&mut *out.lock().unwrap())
 }
 
 cases! {
