Reject a stream without a length that ends before its first event

A replica that ends may close its connection in the normal way after the head of a stream that has neither a length nor chunks. Callers got an empty stream with status 200 that looked complete. Such a stream has broken off: it goes on at another replica, or is answered 502, and counts as evidence that the replica ended.

Streams that end within an event were cut already.

--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -57,6 +57,9 @@
     /// The stream ended within an event.
     #[error("the stream ended within an event")]
     PartialEvent,
+    /// A stream without a length ended before its first event, so its end proves nothing.
+    #[error("the stream ended before its first event")]
+    NoEvent,
     /// No response within the time limit of one attempt.
     #[error("no answer in {0:?}")]
     AttemptTimeout(Duration),
@@ -368,9 +371,9 @@
         return Ok(Received::Full(status, headers, body));
     }
     let mut splitter = Splitter::default();
-    // A stream without any event counts as a complete response.
     match next_event(&mut reply, &mut splitter).await? {
         Some(first) => Ok(Received::Stream(Box::new(reply), splitter, first)),
+        None if !is_framed(&reply) => Err(Failure::NoEvent),
         None => Ok(Received::Full(status(&reply)?, response_headers(&reply), Bytes::new())),
     }
 }
@@ -433,6 +436,12 @@
     Ok(())
 }
 
+// Whether the end of the body is told apart from the end of the connection.
+fn is_framed(reply: &Reply) -> bool {
+    let head = reply.response.headers();
+    head.contains_key("content-length") || head.contains_key("transfer-encoding")
+}
+
 fn is_stream(reply: &Reply) -> bool {
     let head = reply.response.headers();
     let kind = head.get("content-type").and_then(|v| v.to_str().ok()).unwrap_or_default();
--- a/crates/daemon/src/front/forward/loss.rs
+++ b/crates/daemon/src/front/forward/loss.rs
@@ -21,7 +21,7 @@
     fn broken_in_response(&self) -> Option<bool> {
         match self {
             Self::Call(CallError::Broken(_)) => Some(false),
-            Self::Cut(CallError::Broken(_)) | Self::PartialEvent => Some(true),
+            Self::Cut(CallError::Broken(_)) | Self::PartialEvent | Self::NoEvent => Some(true),
             _ => None,
         }
     }
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -295,6 +295,43 @@
             thread::sleep(Duration::from_millis(1600));
         }
     }
+    // Guards against a stream without a length that is rejected, and against one that broke off
+    // within an event or before the first one and is passed on as complete.
+    a_stream_may_end_with_its_connection: {
+        let f = Fleet::start(1, 0, 1);
+        call_stream(&f, 0, "/once/a1", "warm");
+        f.engines[0].set_fault(Fault::Unframed);
+        let a = f.call(0, "/once/a1", "w", Some(KEY));
+        assert_eq!((a.status, a.complete), (200, true));
+        assert_eq!(a.body, event_texts("w", 5));
+        for after in [0, 1, 3] {
+            f.engines[0].set_fault(Fault::UnframedCut(after));
+            let id = format!("x{after}");
+            let a = f.call(0, "/once/a1", &id, Some(KEY));
+            assert!(a.status == 502 || !a.complete, "after {after} events: {a:?}");
+            let events = if a.status == 200 { a.body.as_str() } else { "" };
+            assert!(event_texts(&id, 5).starts_with(events), "part of an event was passed on");
+            f.engines[0].set_fault(Fault::None);
+            thread::sleep(Duration::from_millis(1600));
+        }
+    }
+    // Guards against a stream without a length that ends early although another engine could go on.
+    an_unframed_stream_goes_on_at_another_engine: {
+        let f = Fleet::start(1, 0, 2);
+        for adapter in ["a1", "a2", "a3", "a4"] {
+            call_stream(&f, 0, &format!("/stream/{adapter}"), &format!("warm-{adapter}"));
+        }
+        for after in [0, 2] {
+            f.engines[0].set_fault(Fault::UnframedCut(after));
+            for adapter in ["a1", "a2", "a3", "a4"] {
+                let id = format!("g{after}{adapter}");
+                let a = call_stream(&f, 0, &format!("/stream/{adapter}"), &id);
+                assert_eq!((a.status, a.complete), (200, true), "{id}");
+                assert_eq!(a.body, event_texts(&id, 5));
+            }
+            f.engines[0].set_fault(Fault::None);
+        }
+    }
     // Guards against a replica that keeps working after the caller has disconnected.
     a_caller_who_leaves_ends_the_work: {
         let f = Fleet::start(1, 1, 0);
