--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -9,6 +9,7 @@
 pub mod chaos;
 pub mod fleet;
 pub mod history;
+pub mod limits;
 #[cfg(test)]
 mod tests;
 
--- a/crates/bench/src/soak/caller.rs
+++ b/crates/bench/src/soak/caller.rs
@@ -120,6 +120,7 @@
         let mut r = SentRequest {
             id,
             kind,
+            host: None,
             key,
             account: account.to_owned(),
             sent: Instant::now(),
@@ -158,6 +159,7 @@
             }
         };
         r.sent = Instant::now();
+        r.host = c.get_ref().peer_addr().ok().map(|a| a.ip());
         let mut text = format!("{method} {path} HTTP/1.1\r\n");
         for (n, v) in headers {
             text.push_str(&format!("{n}: {v}\r\n"));
--- a/crates/bench/src/soak/chaos.rs
+++ b/crates/bench/src/soak/chaos.rs
@@ -10,7 +10,7 @@
 use rustix::process::Signal;
 use yuccawing_platform_standin::{config, replica::Fault, store::Mode};
 
-use super::{SoakPlan, Xorshift, fleet::SoakFleet};
+use super::{SoakPlan, Xorshift, fleet::SoakFleet, limits};
 use crate::{
     Result,
     proxy::{Direction, Link},
@@ -32,6 +32,9 @@
 /// Shortest and longest duration of a fault.
 const FAULT_DURATION_MS: (u64, u64) = (200, 2500);
 
+/// Longest time from SIGTERM until the host is back.
+const STOP_TIME: Duration = Duration::from_secs(10);
+
 /// Interval at which a process that was sent SIGTERM is checked for its exit.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
@@ -47,6 +50,7 @@
     let mut reverts: Vec<(Instant, Revert)> = Vec::new();
     let end = Instant::now() + plan.duration;
     let mut next = Instant::now();
+    let named = limits::start(fleet, plan.seed);
     while Instant::now() < end {
         let now = Instant::now();
         if now >= next {
@@ -62,6 +66,8 @@
         revert_due(fleet, &mut reverts, Instant::now())?;
         tokio::time::sleep(STOP_POLL).await;
     }
+    counts.insert("limit", named.len());
+    limits::end(fleet, named);
     Ok(counts)
 }
 
@@ -79,15 +85,21 @@
         matches!(r, Revert::Resume(h) | Revert::Restart(h) | Revert::AwaitStop(h, _) if *h == host)
     });
     let add_disturbance = |fleet: &mut SoakFleet| fleet.faults.disturbances.push((now, until));
+    let ip = fleet.hosts[host].ip.into();
+    let add_host_fault = |fleet: &mut SoakFleet, until: Instant| {
+        fleet.faults.host_faults.push((ip, now, until));
+    };
     let kind = match rng.below(14) {
         0 if is_running && !busy => {
             add_disturbance(fleet);
+            add_host_fault(fleet, until);
             fleet.signal(host, Signal::STOP);
             reverts.push((until, Revert::Resume(host)));
             "pause"
         }
         1 if is_running && !busy => {
             add_disturbance(fleet);
+            add_host_fault(fleet, until);
             fleet.signal(host, Signal::KILL);
             fleet.hosts[host].process = None;
             reverts.push((until, Revert::Restart(host)));
@@ -95,6 +107,7 @@
         }
         2 if is_running && !busy => {
             add_disturbance(fleet);
+            add_host_fault(fleet, now + STOP_TIME);
             fleet.signal(host, Signal::TERM);
             reverts.push((now, Revert::AwaitStop(host, now)));
             "stop"
@@ -182,6 +195,7 @@
 ) -> &'static str {
     let name = format!("h{host}");
     fleet.faults.disturbances.push((Instant::now(), until));
+    fleet.faults.host_faults.push((fleet.hosts[host].ip.into(), Instant::now(), until));
     let kind = match rng.below(4) {
         0 => {
             let d = if rng.below(2) == 0 { Direction::Forward } else { Direction::Back };
--- a/crates/bench/src/soak/fleet.rs
+++ b/crates/bench/src/soak/fleet.rs
@@ -251,9 +251,7 @@
                 fence: o.body["Fence"].as_u64().unwrap_or_default(),
                 at: o.at,
             }));
-            if r.over_capacity() {
-                h.over_capacity.push(id.clone());
-            }
+            h.over_capacity.extend(r.over_capacity().map(|o| format!("{id}: {o}")));
         }
         h.versions = self.output_files.iter().map(|p| versions(p)).collect();
         h
--- a/crates/bench/src/soak/history.rs
+++ b/crates/bench/src/soak/history.rs
@@ -2,9 +2,12 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    net::IpAddr,
     time::{Duration, Instant},
 };
 
+use super::limits::{self, NamedLimit};
+
 /// Time after which a revoked key must be refused: `revoke_ms` of the hosts' settings.
 pub const REVOKE_LIMIT: Duration = Duration::from_millis(2000);
 
@@ -40,6 +43,8 @@
     pub id: String,
     /// Whether the request may run more than once.
     pub kind: Idempotency,
+    /// Address of the host that it was sent to; `None` without a connection.
+    pub host: Option<IpAddr>,
     /// Key sent with the request.
     pub key: String,
     /// Account that the key belongs to.
@@ -117,7 +122,11 @@
     /// Start and end of faults of the store, of links or of hosts, during which time limits do not
     /// apply.
     pub disturbances: Vec<(Instant, Instant)>,
-    /// Engines that were ordered to load more adapters than they have slots.
+    /// Host, start and end of faults of single hosts and of their links.
+    pub host_faults: Vec<(IpAddr, Instant, Instant)>,
+    /// Limits that replicas named.
+    pub named_limits: Vec<NamedLimit>,
+    /// Engines that were ordered to load more adapters than they have slots, with the order.
     pub over_capacity: Vec<String>,
     /// Configuration versions that each host process applied, in order.
     pub versions: Vec<Vec<u64>>,
@@ -126,7 +135,7 @@
 }
 
 /// Time after the end of a disturbance at which time limits apply again.
-const RECOVERY_TIME: Duration = Duration::from_millis(3000);
+pub(super) const RECOVERY_TIME: Duration = Duration::from_millis(3000);
 
 /// Returns all violations; each begins with a code word such as `TWICE`.
 pub fn check(h: &History) -> Vec<String> {
@@ -154,12 +163,9 @@
         check_leaving(h, run, &mut out);
     }
     check_limits(h, &mut out);
+    limits::check(h, &mut out);
     check_orders(h, &mut out);
-    out.extend(
-        h.over_capacity
-            .iter()
-            .map(|r| format!("PLACES {r} was ordered to load more adapters than it has slots")),
-    );
+    out.extend(h.over_capacity.iter().map(|r| format!("PLACES no slot is free at {r}")));
     out.extend(h.hung.iter().map(|p| format!("STOP {p} did not exit within its grace period")));
     for v in h.versions.iter().filter(|v| !v.is_sorted()) {
         out.push(format!("CONFIG applied an older version: {v:?}"));
--- a/crates/bench/src/soak/tests.rs
+++ b/crates/bench/src/soak/tests.rs
@@ -1,15 +1,22 @@
 //! Each test hands the checker a history with one violated guarantee, which it must find.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    time::{Duration, Instant},
+};
 
-use super::history::{
-    History, Idempotency, Order, REVOKE_LIMIT, ReceivedRequest, SentRequest, check,
+use super::{
+    history::{History, Idempotency, Order, REVOKE_LIMIT, ReceivedRequest, SentRequest, check},
+    limits::NamedLimit,
 };
 
+const HOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
 fn request(id: &str, now: Instant) -> SentRequest {
     SentRequest {
         id: id.into(),
         kind: Idempotency::Once,
+        host: Some(HOST),
         key: "k".into(),
         account: "one".into(),
         sent: now,
@@ -115,6 +122,18 @@
         h.received[0].units = 2000.0;
         assert_finds(&h, "QUOTA");
     }
+    an_exceeded_limit_of_a_replica_is_found(now): {
+        let mut h = clean_history(now);
+        let span = (now - Duration::from_secs(4), now + Duration::from_secs(4));
+        h.named_limits.push(NamedLimit { replica: "p0".into(), rate: 1.0, span });
+        for n in 0..11 {
+            h.requests.push(request(&format!("b{n}"), now));
+            h.received.push(run(&format!("b{n}"), now));
+        }
+        assert_finds(&h, "LIMIT");
+        h.host_faults.push((HOST, now - Duration::from_secs(1), now));
+        assert!(check(&h).is_empty(), "a limit does not bind a host that was disturbed");
+    }
     two_holders_are_found(now): {
         let mut h = clean_history(now);
         h.orders = vec![order("h0", 1, now), order("h1", 2, now + Duration::from_millis(100))];
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -452,7 +452,7 @@
             assert!(orders.iter().all(|o| o.body["Holder"] == holder));
             let fences: Vec<_> = orders.iter().map(|o| o.body["Fence"].as_u64().unwrap()).collect();
             assert!(fences.is_sorted(), "{fences:?}");
-            assert!(!e.over_capacity());
+            assert_eq!(e.over_capacity(), None);
         }
     }
     // Guards against requests that use an older adapter version after a newer one was announced.
