--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -58,7 +58,7 @@
     pub replica: u32,
     /// Requests per 1,000 s that it takes from all hosts together; none if its limit has ended.
     pub limit_milli: Option<u32>,
-    /// Time since the newest response that told so, in ms.
+    /// Time since the newest response that named it or showed its end, in ms.
     pub age_ms: u32,
     /// Requests that the sender's process has sent to it.
     pub sent: u32,
--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -181,7 +181,7 @@
     // Blocks sent since the last digest, and those of the digest before.
     cached: [Vec<CachedBlock>; 2],
     load_time: LoadTime,
-    // Replicas with a limit about which the other senders must hear.
+    // Replicas with a limit that are to be reported to the other senders.
     unreported: BTreeSet<ReplicaKey>,
 }
 
--- a/crates/core/src/fleet/dispatch/limits.rs
+++ b/crates/core/src/fleet/dispatch/limits.rs
@@ -1,4 +1,4 @@
-//! Limits that replicas name: what responses and peers tell of them, and what peers are told.
+//! Limits that replicas name: from responses and from the reports of peers, and for reports to peers.
 
 use super::{Dispatcher, ReplicaKey};
 use crate::{
@@ -38,12 +38,12 @@
         out
     }
 
-    /// Takes the replicas about which the other senders must hear at once.
+    /// Takes the replicas that must be reported to the other senders at once.
     pub fn take_unreported(&mut self) -> Vec<ReplicaKey> {
         std::mem::take(&mut self.unreported).into_iter().collect()
     }
 
-    /// What peers are told of the limits of `replicas`.
+    /// Entries about `replicas` for a report to peers.
     pub fn limit_entries(
         &self,
         now: Tick,
--- a/crates/core/src/fleet/limit.rs
+++ b/crates/core/src/fleet/limit.rs
@@ -2,7 +2,7 @@
 //!
 //! Each host that may send to such a replica keeps a token bucket for the whole fleet. It takes its
 //! own requests from it at once and those of other hosts when they report them, which they do with
-//! each request. Hosts may use the same token before they hear of each other, so only
+//! each request. Hosts may use the same token before the reports arrive, so only
 //! [`MAX_SENDERS`] of them send to a replica that names a limit.
 
 #[cfg(test)]
@@ -80,8 +80,8 @@
 #[derive(Debug, Default)]
 pub struct SendLimit {
     bucket: Option<Bucket>,
-    // When the newest response arrived that told of the limit or its end.
-    told_at: Option<Tick>,
+    // When the newest response arrived that named the limit or showed its end.
+    named_at: Option<Tick>,
     // Requests of this host so far.
     sent: u32,
     sender: bool,
@@ -113,7 +113,7 @@
         SendState::Wait(Duration::from_secs_f64(missing / (b.rate * USED_RATE)))
     }
 
-    /// Counts a request of this host. Returns whether the other senders must hear of it.
+    /// Counts a request of this host. Returns whether it must be reported to the other senders.
     pub fn record_send(&mut self, now: Tick) -> bool {
         self.sent = self.sent.wrapping_add(1);
         if let Some(b) = &mut self.bucket {
@@ -126,13 +126,13 @@
     pub fn observe(&mut self, now: Tick, sent_at: Tick, named: Option<f64>) -> Option<LimitChange> {
         match named {
             Some(rate) => {
-                self.told_at = Some(now);
+                self.named_at = Some(now);
                 self.set_rate(now, rate)
             }
             // Responses overtake each other.
-            None if self.told_at.is_some_and(|t| sent_at < t) => None,
+            None if self.named_at.is_some_and(|t| sent_at < t) => None,
             None => {
-                self.told_at = self.bucket.is_some().then_some(now).or(self.told_at);
+                self.named_at = self.bucket.is_some().then_some(now).or(self.named_at);
                 self.bucket.take().map(|_| LimitChange::Lifted)
             }
         }
@@ -146,10 +146,10 @@
         incarnation: u64,
         l: &NamedLimit,
     ) -> Option<LimitChange> {
-        let told_at = now - Duration::from_millis(u64::from(l.age_ms));
+        let named_at = now - Duration::from_millis(u64::from(l.age_ms));
         let mut change = None;
-        if self.told_at.is_none_or(|t| told_at > t) {
-            self.told_at = Some(told_at);
+        if self.named_at.is_none_or(|t| named_at > t) {
+            self.named_at = Some(named_at);
             change = match l.limit_milli {
                 Some(milli) => self.set_rate(now, f64::from(milli) / 1000.0),
                 None => self.bucket.take().map(|_| LimitChange::Lifted),
@@ -170,9 +170,9 @@
         change
     }
 
-    /// What this host tells its peers; `None` if there is nothing to tell.
+    /// What this host reports to its peers; `None` without a limit and without one that has just ended.
     pub fn entry(&self, now: Tick, replica: u32) -> Option<NamedLimit> {
-        let age = now.since(self.told_at?);
+        let age = now.since(self.named_at?);
         if self.bucket.is_none() && age > LIFTED_REPORTS {
             return None;
         }
--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -117,8 +117,8 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     losses: BTreeMap<u32, Loss>,
-    // When a response to a request with the block last went beyond its first event, at any host
-    // that has told of it.
+    // When a response to a request with the block last went beyond its first event, at this host or
+    // at a peer that has reported it.
     served: HashMap<u64, Tick>,
     served_count: u64,
     held: BTreeMap<u64, Hold>,
@@ -126,9 +126,9 @@
     peer_held: BTreeSet<u64>,
     released: BTreeSet<u64>,
     // Newest response for the block that this host or a peer has reported.
-    told: HashMap<u64, Tick>,
+    announced: HashMap<u64, Tick>,
     // Blocks whose last response is to be reported, with the number of reports.
-    untold: BTreeMap<u64, u8>,
+    pending: BTreeMap<u64, u8>,
     last_report: Tick,
     sequence: u64,
     // Incarnation and sequence of the newest report of each peer.
@@ -175,7 +175,7 @@
         let suspected: Vec<u64> =
             blocks.iter().copied().filter(|b| self.is_suspected(*b)).collect();
         for b in suspected {
-            self.tell(b);
+            self.announce(b);
         }
         self.evaluate(now)
     }
@@ -209,7 +209,7 @@
 
     /// Report to all peers, if one is due.
     pub fn report(&mut self, now: Tick, ip: Ipv4Addr, incarnation: u64) -> Option<LossReport> {
-        let news = !self.untold.is_empty() || self.losses.values().any(|l| l.repeats > 0);
+        let news = !self.pending.is_empty() || self.losses.values().any(|l| l.repeats > 0);
         let due = !self.held.is_empty() && now.since(self.last_report) >= REPORT_INTERVAL;
         if !news && !due {
             return None;
@@ -221,7 +221,7 @@
                 known.repeats = known.repeats.saturating_sub(1);
             }
         }
-        self.untold.retain(|_, n| {
+        self.pending.retain(|_, n| {
             *n -= 1;
             *n > 0
         });
@@ -243,7 +243,7 @@
             Some(ReplicaLoss { replica: *k, age_ms: age_ms(l.at), suspects: l.suspects.clone() })
         });
         let served = self
-            .untold
+            .pending
             .keys()
             .filter_map(|b| Some(ServedBlock { block: *b, age_ms: age_ms(*self.served.get(b)?) }));
         let held = self.held.iter();
@@ -269,8 +269,8 @@
         for s in &r.served {
             let at = when(s.age_ms);
             self.note_served(s.block, at);
-            let told = self.told.entry(s.block).or_insert(at);
-            *told = (*told).max(at);
+            let announced = self.announced.entry(s.block).or_insert(at);
+            *announced = (*announced).max(at);
         }
         for l in &r.losses {
             self.add_suspects(now, l.replica, when(l.age_ms), &l.suspects);
@@ -279,7 +279,7 @@
             let begun = l.suspects.iter().filter(|s| s.begun);
             let blocks: Vec<u64> = begun.flat_map(|s| s.blocks.iter().copied()).collect();
             for b in blocks {
-                self.tell(b);
+                self.announce(b);
             }
         }
         for h in r.held.iter().filter(|h| u128::from(h.idle_ms) < HOLD_IDLE.as_millis()) {
@@ -308,22 +308,22 @@
             ticks.sort_unstable();
             let mid = ticks[ticks.len() / 2];
             self.served.retain(|_, t| *t > mid);
-            self.told.retain(|_, t| *t > mid);
+            self.announced.retain(|_, t| *t > mid);
         }
         let known = self.served.entry(block).or_insert(at);
         *known = (*known).max(at);
     }
 
     // Reports the last response for a block unless a report has shown one since the newest loss.
-    fn tell(&mut self, block: u64) {
+    fn announce(&mut self, block: u64) {
         let Some(served) = self.served.get(&block).copied() else { return };
         let newest =
             self.losses.values().filter(|l| evidence::blames(l, block)).map(|l| l.at).max();
-        let known = self.told.get(&block).copied();
+        let known = self.announced.get(&block).copied();
         let clears = newest.is_some_and(|t| served >= t && known.is_none_or(|k| k < t));
         if clears || known.is_none() {
-            self.told.insert(block, served);
-            self.untold.insert(block, REPEATS);
+            self.announced.insert(block, served);
+            self.pending.insert(block, REPEATS);
         }
     }
 
--- a/crates/daemon/src/front/control/limits.rs
+++ b/crates/daemon/src/front/control/limits.rs
@@ -79,7 +79,7 @@
         }
     }
 
-    /// Tells the other senders of requests and limits that they must hear of at once.
+    /// Reports requests to limited replicas, and new limits, to the other senders at once.
     pub(super) fn report_limits(&mut self, now: Tick) {
         let replicas = self.dispatcher.take_unreported();
         if replicas.is_empty() {
--- a/crates/daemon/src/front/forward/loss.rs
+++ b/crates/daemon/src/front/forward/loss.rs
@@ -28,7 +28,7 @@
 }
 
 /// Tells the control actor about a replica that ended before it had responded to a request with
-/// more than one event. A connection that broke at a replica that goes on listening tells nothing.
+/// more than one event. A replica that goes on listening has only broken the connection.
 pub(super) async fn report_ended(w: &Worker, r: &CallerRequest, a: &Assignment, f: &Failure) {
     let Some(begun) = f.broken_in_response() else { return };
     let blocks = r.request.inference.as_ref().map(|i| i.shared_blocks()).unwrap_or_default();
