Log eras of the store and items with earlier revisions

After a restore the log could not tell a skipped item from a copy that was taken for current. A listing whose pages are of two eras is read again.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod engine_updates;
 pub mod freshness;
 pub mod health;
+pub mod history;
 pub mod limit;
 pub mod listing;
 pub mod load_time;
--- a/crates/daemon/src/front/client.rs
+++ b/crates/daemon/src/front/client.rs
@@ -219,13 +219,15 @@
         request: Request<Full<Bytes>>,
         limit: Duration,
         max_bytes: usize,
-    ) -> Result<(u16, Bytes), CallError> {
+    ) -> Result<Response<Bytes>, CallError> {
         let call = async {
             let mut reply = self.send(address, request, Reuse::Allowed, limit).await?;
             let body = reply.body(max_bytes).await?;
-            let status = reply.response.status().as_u16();
+            let mut out = Response::new(body);
+            *out.status_mut() = reply.response.status();
+            out.headers_mut().clone_from(reply.response.headers());
             self.release(reply);
-            Ok((status, body))
+            Ok(out)
         };
         timeout(limit, call).await.unwrap_or(Err(CallError::Timeout))
     }
--- a/crates/daemon/src/front/control/orders.rs
+++ b/crates/daemon/src/front/control/orders.rs
@@ -6,7 +6,7 @@
 use arcstr::ArcStr;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Request;
+use hyper::{Request, Response};
 use slog::kv;
 use yuccawing_core::{
     fleet::{
@@ -380,7 +380,7 @@
         &mut self,
         k: ReplicaKey,
         sent_at: Tick,
-        response: Result<(u16, Bytes), CallError>,
+        response: Result<Response<Bytes>, CallError>,
         ctx: &mut Context<Self>,
     ) {
         let now = clock::now();
@@ -389,8 +389,10 @@
         engine.reading = false;
         let Some(r) = self.dispatcher.replicas.get_mut(k) else { return };
         let report = match response {
-            Ok((200, body)) => wire::decode_report(&body).map_err(|e| e.to_string()),
-            Ok((status, _)) => Err(format!("status {status}")),
+            Ok(r) if r.status().as_u16() == 200 => {
+                wire::decode_report(r.body()).map_err(|e| e.to_string())
+            }
+            Ok(r) => Err(format!("status {}", r.status().as_u16())),
             Err(e) => Err(e.to_string()),
         };
         match report {
@@ -440,7 +442,10 @@
     }
 }
 
-async fn read_report(client: Rc<Client>, address: SocketAddr) -> Result<(u16, Bytes), CallError> {
+async fn read_report(
+    client: Rc<Client>,
+    address: SocketAddr,
+) -> Result<Response<Bytes>, CallError> {
     let request = Request::get(wire::REPORT_PATH)
         .header("host", address.to_string())
         .body(Full::new(Bytes::new()))
@@ -460,6 +465,6 @@
         .header(headers::EXPECT_REPLICA, id.as_str())
         .body(Full::new(Bytes::from(wire::encode_order(&order))))
         .expect("the request is valid");
-    let (status, _) = client.call(address, request, CALL_TIMEOUT, MAX_REPORT_BYTES).await?;
-    Ok(wire::order_response(status))
+    let response = client.call(address, request, CALL_TIMEOUT, MAX_REPORT_BYTES).await?;
+    Ok(wire::order_response(response.status().as_u16()))
 }
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -12,6 +12,7 @@
         digest::{Digest, ListingDelta, Message as PeerMessage},
         freshness::{Freshness, READS_PER_BOUND, SnapshotMark},
         hash,
+        history::Position,
         listing::{self, ReplicaList},
         peers::PeerChange,
         replicas::{ReplicaChange, ReplicaKey},
@@ -25,7 +26,7 @@
     events::{Event, emit},
     front::{
         clock,
-        store::{self, OutageLog},
+        store::{self, Listing, OutageLog},
     },
 };
 
@@ -62,6 +63,8 @@
     revisions: HashMap<String, u64>,
     // The newest known revision of the store.
     pub(super) revision: u64,
+    // Era of the last read.
+    era: Option<u64>,
 }
 
 impl Default for StoreState {
@@ -74,6 +77,7 @@
             listing_outage: OutageLog::new("replicas"),
             revisions: HashMap::new(),
             revision: 0,
+            era: None,
         }
     }
 }
@@ -116,17 +120,21 @@
         &mut self,
         prefix: Prefix,
         sent_at: Tick,
-        read: Result<(Vec<Item>, u64), store::Error>,
+        read: Result<Listing, store::Error>,
         unannounced: bool,
     ) {
         let outage = match prefix {
             Prefix::Operator => &mut self.store.operator_outage,
             Prefix::Replicas => &mut self.store.listing_outage,
         };
-        outage.record(&self.log, sent_at, read.as_ref().err());
+        outage.record(&self.log, sent_at, &read);
         let now = clock::now();
+        if let Ok(listing) = &read {
+            self.observe_era(listing.position);
+        }
         match (prefix, read) {
-            (Prefix::Operator, Ok((items, revision))) => {
+            (Prefix::Operator, Ok(Listing { items, position })) => {
+                let revision = position.revision;
                 self.store.revision = self.store.revision.max(revision);
                 let revisions = items.iter().map(|i| format!("{}@{}", i.key, i.revision));
                 let hash = hash_all(revisions);
@@ -134,7 +142,8 @@
                 self.store.operator.finish_read(sent_at, hash);
                 self.publish(now);
             }
-            (Prefix::Replicas, Ok((items, revision))) => {
+            (Prefix::Replicas, Ok(Listing { items, position })) => {
+                let revision = position.revision;
                 self.store.revision = self.store.revision.max(revision);
                 let entries: Vec<_> = items
                     .iter()
@@ -162,6 +171,14 @@
         }
     }
 
+    fn observe_era(&mut self, position: Position) {
+        let old = self.store.era.replace(position.era);
+        if old.is_some_and(|o| o != position.era) {
+            let fields = kv!("era" => position.era, "old" => old, "revision" => position.revision);
+            emit(&self.log, Event::StoreRestored, &fields);
+        }
+    }
+
     // Sends the peers the difference between the last listing and this one.
     fn send_change(&self, now: Tick, sent_at: Tick, entries: &[ReplicaEntry], hash: u64) {
         let to = SnapshotMark { hash, age_ms: now.since(sent_at).as_millis() as u64 };
@@ -197,7 +214,16 @@
     fn apply_operator(&mut self, now: Tick, sent_at: Tick, items: Vec<Item>, revision: u64) {
         let mut versions = Vec::new();
         for item in items {
-            if self.store.revisions.get(&item.key).is_some_and(|r| *r >= item.revision) {
+            if let Some(applied) = self.store.revisions.get(&item.key)
+                && *applied >= item.revision
+            {
+                if *applied > item.revision {
+                    let fields = kv!(
+                        "key" => item.key.as_str(), "revision" => item.revision,
+                        "applied" => *applied,
+                    );
+                    emit(&self.log, Event::ItemOutdated, &fields);
+                }
                 continue;
             }
             match self.decode_item(&item) {
--- a/crates/daemon/src/front/store.rs
+++ b/crates/daemon/src/front/store.rs
@@ -8,8 +8,11 @@
 use http_body_util::Full;
 use hyper::Request;
 use slog::{Logger, kv};
-use yuccawing_core::time::Tick;
-use yuccawing_platform::store::{self, Item, Page};
+use yuccawing_core::{fleet::history::Position, time::Tick};
+use yuccawing_platform::{
+    headers::{self, EraHeader},
+    store::{self, Item, Page},
+};
 
 use super::{
     client::{CallError, Client},
@@ -38,38 +41,60 @@
     /// The response cannot be decoded.
     #[error("{0}")]
     Decode(#[from] store::Error),
+    /// The header that states the era cannot be parsed, so the items have no known age.
+    #[error("the era is no number")]
+    Era,
+    /// The store was restored between two pages.
+    #[error("the pages are of eras {0} and {1}")]
+    MixedEras(u64, u64),
     /// The listing has more pages than expected.
     #[error("more than {MAX_PAGES} pages")]
     TooManyPages,
 }
 
-/// Reads all items under `prefix`. Returns them with the revision of the store.
+/// Items of one read of the store.
+#[derive(Debug)]
+pub struct Listing {
+    /// Items in the order of their keys.
+    pub items: Vec<Item>,
+    /// Position of the store at the time of the last page.
+    pub position: Position,
+}
+
+/// Reads all items under `prefix`.
 ///
 /// # Errors
 ///
 /// Returns an error if the store does not respond, responds with an error, or sends what cannot be
 /// decoded.
-pub async fn read(
-    client: Rc<Client>,
-    address: SocketAddr,
-    prefix: &str,
-) -> Result<(Vec<Item>, u64), Error> {
+pub async fn read(client: Rc<Client>, address: SocketAddr, prefix: &str) -> Result<Listing, Error> {
     let mut items: Vec<Item> = Vec::new();
+    let mut first_era = None;
     for _ in 0..MAX_PAGES {
         let path = store::range_path(prefix, items.last().map(|i| i.key.as_str()));
         let request = Request::get(path)
             .header("host", address.to_string())
             .body(Full::new(Bytes::new()))
             .expect("the path is escaped");
-        let (status, body) = client.call(address, request, READ_TIMEOUT, MAX_PAGE_BYTES).await?;
-        if status != 200 {
-            return Err(Error::Status(status));
+        let response = client.call(address, request, READ_TIMEOUT, MAX_PAGE_BYTES).await?;
+        if response.status().as_u16() != 200 {
+            return Err(Error::Status(response.status().as_u16()));
+        }
+        let era = response.headers().get(headers::STORE_ERA).map(|v| v.as_bytes());
+        let era = match headers::parse_era(era) {
+            EraHeader::Absent => 0,
+            EraHeader::Era(era) => era,
+            EraHeader::Invalid => return Err(Error::Era),
+        };
+        let first_era = *first_era.get_or_insert(era);
+        if era != first_era {
+            return Err(Error::MixedEras(first_era, era));
         }
-        let page = Page::decode(&body)?;
+        let page = Page::decode(response.body())?;
         let empty = page.items.is_empty();
         items.extend(page.items);
         if !page.more || empty {
-            return Ok((items, page.revision));
+            return Ok(Listing { items, position: Position { era, revision: page.revision } });
         }
     }
     Err(Error::TooManyPages)
@@ -89,16 +114,20 @@
     }
 
     /// Records the outcome of the read that was sent at `sent_at`.
-    pub fn record(&mut self, log: &Logger, sent_at: Tick, error: Option<&Error>) {
-        match (error, self.since) {
-            (Some(e), None) => {
+    pub fn record(&mut self, log: &Logger, sent_at: Tick, read: &Result<Listing, Error>) {
+        match (read, self.since) {
+            (Err(e), None) => {
                 self.since = Some(sent_at);
                 emit(log, Event::StoreLost, &kv!("read" => self.prefix, "error" => e.to_string()));
             }
-            (None, Some(since)) => {
+            (Ok(listing), Some(since)) => {
                 self.since = None;
                 let lost = clock::now().since(since).as_millis() as u64;
-                emit(log, Event::StoreBack, &kv!("read" => self.prefix, "lost_ms" => lost));
+                let Position { era, revision } = listing.position;
+                let fields = kv!(
+                    "read" => self.prefix, "lost_ms" => lost, "era" => era, "revision" => revision,
+                );
+                emit(log, Event::StoreBack, &fields);
             }
             _ => {}
         }
