--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -9,6 +9,7 @@
 
 mod crashes;
 mod limits;
+mod restores;
 
 use std::{
     io::Write,
