Order what is read from the store by era and revision

Callers got 404 or 401 for changes that had been acknowledged after the store came back from an older copy, for as long as its revisions stayed below the lost ones. Cause: hosts took the revision for an order of all writes, but a restore takes it back and gives it out again. Class: an order that holds only within one life of its source.

History now decides what is newer: a position is an era and a revision. It also decides whether a read proves that no acknowledged change is missing: not until what was lost was written again, which an unchanged version at another revision shows, else after 2 s, and not while a running peer has a later version in force. Reads and reports of an earlier era are dropped. A replica that has begun to leave stays so, one that was missing before a restore is not used while its entry may be that of the copy, one that the copy lacks stays in use. Fencing tokens count eras, so they rise. Hosts tell each other of the era in a message of its own, which earlier releases drop.

--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -6,7 +6,7 @@
 use arcstr::ArcStr;
 use serde::{Deserialize, Serialize};
 
-use super::{config::ReplicaEntry, freshness::SnapshotMark, report::Resident};
+use super::{config::ReplicaEntry, freshness::SnapshotMark, history::EraReport, report::Resident};
 
 /// Whether a host takes requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,6 +38,8 @@
     Losses(Box<LossReport>),
     /// Limits that replicas name.
     Limits(Box<LimitReport>),
+    /// Era of the store. Hosts of an earlier release drop it.
+    Era(EraReport),
 }
 
 /// What a host knows of the limits that replicas name. Hosts of an earlier release drop it.
@@ -127,7 +129,7 @@
     pub base_hash: u64,
     /// Hash of the list after the changes, and the age of its read.
     pub to: SnapshotMark,
-    /// Revision of the store.
+    /// [`super::history::Position::count`] of the read.
     pub revision: u64,
     /// Entries that are new or differ.
     pub entries: Vec<ReplicaEntry>,
@@ -154,7 +156,7 @@
     pub members: Vec<Member>,
     /// Age of the process, in ms.
     pub age_ms: u64,
-    /// The newest revision of the store that it knows.
+    /// [`super::history::Position::count`] of the newest position of the store that it knows.
     pub revision: u64,
     /// Replicas that it sent orders to within [`super::peers::ORDER_WINDOW`], and those that peers
     /// did which have fallen silent since.
--- a/crates/core/src/fleet/freshness.rs
+++ b/crates/core/src/fleet/freshness.rs
@@ -93,6 +93,8 @@
     stale_since: Option<Tick>,
     reading: bool,
     last_failed: bool,
+    // Whether the last read did not prove that its copy is current.
+    unproved: bool,
 }
 
 impl Freshness {
@@ -101,9 +103,10 @@
         self.read_at
     }
 
-    /// Hash and age of the copy for this host's digest, none before the first read.
+    /// Hash and age of the copy for this host's digest, none before the first read and while it is
+    /// unproved, since its age is that of an earlier copy then.
     pub fn mark(&self, now: Tick) -> Option<SnapshotMark> {
-        let (hash, read) = (self.copy_hash?, self.read_at?);
+        let (hash, read) = (self.copy_hash.filter(|_| !self.unproved)?, self.read_at?);
         Some(SnapshotMark { hash, age_ms: now.since(read).as_millis() as u64 })
     }
 
@@ -112,6 +115,7 @@
         let read = now - Duration::from_millis(mark.age_ms) - DIGEST_TRANSIT;
         if self.copy_hash == Some(mark.hash) {
             self.read_at = self.read_at.max(Some(read));
+            self.unproved = false;
             return true;
         }
         // An older read may show an earlier state.
@@ -168,9 +172,17 @@
     /// Records that the read that was sent at `sent_at` returned `hash`. Returns the hash of the
     /// previous copy.
     pub fn finish_read(&mut self, sent_at: Tick, hash: u64) -> Option<u64> {
-        (self.reading, self.last_failed) = (false, false);
-        let old = self.copy_hash.replace(hash);
+        let old = self.finish_unproved(sent_at, hash);
+        (self.last_failed, self.unproved) = (false, false);
         self.read_at = self.read_at.max(Some(sent_at));
+        old
+    }
+
+    /// As [`Self::finish_read`], for a read that does not prove that the copy is current. The next
+    /// read is due after a poll interval.
+    pub fn finish_unproved(&mut self, sent_at: Tick, hash: u64) -> Option<u64> {
+        (self.reading, self.last_failed, self.unproved) = (false, true, true);
+        let old = self.copy_hash.replace(hash);
         if self.stale_since.is_some_and(|t| t <= sent_at) {
             self.stale_since = None;
         }
--- a/crates/core/src/fleet/freshness/tests.rs
+++ b/crates/core/src/fleet/freshness/tests.rs
@@ -37,6 +37,24 @@
         assert_eq!(f.read_at(), Some(at(0)));
         assert!(f.read_due(at(1200), 1, POLL));
     }
+    // Guards against a peer that takes the age of an earlier copy for that of one which a restored
+    // store has shown.
+    an_unproved_copy_is_not_announced: {
+        let mut f = copy(0, 5);
+        f.finish_unproved(at(1000), 6);
+        assert_eq!((f.mark(at(1100)), f.read_at()), (None, Some(at(0))));
+        f.start_read(at(1500));
+        f.finish_read(at(1500), 6);
+        assert_eq!(f.mark(at(1600)), Some(SnapshotMark { hash: 6, age_ms: 100 }));
+    }
+    // Guards against many reads of each host while no read proves anything.
+    an_unproved_copy_is_read_once_per_interval: {
+        let mut f = Freshness::default();
+        f.start_read(at(0));
+        f.finish_unproved(at(10), 6);
+        assert!(!f.read_due(at(450), 0, POLL));
+        assert!(f.read_due(at(500), 0, POLL));
+    }
     // Guards against an age that is lower than that of the read.
     the_age_counts_from_the_read: {
         let mut f = copy(0, 5);
--- a/crates/core/src/fleet/order.rs
+++ b/crates/core/src/fleet/order.rs
@@ -60,13 +60,14 @@
 /// Bits of a fencing token that identify the host: those of an address in a /8 network.
 const HOST_BITS: u32 = 24;
 
-/// Fencing token of a host that knows `revision` of the store. It is above `seen`, the highest
-/// token that the host knows for the replica. The store's revision keeps rising whatever happens to
-/// hosts, so the tokens of successive owners rise even if no host knows the last one. The address
-/// distinguishes hosts that know the same revision.
-pub fn fencing_token(revision: u64, seen: u64, ip: Ipv4Addr) -> u64 {
+/// Fencing token of a host that knows the store up to `position`, a
+/// [`super::history::Position::count`]. It is above `seen`, the highest token that the host knows
+/// for the replica. The position keeps rising whatever happens to hosts, so the tokens of
+/// successive owners rise even if no host knows the last one. The address distinguishes hosts that
+/// know the same position.
+pub fn fencing_token(position: u64, seen: u64, ip: Ipv4Addr) -> u64 {
     let host = u64::from(u32::from(ip)) & ((1 << HOST_BITS) - 1);
-    let count = revision.max((seen >> HOST_BITS) + 1);
+    let count = position.max((seen >> HOST_BITS) + 1);
     (count << HOST_BITS) | host
 }
 
@@ -132,12 +133,12 @@
         self.count = None;
     }
 
-    /// Records that an order is sent and returns its fencing token. A host that knows `revision`
-    /// creates the token with the first order of its ownership.
-    pub fn record_order(&mut self, now: Tick, revision: u64, ip: Ipv4Addr) -> u64 {
+    /// Records that an order is sent and returns its fencing token. A host that knows the store up
+    /// to `position` creates the token with the first order of its ownership.
+    pub fn record_order(&mut self, now: Tick, position: u64, ip: Ipv4Addr) -> u64 {
         self.last_order = Some(now);
         let token =
-            *self.fence.get_or_insert_with(|| fencing_token(revision, self.highest_fence, ip));
+            *self.fence.get_or_insert_with(|| fencing_token(position, self.highest_fence, ip));
         self.highest_fence = self.highest_fence.max(token);
         token
     }
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -14,8 +14,8 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::{
-    config::ReplicaEntry, digest, hash32, health::Health, limit::SendLimit, order::Ownership,
-    report::Resident, request::InferenceSpec,
+    config::ReplicaEntry, digest, hash32, health::Health, history::STALE_ENTRIES, limit::SendLimit,
+    order::Ownership, report::Resident, request::InferenceSpec,
 };
 use crate::time::Tick;
 
@@ -301,6 +301,8 @@
     // When the store last responded, and since when it has done so without a gap.
     last_listed: Option<Tick>,
     listed_since: Option<Tick>,
+    // When the store was restored from an older copy.
+    restored_at: Option<Tick>,
 }
 
 impl Replicas {
@@ -337,6 +339,12 @@
         self.last_listed = Some(now);
     }
 
+    /// Records that the store was restored at `at`. For a while its listing may lack running
+    /// replicas and contain ones that have gone.
+    pub fn note_restore(&mut self, at: Tick) {
+        self.restored_at = Some(at);
+    }
+
     /// Applies a complete listing that was requested at `sent_at`. `gap` is the length of an outage
     /// of the store after which entries may have expired.
     pub fn sync(
@@ -355,7 +363,8 @@
         for e in entries {
             listed.push(self.upsert(now, e, &mut out));
         }
-        let grace = self.listed_since.is_some_and(|t| now.since(t) < EXPIRY_GRACE);
+        let within = |t: Option<Tick>| t.is_some_and(|t| now.since(t) < EXPIRY_GRACE);
+        let grace = within(self.listed_since) || within(self.restored_at);
         let mut dead = Vec::new();
         for (k, r) in &mut self.map {
             if listed.contains(&k) {
@@ -381,13 +390,17 @@
         if let Some(k) = known {
             let r = &mut self.map[k];
             if r.started_ms == e.started_ms && r.address == e.address && r.service == e.service {
-                if r.missing_since.take().is_some() {
+                let outdated = self.restored_at.filter(|t| now.since(*t) < STALE_ENTRIES);
+                if r.missing_since.is_some_and(|t| outdated.is_none_or(|o| t >= o)) {
+                    r.missing_since = None;
                     out.push(ReplicaChange::Returned(k));
                 }
                 if e.leaving && !r.leaving {
                     out.push(ReplicaChange::Leaving(k));
                 }
-                r.leaving = e.leaving;
+                // A process that has begun to leave does not come back; an entry that says so is
+                // outdated.
+                r.leaving |= e.leaving;
                 // A listing that was updated by a peer's delta repeats the entries that the delta
                 // does not contain.
                 if r.reported_at.is_none_or(|t| now.since(t) > OWNER_PRECEDENCE)
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -237,7 +237,7 @@
             last_digest: now,
             engine_updates: EngineUpdates::default(),
             stalls: StallDetector::default(),
-            store: StoreState::default(),
+            store: StoreState::new(now),
             leaving: false,
             admit_until: None,
             serving: false,
@@ -374,7 +374,7 @@
             state: self.state(),
             members: if with_members { self.peers.members(now) } else { Vec::new() },
             age_ms: now.since(self.started).as_millis() as u64,
-            revision: self.store.revision,
+            revision: self.store.count,
             fences: ordered.collect(),
             operator: self.store.operator.mark(now),
             listing: self.store.listing.mark(now),
@@ -413,6 +413,7 @@
             self.quota.remove_peer(ip);
             self.dispatcher.remove_peer(ip);
             self.quarantine.remove_peer(ip);
+            self.store.history.remove_peer(ip);
         }
         if now.since(self.started) > FORGET_AFTER {
             self.quota.remove_unheard();
@@ -462,6 +463,7 @@
             PeerMessage::Limits(r) => self.handle_limits(now, &r),
             PeerMessage::Losses(r) => self.handle_losses(now, &r),
             PeerMessage::ListingDelta(l) => self.handle_listing(now, &l),
+            PeerMessage::Era(r) => self.handle_era(now, &r),
         }
     }
 }
--- a/crates/daemon/src/front/control/orders.rs
+++ b/crates/daemon/src/front/control/orders.rs
@@ -201,7 +201,7 @@
         expected: Option<u64>,
     ) -> Option<(u64, impl Future<Output = Result<OrderResponse, CallError>> + use<>)> {
         let r = self.dispatcher.replicas.get_mut(k)?;
-        let fence = r.ownership.record_order(now, self.store.revision, self.settings.ip);
+        let fence = r.ownership.record_order(now, self.store.count, self.settings.ip);
         let loads = step.verb == Verb::Load;
         let order = Order {
             verb: step.verb,
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -1,7 +1,7 @@
 //! Keeps the view of the store, the peers and the replicas current: reads the store, applies
 //! digests and assigns engines to their owners.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{net::Ipv4Addr, sync::Arc, time::Duration};
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use slog::kv;
@@ -12,7 +12,7 @@
         digest::{Digest, ListingDelta, Message as PeerMessage},
         freshness::{Freshness, READS_PER_BOUND, SnapshotMark},
         hash,
-        history::Position,
+        history::{EraChange, EraReport, History, ItemChange, Position, REWRITE_TIME},
         listing::{self, ReplicaList},
         peers::PeerChange,
         replicas::{ReplicaChange, ReplicaKey},
@@ -57,27 +57,25 @@
     list: ReplicaList,
     operator_outage: OutageLog,
     listing_outage: OutageLog,
-    // Applied revision by key of the operator's items. The pages of a listing are not a consistent
-    // snapshot, so one revision for all items would miss a change on a page that was read before
-    // the change.
-    revisions: HashMap<String, u64>,
-    // The newest known revision of the store.
-    pub(super) revision: u64,
-    // Era of the last read.
-    era: Option<u64>,
+    // Where the configuration in force was last listed.
+    config_at: Position,
+    pub(super) history: History,
+    // [`Position::count`] of the newest known position of the store.
+    pub(super) count: u64,
 }
 
-impl Default for StoreState {
-    fn default() -> Self {
+impl StoreState {
+    /// State before the first read of a process that starts at `now`.
+    pub(super) fn new(now: Tick) -> Self {
         Self {
             operator: Freshness::default(),
             listing: Freshness::default(),
             list: ReplicaList::default(),
             operator_outage: OutageLog::new("operator"),
             listing_outage: OutageLog::new("replicas"),
-            revisions: HashMap::new(),
-            revision: 0,
-            era: None,
+            config_at: Position::default(),
+            history: History::new(now),
+            count: 0,
         }
     }
 }
@@ -129,22 +127,34 @@
         };
         outage.record(&self.log, sent_at, &read);
         let now = clock::now();
-        if let Ok(listing) = &read {
-            self.observe_era(listing.position);
+        if let Ok(listing) = &read
+            && !self.observe_era(now, sent_at, listing.position)
+        {
+            match prefix {
+                Prefix::Operator => self.store.operator.fail_read(),
+                Prefix::Replicas => self.store.listing.fail_read(),
+            }
+            return;
         }
         match (prefix, read) {
             (Prefix::Operator, Ok(Listing { items, position })) => {
-                let revision = position.revision;
-                self.store.revision = self.store.revision.max(revision);
-                let revisions = items.iter().map(|i| format!("{}@{}", i.key, i.revision));
-                let hash = hash_all(revisions);
-                self.apply_operator(now, sent_at, items, revision);
-                self.store.operator.finish_read(sent_at, hash);
+                let texts =
+                    items.iter().map(|i| format!("{}@{}.{}", i.key, position.era, i.revision));
+                let listed = hash_all(texts);
+                self.apply_operator(now, sent_at, items, position);
+                // A restored store may list an older version than the one in force. Hosts that have
+                // read the same items are up to date alike only with the same version in force.
+                let version = self.version();
+                let hash = listed ^ hash(&["in force", &version.to_string()]);
+                let is_alive = |ip| self.peers.is_alive(now, ip);
+                if self.store.history.proves_current(now, version, is_alive) {
+                    self.store.operator.finish_read(sent_at, hash);
+                } else {
+                    self.store.operator.finish_unproved(sent_at, hash);
+                }
                 self.publish(now);
             }
             (Prefix::Replicas, Ok(Listing { items, position })) => {
-                let revision = position.revision;
-                self.store.revision = self.store.revision.max(revision);
                 let entries: Vec<_> = items
                     .iter()
                     .filter_map(|i| match self.decode_item(i) {
@@ -160,29 +170,83 @@
                     return;
                 }
                 let old = self.store.listing.finish_read(sent_at, hash);
-                if unannounced && old.is_some_and(|o| o != hash) {
+                // After a restore each host reads the listing itself, since it has to know the era.
+                let settled = !self.store.history.restored_within(now, REWRITE_TIME);
+                if unannounced && settled && old.is_some_and(|o| o != hash) {
                     self.send_change(now, sent_at, &entries, hash);
                 }
                 self.store.list.replace(&entries);
-                self.apply_listing(now, sent_at, entries, revision);
+                self.apply_listing(now, sent_at, entries, position.revision);
             }
             (Prefix::Operator, Err(_)) => self.store.operator.fail_read(),
             (Prefix::Replicas, Err(_)) => self.store.listing.fail_read(),
         }
     }
 
-    fn observe_era(&mut self, position: Position) {
-        let old = self.store.era.replace(position.era);
-        if old.is_some_and(|o| o != position.era) {
-            let fields = kv!("era" => position.era, "old" => old, "revision" => position.revision);
+    fn version(&self) -> u64 {
+        self.catalog.as_ref().map_or(0, |c| c.config.version)
+    }
+
+    // Records the era of a read. Returns false if the store has been restored since, so that the
+    // read is outdated.
+    fn observe_era(&mut self, now: Tick, sent_at: Tick, position: Position) -> bool {
+        let change = self.store.history.observe(now, position.era);
+        self.note_era(change);
+        if let EraChange::Restored(_) = change {
+            self.announce_era(now);
+        }
+        if change == EraChange::Outdated {
+            let fields = kv!(
+                "read_ms" => now.since(sent_at).as_millis() as u64, "era" => position.era,
+                "newest" => self.store.history.era(),
+            );
+            emit(&self.log, Event::ReadOvertaken, &fields);
+            return false;
+        }
+        self.metrics.store_era.set(position.era as i64);
+        self.store.count = self.store.count.max(position.count());
+        true
+    }
+
+    fn note_era(&mut self, change: EraChange) {
+        let history = &self.store.history;
+        if let Some(at) = history.restored_at() {
+            self.dispatcher.replicas.note_restore(at);
+        }
+        if let EraChange::Restored(old) = change {
+            let fields = kv!("era" => history.era(), "old" => old, "version" => self.version());
             emit(&self.log, Event::StoreRestored, &fields);
         }
     }
 
+    fn announce_era(&self, now: Tick) {
+        let (ip, process) = (self.settings.ip, self.incarnation);
+        if let Some(r) = self.store.history.report(now, ip, process, self.version()) {
+            self.broadcast(&PeerMessage::Era(r));
+        }
+    }
+
+    // Tells a peer that has just started or returned of the era.
+    fn introduce_era(&self, now: Tick, peer: Ipv4Addr) {
+        let (ip, process) = (self.settings.ip, self.incarnation);
+        if let Some(r) = self.store.history.report(now, ip, process, self.version()) {
+            self.send(peer, &PeerMessage::Era(r));
+        }
+    }
+
+    /// Applies what a peer reports of the era. Its age is wrong if it waited while this host was
+    /// paused.
+    pub(super) fn handle_era(&mut self, now: Tick, r: &EraReport) {
+        if self.stalls.is_current(now) {
+            let change = self.store.history.apply(now, r);
+            self.note_era(change);
+        }
+    }
+
     // Sends the peers the difference between the last listing and this one.
     fn send_change(&self, now: Tick, sent_at: Tick, entries: &[ReplicaEntry], hash: u64) {
         let to = SnapshotMark { hash, age_ms: now.since(sent_at).as_millis() as u64 };
-        for change in self.store.list.diff(entries, to, self.store.revision) {
+        for change in self.store.list.diff(entries, to, self.store.count) {
             self.broadcast(&PeerMessage::ListingDelta(change));
         }
     }
@@ -198,7 +262,7 @@
         let Some(sent_at) = self.store.listing.apply_delta(now, change.base_hash, change.to) else {
             return;
         };
-        self.store.revision = self.store.revision.max(change.revision);
+        self.store.count = self.store.count.max(change.revision);
         self.store.list.replace(&entries);
         self.apply_listing(now, sent_at, entries, change.revision);
     }
@@ -211,27 +275,27 @@
         content.ok()
     }
 
-    fn apply_operator(&mut self, now: Tick, sent_at: Tick, items: Vec<Item>, revision: u64) {
+    fn apply_operator(&mut self, now: Tick, sent_at: Tick, items: Vec<Item>, read: Position) {
         let mut versions = Vec::new();
         for item in items {
-            if let Some(applied) = self.store.revisions.get(&item.key)
-                && *applied >= item.revision
-            {
-                if *applied > item.revision {
+            let position = Position { revision: item.revision, ..read };
+            match self.store.history.observe_item(&item.key, position) {
+                ItemChange::New => {}
+                ItemChange::Applied => continue,
+                ItemChange::Outdated(applied) => {
                     let fields = kv!(
-                        "key" => item.key.as_str(), "revision" => item.revision,
-                        "applied" => *applied,
+                        "key" => item.key.as_str(), "era" => read.era,
+                        "revision" => item.revision, "applied" => applied.revision,
                     );
                     emit(&self.log, Event::ItemOutdated, &fields);
+                    continue;
                 }
-                continue;
             }
             match self.decode_item(&item) {
-                Some(Content::Inventory(i)) => self.apply_config(now, sent_at, *i, revision),
+                Some(Content::Inventory(i)) => self.apply_config(now, sent_at, *i, position),
                 Some(Content::Version(v)) => versions.push(v),
                 _ => {}
             }
-            self.store.revisions.insert(item.key, item.revision);
         }
         for m in self.dispatcher.raise_versions(versions) {
             let fields = kv!("adapter" => m.artifact.as_str(), "version" => m.version);
@@ -239,8 +303,12 @@
         }
     }
 
-    fn apply_config(&mut self, now: Tick, sent_at: Tick, config: FleetConfig, revision: u64) {
-        let old = self.catalog.as_ref().map_or(0, |c| c.config.version);
+    fn apply_config(&mut self, now: Tick, sent_at: Tick, config: FleetConfig, at: Position) {
+        let old = self.version();
+        if config.version == old {
+            self.store.history.note_rewrite(self.store.config_at, at);
+            self.store.config_at = at;
+        }
         if config.version <= old {
             let fields = kv!("version" => config.version, "in_force" => old);
             emit(&self.log, Event::ConfigOld, &fields);
@@ -248,10 +316,11 @@
         }
         let fields = kv!(
             "version" => config.version, "old" => old, "routes" => config.routes.len(),
-            "accounts" => config.accounts.len(), "revision" => revision,
+            "accounts" => config.accounts.len(), "era" => at.era, "revision" => at.revision,
             "read_ms" => now.since(sent_at).as_millis() as u64,
         );
         emit(&self.log, Event::ConfigApplied, &fields);
+        self.store.config_at = at;
         self.metrics.config_version.set(config.version as i64);
         self.quota.configure(now, &config);
         self.dispatcher.configure(&config);
@@ -323,6 +392,7 @@
         }
         if matches!(change, PeerChange::Joined | PeerChange::Restarted) {
             self.introduce_losses(now, d.ip);
+            self.introduce_era(now, d.ip);
         }
         if change == PeerChange::Leaving {
             self.quota.remove_peer(d.ip);
@@ -332,7 +402,7 @@
         if route == Route::Direct {
             self.confirm_reads(now, d);
         }
-        self.store.revision = self.store.revision.max(d.revision);
+        self.store.count = self.store.count.max(d.revision);
         for o in &d.fences {
             let found = self.dispatcher.replicas.find_hash(o.replica);
             if let Some(r) = found.and_then(|k| self.dispatcher.replicas.get_mut(k)) {
--- a/crates/daemon/src/front/metrics.rs
+++ b/crates/daemon/src/front/metrics.rs
@@ -30,6 +30,8 @@
     pub replicas: IntGauge,
     /// Prompt blocks that are held back.
     pub held_blocks: IntGauge,
+    /// Era of the store; rises with each restore.
+    pub store_era: IntGauge,
     /// Age of the last read of the configuration, in ms; -1 before the first one.
     pub config_age: IntGauge,
 }
@@ -74,6 +76,7 @@
             peers: gauge(&r, "front_peers", "Peers that were heard lately."),
             replicas: gauge(&r, "front_replicas", "Replicas that may get work."),
             held_blocks: gauge(&r, "front_held_blocks", "Prompt blocks that are held back."),
+            store_era: gauge(&r, "front_store_era", "Era of the store; rises with each restore."),
             config_age: gauge(
                 &r,
                 "front_config_age_ms",
--- a/crates/daemon/tests/platform/restores.rs
+++ b/crates/daemon/tests/platform/restores.rs
@@ -131,6 +131,7 @@
         f.store.remove("servers/p1");
         thread::sleep(APPLY_TIMEOUT);
         f.store.restore(&copy);
+        put_config(&f, 1, &accounts());
         for n in 0..25 {
             for i in 0..2 {
                 let id = format!("l{i}-{n}");
