Log the fingerprint of a request under which a replica ended

Attempts of one caller have different ids, so the log could not tell whether the requests at the ends of replicas were the same one. ReplicaEnded carries a hash of account, method, path and body. No decision uses it.

--- a/crates/core/src/fleet/dispatch/tests.rs
+++ b/crates/core/src/fleet/dispatch/tests.rs
@@ -87,6 +87,7 @@
         deadline: at(6000),
         excluded: Vec::new(),
         attempts: 0,
+        fingerprint: 0,
     }
 }
 
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use arcstr::ArcStr;
+use sha2::{Digest as _, Sha256};
 
 use super::{config::RouteKind, replicas::ReplicaKey};
 use crate::time::Tick;
@@ -60,6 +61,20 @@
     pub excluded: Vec<ReplicaKey>,
     /// Number of replicas that it was sent to.
     pub attempts: u32,
+    /// The same for each attempt of a caller at the same request; see [`fingerprint`].
+    pub fingerprint: u64,
+}
+
+/// Fingerprint of a request of an account. A cryptographic hash, since an account could otherwise
+/// make requests with the fingerprint of another one's.
+pub fn fingerprint(account: Option<&str>, method: &str, path: &str, body: &[u8]) -> u64 {
+    let mut h = Sha256::new();
+    for part in [account.unwrap_or_default().as_bytes(), method.as_bytes(), path.as_bytes(), body] {
+        h.update((part.len() as u64).to_le_bytes());
+        h.update(part);
+    }
+    let digest = h.finalize();
+    u64::from_le_bytes(digest[..8].try_into().expect("a digest has 32 bytes"))
 }
 
 impl ReplicaRequest {
--- a/crates/daemon/src/front/control/losses.rs
+++ b/crates/daemon/src/front/control/losses.rs
@@ -76,6 +76,8 @@
     pub begun: bool,
     /// Prompt blocks of the request that others may share.
     pub blocks: Vec<u64>,
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
 }
 
 impl Handler<Served> for Control {
@@ -96,7 +98,7 @@
         let Some(r) = self.dispatcher.replicas.get(msg.replica) else { return };
         let fields = kv!(
             "id" => msg.id.as_str(), "replica" => r.id.as_str(), "begun" => msg.begun,
-            "blocks" => hex(&msg.blocks),
+            "blocks" => hex(&msg.blocks), "fingerprint" => hex(&[msg.fingerprint]),
         );
         emit(&self.log, Event::ReplicaEnded, &fields);
         let hash = r.id_hash;
--- a/crates/daemon/src/front/edge.rs
+++ b/crates/daemon/src/front/edge.rs
@@ -30,7 +30,7 @@
         catalog::Catalog,
         config::{Account, Route},
         quota,
-        request::ReplicaRequest,
+        request::{ReplicaRequest, fingerprint},
     },
     time::Tick,
 };
@@ -307,6 +307,12 @@
         deadline: arrived + timeout,
         excluded: Vec::new(),
         attempts: 0,
+        fingerprint: fingerprint(
+            account.as_ref().map(|a| a.name.as_str()),
+            req.method().as_str(),
+            path,
+            &body,
+        ),
     };
     let keyed = catalog.config.keys_required;
     Ok(CallerRequest {
--- a/crates/daemon/src/front/forward/loss.rs
+++ b/crates/daemon/src/front/forward/loss.rs
@@ -32,7 +32,8 @@
 pub(super) async fn report_ended(w: &Worker, r: &CallerRequest, a: &Assignment, f: &Failure) {
     let Some(begun) = f.broken_in_response() else { return };
     let blocks = r.request.inference.as_ref().map(|i| i.shared_blocks()).unwrap_or_default();
-    let ended = ReplicaEnded { id: r.id.clone(), replica: a.replica, begun, blocks };
+    let fingerprint = r.request.fingerprint;
+    let ended = ReplicaEnded { id: r.id.clone(), replica: a.replica, begun, blocks, fingerprint };
     let (control, address) = (w.shared.control.clone(), a.address);
     if is_refused(address).await {
         control.do_send(ended);
