Test that a request which crashes replicas is held back

Three hosts, six replicas that restart, one request sent again and again: as a request that runs once, as one that may be repeated, and as a stream whose prompt blocks are those of sound requests.

--- a/crates/daemon/tests/platform/crashes.rs
+++ b/crates/daemon/tests/platform/crashes.rs
@@ -1,4 +1,4 @@
-//! Tests of a fleet whose engines crash on requests with one prompt block.
+//! Tests of a fleet whose replicas crash on requests with one prompt block, or on one request.
 
 use std::{
     sync::Arc,
@@ -54,7 +54,98 @@
     crashing.map(|r| r.at).collect()
 }
 
+// Whether the time is within 2 s of a crash, when few replicas are left.
+fn is_near(crashes: &[Instant], t: Instant) -> bool {
+    crashes.iter().any(|c| *c <= t && t.duration_since(*c) < Duration::from_secs(2))
+}
+
+// Sends one request that crashes each replica, and others beside it, to all hosts in turn.
+fn check_crashing_request(path: &'static str, sound: &'static str, plain: usize, engines: usize) {
+    let f = Arc::new(Fleet::start(3, plain, engines));
+    let replicas: Vec<_> = f.plain.iter().chain(&f.engines).cloned().collect();
+    let begun = Instant::now();
+    // Loads the adapter everywhere, so that a load is no reason for a refusal.
+    while engines > 0 && begun.elapsed() < Duration::from_secs(4) {
+        f.call(0, sound, "load", Some(KEY));
+        thread::sleep(PAUSE);
+    }
+    replicas.iter().for_each(|r| r.set_fault(Fault::CrashPath(path)));
+    let begun = Instant::now();
+    let mut calls = Vec::new();
+    for n in 0.. {
+        if begun.elapsed() > DURATION {
+            break;
+        }
+        let polled = sound.to_owned();
+        let own = format!("{}?n={n}", sound);
+        for (kind, path) in [("crash", path.to_owned()), ("poll", polled), ("own", own)] {
+            let f = f.clone();
+            calls.push(thread::spawn(move || {
+                let sent = Instant::now();
+                let a = f.try_call(n % 3, &path, &format!("{kind}{n}"), Some(KEY));
+                (kind, sent, a.status)
+            }));
+        }
+        thread::sleep(PAUSE);
+    }
+    let calls: Vec<_> = calls.into_iter().map(|c| c.join().unwrap()).collect();
+    let crashes = crashes(&replicas);
+    let known = crashes.get(2).copied().unwrap_or(begun) + CONTACT;
+    let all = replicas.iter().flat_map(Replica::requests);
+    let late = all.filter(|r| r.request.path == path && r.at > known).count();
+    assert!(late <= MAX_LATE, "{late} late requests, {} replicas ended", crashes.len());
+    for kind in ["poll", "own"] {
+        let sound: Vec<_> = calls
+            .iter()
+            .filter(|(k, sent, _)| *k == kind && *sent > known && !is_near(&crashes, *sent))
+            .collect();
+        let served = sound.iter().filter(|(.., status)| *status == 200).count();
+        assert!(served * 10 >= sound.len() * 9, "{served} of {} {kind} served", sound.len());
+    }
+    for (.., status) in calls.iter().filter(|(k, sent, _)| *k == "crash" && *sent > known) {
+        assert!([502, 503].contains(status), "status {status}");
+    }
+}
+
 cases! {
+    // Guards against a request that runs once and ends replica after replica, since it leaves no
+    // prompt block as evidence.
+    an_unsafe_request_that_crashes_replicas_is_held_back: {
+        check_crashing_request("/unsafe/bad", "/unsafe/1", 6, 0);
+    }
+    // Guards against a request that ends two replicas each time that it comes, because it may be
+    // repeated.
+    a_safe_request_that_crashes_replicas_is_held_back: {
+        check_crashing_request("/safe/bad", "/safe/1", 6, 0);
+    }
+    // Guards against a stream that ends engine after engine although its prompt blocks are those of
+    // sound requests.
+    a_stream_that_crashes_engines_is_held_back: {
+        check_crashing_request("/stream/bad?x=1/a1", "/stream/a1", 0, 6);
+    }
+    // Guards against a request that is refused because it was sent again and again while replicas
+    // ended for other reasons.
+    a_repeated_request_is_not_held_for_unrelated_ends: {
+        let f = Arc::new(Fleet::start(2, 4, 0));
+        for n in 0..60 {
+            if n % 8 == 4 {
+                // Beside requests that run.
+                let fleet = f.clone();
+                let call = thread::spawn(move || {
+                    fleet.try_call(n % 2, "/safe/1", &format!("beside{n}"), Some(KEY))
+                });
+                f.plain[n / 8 % 4].end();
+                call.join().unwrap();
+            }
+            f.try_call(n % 2, "/safe/1", &format!("poll{n}"), Some(KEY));
+            thread::sleep(PAUSE / 2);
+        }
+        thread::sleep(Duration::from_secs(2));
+        for n in 0..2 {
+            assert_eq!(f.call(n, "/safe/1", &format!("after{n}"), Some(KEY)).status, 200);
+            assert!(!f.log_lines(n).iter().any(|l| l["name"] == "BlockHeld"));
+        }
+    }
     // Guards against requests that end engine after engine, at every host that they are sent to,
     // and against sound requests that are refused for a block that they share with them.
     a_block_that_crashes_engines_is_held_back: {
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -203,6 +203,14 @@
         self.call_on(&mut c, path, id, key)
     }
 
+    /// As [`Self::call`]; status 0 if the connection fails or ends without a response.
+    pub fn try_call(&self, i: usize, path: &str, id: &str, key: Option<&str>) -> Response {
+        let (method, headers) = request(path, id, key);
+        let sent = connect(self.ip(i), 8221)
+            .and_then(|mut c| exchange(&mut c, method, path, &headers, b"body"));
+        sent.unwrap_or_default()
+    }
+
     /// Sends a request on a connection that may be used again.
     pub fn call_on(&self, c: &mut TcpStream, path: &str, id: &str, key: Option<&str>) -> Response {
         let (method, headers) = request(path, id, key);
