Hold back a request under which replicas end

Cause: evidence was kept for prompt blocks only, so a request without a prompt left none, and each retry within an attempt ended one more replica. Class: a failure that the request causes, taken for one of the replica.

Three ends under the same waiting request hold it, two if its response had begun; one complete response clears it at all hosts. After two ends a request is not sent on within an attempt of its caller. All requests of a busy replica are kept as suspects (64, 8 before), those seen at other ends first.

--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -98,7 +98,8 @@
 /// A request that had got no more than one event when its replica ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
-    /// Ids of the prompt blocks that other requests may share, in order.
+    /// Ids of its features, of which the last one is its fingerprint: see
+    /// [`super::request::Features`]. Hosts of an earlier release send no fingerprint.
     pub blocks: Vec<u64>,
     /// Whether its response had begun.
     pub begun: bool,
--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -1,12 +1,17 @@
-//! Holds back prompt blocks under which replicas end.
+//! Holds back requests, and prompt blocks, under which replicas end.
 //!
 //! A replica that ends takes all requests with it that it runs, so one end is no evidence against
-//! any of them. A block that ends replicas is in a request at each of them, and no response to a
-//! request with it gets beyond its first event. The blocks are found as a small set that explains
-//! the ends: the block with the strongest evidence is held first, and the ends that it explains do
-//! not count against other blocks. One response that goes on clears all blocks of its prompt.
+//! any of them. What ends replicas is a feature of a request at each of them, a prompt block or the
+//! request itself (by its fingerprint), and no response to a request with it gets beyond its first
+//! event. The causes are found as a small set of features that explains the ends: the feature with
+//! the strongest evidence is held first, and the ends that it explains do not count against others.
+//! One response that goes on clears all features of its request.
 //!
-//! A hold does not end by the clock alone: it ends when a response clears the block, when no
+//! The ids of a request's features are ordered from those that the most requests share to the
+//! fingerprint, which is always the last one; see [`super::request::Features`]. Names in messages,
+//! logs and settings say block for both kinds.
+//!
+//! A hold does not end by the clock alone: it ends when a response clears the feature, when no
 //! request with it has come for [`HOLD_IDLE`], or when the operators release it.
 
 mod evidence;
@@ -40,15 +45,21 @@
 /// Ended replicas that are kept for one held block.
 const MAX_EXPLAINED: usize = 8;
 
-/// Requests that are kept for one ended replica.
-const MAX_SUSPECTS: usize = 8;
+/// Requests that are kept for one ended replica: the batch of an engine.
+const MAX_SUSPECTS: usize = 64;
+
+/// Features of these requests that are kept, so that [`MAX_REPORTED`] fit into a datagram.
+const MAX_FEATURES: usize = 256;
 
 /// Ended replicas in one report, so that it fits into a datagram.
-const MAX_REPORTED: usize = 24;
+const MAX_REPORTED: usize = 16;
 
 /// Blocks whose last response is remembered.
 const MAX_SERVED: usize = 8192;
 
+/// Ends under one request at which it is not sent on within an attempt of its caller.
+const MAX_DOUBTS: usize = 2;
+
 /// Blocks that are held at the same time.
 const MAX_HELD: usize = 64;
 
@@ -113,7 +124,7 @@
     }
 }
 
-/// Evidence against prompt blocks, and the blocks that are held back.
+/// Evidence against features of requests, and those that are held back.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     losses: BTreeMap<u32, Loss>,
@@ -136,7 +147,13 @@
 }
 
 impl Quarantine {
-    /// Held block of a prompt, if there is one. It counts as a request for that block.
+    /// Whether replicas ended under earlier requests with this fingerprint, though not enough for a
+    /// hold. Such a request is not worth another replica within one attempt of its caller.
+    pub fn is_doubtful(&self, fingerprint: u64) -> bool {
+        self.doubts(fingerprint) >= MAX_DOUBTS
+    }
+
+    /// Held feature of a request, if there is one. It counts as a request for that feature.
     pub fn check(&mut self, now: Tick, blocks: &[u64]) -> Option<u64> {
         let block = blocks.iter().copied().find(|b| self.held.contains_key(b))?;
         if let Some(hold) = self.held.get_mut(&block) {
@@ -163,17 +180,25 @@
         self.evaluate(now)
     }
 
-    /// Records that a response of this host to a request with `blocks` went beyond its first event.
-    pub fn record_served(&mut self, now: Tick, blocks: &[u64]) -> Vec<HoldChange> {
+    /// Records that a response of this host to a request with `features` went beyond its first
+    /// event, or was complete.
+    pub fn record_served(&mut self, now: Tick, features: &[u64]) -> Vec<HoldChange> {
         self.served_count += 1;
+        let Some((fingerprint, blocks)) = features.split_last() else { return Vec::new() };
         for b in blocks {
             self.note_served(*b, now);
         }
         if self.losses.is_empty() {
             return Vec::new();
         }
-        let suspected: Vec<u64> =
+        let mut suspected: Vec<u64> =
             blocks.iter().copied().filter(|b| self.is_suspected(*b)).collect();
+        // Each request has a fingerprint of its own, so only those are kept that there is evidence
+        // against.
+        if self.losses.values().any(|l| evidence::blames(l, *fingerprint)) {
+            self.note_served(*fingerprint, now);
+            suspected.push(*fingerprint);
+        }
         for b in suspected {
             self.announce(b);
         }
@@ -341,13 +366,34 @@
                 None => loss.suspects.push(s.clone()),
             }
         }
-        loss.suspects.sort_by_key(|s| !s.begun);
-        loss.suspects.truncate(MAX_SUSPECTS);
+        let all: Vec<Suspect> = std::mem::take(&mut loss.suspects);
+        let suspects = self.select_suspects(replica, all);
+        if let Some(loss) = self.losses.get_mut(&replica) {
+            loss.suspects = suspects;
+        }
         if self.losses.len() > MAX_LOSSES {
             self.drop_losses(now);
         }
     }
 
+    // Keeps those whose response had begun, then those that were at other ends too.
+    fn select_suspects(&self, replica: u32, mut suspects: Vec<Suspect>) -> Vec<Suspect> {
+        let total: usize = suspects.iter().map(|s| s.blocks.len()).sum();
+        if suspects.len() > MAX_SUSPECTS || total > MAX_FEATURES {
+            let others =
+                |id: u64| self.losses.iter().any(|(k, l)| *k != replica && evidence::blames(l, id));
+            suspects
+                .sort_by_cached_key(|s| (!s.begun, !s.blocks.last().is_some_and(|id| others(*id))));
+            suspects.truncate(MAX_SUSPECTS);
+            let mut kept = 0;
+            suspects.retain(|s| {
+                kept += s.blocks.len();
+                kept <= MAX_FEATURES
+            });
+        }
+        suspects
+    }
+
     // Drops the oldest losses beyond the limits.
     fn drop_losses(&mut self, now: Tick) {
         let explained: BTreeSet<u32> = self.explained().into_iter().collect();
--- a/crates/core/src/fleet/quarantine/evidence.rs
+++ b/crates/core/src/fleet/quarantine/evidence.rs
@@ -1,4 +1,4 @@
-//! Which blocks explain the ends of replicas.
+//! Which features of requests explain the ends of replicas.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -8,14 +8,19 @@
 use super::{Loss, Quarantine};
 use crate::time::Tick;
 
-/// Evidence that a block is held for.
-const HOLD_POINTS: u32 = 4;
+/// Evidence that a feature is held for.
+const HOLD_POINTS: u32 = 12;
 
-/// Points of an end during which a response to a request with the block had begun.
-const BEGUN_POINTS: u32 = 2;
+/// Points of an end during which a response to a request with the feature had begun: two such ends
+/// suffice.
+const BEGUN_POINTS: u32 = 6;
+
+/// Points of an end during which this very request waited for its response: three such ends
+/// suffice, since it is the same request only if its caller sends it again.
+const REQUEST_POINTS: u32 = 4;
 
 /// Points of an end during which a request with the block waited for its response.
-const WAITING_POINTS: u32 = 1;
+const BLOCK_POINTS: u32 = 3;
 
 /// Ends within this time count once, since replicas that share a machine or a rack end together.
 const SAME_FAULT: Duration = Duration::from_millis(50);
@@ -63,12 +68,20 @@
     points(l, block).is_some()
 }
 
-// Points of a loss against a block, with its position in the prompt.
-fn points(l: &Loss, block: u64) -> Option<(u32, usize)> {
+// Points of a loss against a feature, with its position among those of its request.
+fn points(l: &Loss, feature: u64) -> Option<(u32, usize)> {
     let begun = l.suspects.iter().any(|s| s.begun);
     let blamed = l.suspects.iter().filter(|s| s.begun == begun);
-    let depths = blamed.filter_map(|s| s.blocks.iter().position(|b| *b == block));
-    Some((if begun { BEGUN_POINTS } else { WAITING_POINTS }, depths.max()?))
+    let found = blamed.filter_map(|s| {
+        let depth = s.blocks.iter().position(|b| *b == feature)?;
+        let points = match (begun, depth + 1 == s.blocks.len()) {
+            (true, _) => BEGUN_POINTS,
+            (false, true) => REQUEST_POINTS,
+            (false, false) => BLOCK_POINTS,
+        };
+        Some((points, depth))
+    });
+    found.max()
 }
 
 impl Quarantine {
@@ -109,6 +122,21 @@
             .max_by_key(|(b, e)| (!self.served.contains_key(b), e.points, e.depth))
     }
 
+    /// Number of faults that a request with this fingerprint may have caused and that no response
+    /// has cleared.
+    pub(super) fn doubts(&self, fingerprint: u64) -> usize {
+        let served = self.served.get(&fingerprint).copied();
+        let mut at: Vec<Tick> = self
+            .losses
+            .values()
+            .filter(|l| blames(l, fingerprint) && served.is_none_or(|t| t < l.at))
+            .map(|l| l.at)
+            .collect();
+        at.sort();
+        at.dedup_by(|later, earlier| later.since(*earlier) < SAME_FAULT);
+        at.len()
+    }
+
     /// Whether there is evidence against the block, though not enough to hold it.
     pub(super) fn is_suspected(&self, block: u64) -> bool {
         let found = self.losses.values().filter_map(|l| points(l, block));
--- a/crates/core/src/fleet/quarantine/tests.rs
+++ b/crates/core/src/fleet/quarantine/tests.rs
@@ -96,6 +96,55 @@
         serve_others(&mut q, 2000);
         assert_eq!(held(&q), [BAD]);
     }
+    // Guards against a request without a prompt that ends replica after replica.
+    a_request_is_held_after_three_ends: {
+        let mut q = Quarantine::default();
+        lose(&mut q, 0, &[&[BAD], &[BAD]], false);
+        serve_others(&mut q, 700);
+        assert!(held(&q).is_empty());
+        assert!(q.is_doubtful(BAD));
+        lose(&mut q, 3, &[&[BAD]], false);
+        assert_eq!(held(&q), [BAD]);
+    }
+    // Guards against sound requests that are refused because they ran beside the cause at a few
+    // replicas which run many requests each.
+    neighbours_of_a_request_are_not_held: {
+        let mut q = Quarantine::default();
+        for n in 0..3u64 {
+            for other in 0..40 {
+                q.record_loss(at(n * 300), n as u32, vec![0x5000 + n * 100 + other], false);
+            }
+            q.record_loss(at(n * 300 + 1), n as u32, vec![BAD], false);
+            // A caller that sends the same request all the time.
+            q.record_loss(at(n * 300 + 2), n as u32, vec![7], false);
+            q.record_served(at(n * 300 + 100), &[7]);
+        }
+        serve_others(&mut q, 1000);
+        assert_eq!(held(&q), [BAD]);
+    }
+    // Guards against a request that stays doubtful, or is held, although it was served since.
+    a_response_clears_a_request: {
+        let mut q = Quarantine::default();
+        lose(&mut q, 0, &[&[7], &[7]], false);
+        q.record_served(at(700), &[7]);
+        assert!(!q.is_doubtful(7));
+        lose(&mut q, 3, &[&[7], &[7]], false);
+        serve_others(&mut q, 2000);
+        assert!(held(&q).is_empty());
+        assert!(q.is_doubtful(7));
+    }
+    // Guards against a peer that holds a request which another host has served in between.
+    a_response_at_one_host_clears_the_request_at_all: {
+        let (mut a, mut b) = (Quarantine::default(), Quarantine::default());
+        lose(&mut a, 0, &[&[7], &[7]], false);
+        a.record_served(at(700), &[7]);
+        let r = a.report(at(701), ip(0), 1).unwrap();
+        b.apply(at(702), &r);
+        assert!(!b.is_doubtful(7));
+        serve_others(&mut b, 710);
+        lose(&mut b, 3, &[&[7]], false);
+        assert!(held(&b).is_empty());
+    }
     // Guards against a hold of what all requests share while the whole service fails.
     nothing_is_held_while_nothing_is_served: {
         let mut q = Quarantine::default();
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -77,7 +77,30 @@
     u64::from_le_bytes(digest[..8].try_into().expect("a digest has 32 bytes"))
 }
 
+/// What of a request may make a replica end: the prompt blocks that other requests share with it,
+/// or the request itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Features {
+    /// Ids of the shared prompt blocks in order.
+    pub blocks: Vec<u64>,
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+}
+
+impl Features {
+    /// Ids of all features, from those that the most requests share to the request itself.
+    pub fn ids(&self) -> Vec<u64> {
+        self.blocks.iter().copied().chain([self.fingerprint]).collect()
+    }
+}
+
 impl ReplicaRequest {
+    /// What of it may make a replica end.
+    pub fn features(&self) -> Features {
+        let blocks = self.inference.as_ref().map(|i| i.shared_blocks()).unwrap_or_default();
+        Features { blocks, fingerprint: self.fingerprint }
+    }
+
     /// Time until the deadline.
     pub fn remaining(&self, now: Tick) -> Duration {
         self.deadline.since(now)
--- a/crates/daemon/src/front/control/admit.rs
+++ b/crates/daemon/src/front/control/admit.rs
@@ -143,7 +143,7 @@
 
     fn handle(&mut self, msg: Admit, ctx: &mut Self::Context) {
         let now = clock::now();
-        if let Some(refused) = self.refuse_held(now, &msg.request) {
+        if let Some(refused) = self.refuse_held(now, &msg.request, msg.retry_cause.is_some()) {
             // Sending fails only if the caller has left.
             let _ = msg.reply.send(refused);
             return;
--- a/crates/daemon/src/front/control/loads.rs
+++ b/crates/daemon/src/front/control/loads.rs
@@ -172,7 +172,7 @@
 
     // Refuses a waiting request of which a block was held, and may have been released, meanwhile.
     fn drop_held(&mut self, now: Tick, w: Waiter) {
-        let refused = self.refuse_held(now, &w.request).unwrap_or(Admission::Refused {
+        let refused = self.refuse_held(now, &w.request, false).unwrap_or(Admission::Refused {
             over_limit: false,
             reason: "load",
             retry_after: w.request.remaining(now) / 4,
--- a/crates/daemon/src/front/control/losses.rs
+++ b/crates/daemon/src/front/control/losses.rs
@@ -1,4 +1,5 @@
-//! Replicas that end while they run requests, and the prompt blocks that are held back for it.
+//! Replicas that end while they run requests, and the requests and prompt blocks that are held back
+//! for it.
 
 use std::{collections::HashMap, net::Ipv4Addr, time::Duration};
 
@@ -12,7 +13,7 @@
         dispatch::AttemptKey,
         quarantine::HoldChange,
         replicas::ReplicaKey,
-        request::ReplicaRequest,
+        request::{Features, ReplicaRequest},
     },
     time::Tick,
 };
@@ -29,7 +30,10 @@
 /// Reason of such a refusal in logs and metrics.
 const HELD_REASON: &str = "held_block";
 
-/// Attempts at engines whose response has not gone beyond its first event.
+/// Reason of the refusal of a retry under whose request replicas ended before.
+const DOUBTFUL_REASON: &str = "replicas_ended";
+
+/// Attempts whose response is not complete and has not gone beyond its first event.
 #[derive(Debug, Default)]
 pub(super) struct Starting {
     attempts: HashMap<AttemptKey, (Vec<u64>, CancellationToken)>,
@@ -40,19 +44,17 @@
     /// held.
     pub(super) fn add(&mut self, k: AttemptKey, request: &ReplicaRequest) -> CancellationToken {
         let token = CancellationToken::new();
-        if let Some(i) = &request.inference {
-            self.attempts.insert(k, (i.shared_blocks(), token.clone()));
-        }
+        self.attempts.insert(k, (request.features().ids(), token.clone()));
         token
     }
 
     pub(super) fn remove(&mut self, k: AttemptKey) -> Option<Vec<u64>> {
-        self.attempts.remove(&k).map(|(blocks, _)| blocks)
+        self.attempts.remove(&k).map(|(features, _)| features)
     }
 
-    fn cancel(&self, block: u64) {
-        let with_block = self.attempts.values().filter(|(blocks, _)| blocks.contains(&block));
-        with_block.for_each(|(_, token)| token.cancel());
+    fn cancel(&self, feature: u64) {
+        let found = self.attempts.values().filter(|(features, _)| features.contains(&feature));
+        found.for_each(|(_, token)| token.cancel());
     }
 }
 
@@ -74,18 +76,16 @@
     pub replica: ReplicaKey,
     /// Whether the response had begun.
     pub begun: bool,
-    /// Prompt blocks of the request that others may share.
-    pub blocks: Vec<u64>,
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
+    /// What of the request may have ended it.
+    pub features: Features,
 }
 
 impl Handler<Served> for Control {
     type Result = ();
 
     fn handle(&mut self, msg: Served, _: &mut Self::Context) {
-        let Some(blocks) = self.starting.remove(msg.attempt) else { return };
-        let changes = self.quarantine.record_served(clock::now(), &blocks);
+        let Some(features) = self.starting.remove(msg.attempt) else { return };
+        let changes = self.quarantine.record_served(clock::now(), &features);
         self.apply_holds(&changes);
     }
 }
@@ -98,24 +98,40 @@
         let Some(r) = self.dispatcher.replicas.get(msg.replica) else { return };
         let fields = kv!(
             "id" => msg.id.as_str(), "replica" => r.id.as_str(), "begun" => msg.begun,
-            "blocks" => hex(&msg.blocks), "fingerprint" => hex(&[msg.fingerprint]),
+            "blocks" => hex(&msg.features.blocks),
+            "fingerprint" => hex(&[msg.features.fingerprint]),
         );
         emit(&self.log, Event::ReplicaEnded, &fields);
         let hash = r.id_hash;
-        let changes = self.quarantine.record_loss(now, hash, msg.blocks, msg.begun);
+        let changes = self.quarantine.record_loss(now, hash, msg.features.ids(), msg.begun);
         self.apply_holds(&changes);
         self.report_losses(now);
     }
 }
 
 impl Control {
-    /// Refusal of a request with a held block; `None` if it has none.
-    pub(super) fn refuse_held(&mut self, now: Tick, request: &ReplicaRequest) -> Option<Admission> {
-        let blocks = request.inference.as_ref()?.shared_blocks();
-        let block = self.quarantine.check(now, &blocks)?;
-        let fields = kv!("id" => request.id.as_str(), "block" => hex(&[block]));
+    /// Refusal of a request with a held feature, and of a `retry` of one under which replicas ended
+    /// before; `None` if it may be sent.
+    pub(super) fn refuse_held(
+        &mut self,
+        now: Tick,
+        request: &ReplicaRequest,
+        retry: bool,
+    ) -> Option<Admission> {
+        let held = self.quarantine.check(now, &request.features().ids());
+        let (feature, reason) = match held {
+            Some(feature) => (feature, HELD_REASON),
+            None if retry && self.quarantine.is_doubtful(request.fingerprint) => {
+                (request.fingerprint, DOUBTFUL_REASON)
+            }
+            None => return None,
+        };
+        let fields = kv!(
+            "id" => request.id.as_str(), "block" => hex(&[feature]), "reason" => reason,
+            "request" => feature == request.fingerprint,
+        );
         emit(&self.log, Event::RequestHeld, &fields);
-        Some(Admission::Refused { over_limit: false, reason: HELD_REASON, retry_after: HELD_RETRY })
+        Some(Admission::Refused { over_limit: false, reason, retry_after: HELD_RETRY })
     }
 
     /// Logs changes of the held blocks and cancels the attempts that have not responded.
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -249,7 +249,8 @@
     w.shared.metrics.attempt(&r.request.service, if out.is_ok() { "answered" } else { "failed" });
     match out {
         Ok(Received::Full(status, headers, body)) => {
-            if status.is_success() {
+            // A replica that responds with an error of its own need not have run the request.
+            if !status.is_server_error() {
                 placed.guard.served();
             }
             placed.guard.outcome = match (status.is_server_error(), r.request.kind) {
--- a/crates/daemon/src/front/forward/loss.rs
+++ b/crates/daemon/src/front/forward/loss.rs
@@ -31,9 +31,8 @@
 /// more than one event. A replica that goes on listening has only broken the connection.
 pub(super) async fn report_ended(w: &Worker, r: &CallerRequest, a: &Assignment, f: &Failure) {
     let Some(begun) = f.broken_in_response() else { return };
-    let blocks = r.request.inference.as_ref().map(|i| i.shared_blocks()).unwrap_or_default();
-    let fingerprint = r.request.fingerprint;
-    let ended = ReplicaEnded { id: r.id.clone(), replica: a.replica, begun, blocks, fingerprint };
+    let features = r.request.features();
+    let ended = ReplicaEnded { id: r.id.clone(), replica: a.replica, begun, features };
     let (control, address) = (w.shared.control.clone(), a.address);
     if is_refused(address).await {
         control.do_send(ended);
