Remember that an earlier attempt of a request may have run

The flag now stays for the whole request, so the caller gets 502.

Tests: a_refusal_after_a_lost_response_is_not_reported_as_not_run failed before (503, expected 502).

--- a/crates/daemon/src/front/edge.rs
+++ b/crates/daemon/src/front/edge.rs
@@ -145,6 +145,8 @@
     pub body: Bytes,
     /// What the dispatcher needs to choose a replica.
     pub request: ReplicaRequest,
+    /// Whether a replica may have run it without a usable response.
+    pub may_have_run: bool,
     /// Priority at a replica, 0 first.
     pub priority: u8,
     /// Id of the last event that the caller has received.
@@ -326,6 +328,7 @@
         headers: forwarded_headers(head, keyed),
         body,
         request,
+        may_have_run: false,
         last_event: header_str(head, headers::LAST_EVENT_ID).and_then(|v| v.trim().parse().ok()),
         config_version: catalog.config.version,
         config_age: age,
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -126,7 +126,7 @@
         let placed = match admission {
             Admission::Placed(placed) => placed,
             Admission::Refused { over_limit, reason, retry_after } => {
-                return refuse(w, &r, over_limit, reason, retry_after, retry_cause, leaving);
+                return refuse(w, &r, over_limit, reason, retry_after, leaving);
             }
         };
         r.request.attempts += 1;
@@ -140,6 +140,7 @@
                 return respond(w, r, response, leaving);
             }
             Err(Failed { failure: f, successor: next }) => {
+                r.may_have_run |= !f.not_run();
                 if matches!(f, Failure::Status(_)) {
                     failed.push(replica);
                 }
@@ -182,11 +183,10 @@
     over_limit: bool,
     reason: &'static str,
     retry_after: Duration,
-    retry_cause: Option<Cause>,
     leaving: bool,
 ) -> HttpResponse {
     // After an attempt that may have run, no status may state that the request did not run.
-    let ran = retry_cause == Some(Cause::Unknown);
+    let ran = r.may_have_run;
     let status = match (ran, over_limit) {
         (true, _) => StatusCode::BAD_GATEWAY,
         (false, true) => StatusCode::TOO_MANY_REQUESTS,
@@ -201,7 +201,7 @@
 fn give_up(w: &Worker, r: &CallerRequest, f: &Failure, leaving: bool) -> HttpResponse {
     let (status, reason) = match f {
         Failure::Deadline => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
-        f if f.not_run() => (StatusCode::SERVICE_UNAVAILABLE, "not_run"),
+        f if f.not_run() && !r.may_have_run => (StatusCode::SERVICE_UNAVAILABLE, "not_run"),
         _ => (StatusCode::BAD_GATEWAY, "replica_failed"),
     };
     let retry_after = (status == StatusCode::SERVICE_UNAVAILABLE)
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -149,6 +149,63 @@
             f.plain[0].set_fault(Fault::None);
         }
     }
+    // Guards against a response which states that a request did not run although a replica that
+    // was tried before may have run it.
+    a_refusal_after_a_lost_response_is_not_reported_as_not_run: {
+        let f = Fleet::start(1, 2, 0);
+        f.plain[0].set_fault(Fault::Reset(0));
+        f.plain[1].set_fault(Fault::NotRun);
+        let mut both = 0;
+        for n in 0..12 {
+            let id = format!("n{n}");
+            let a = f.call(0, "/safe/1", &id, Some(KEY));
+            let ran = run_count(&f.plain, &id);
+            both += usize::from(ran == 1 && requests(&f.plain, &id).len() == 2);
+            assert!(ran == 0 || a.status == 502, "{id} ran and got {}", a.status);
+        }
+        assert!(both > 0, "no request was sent to both replicas");
+    }
+    // Guards against a head that breaks off and reaches the caller as a complete, empty response.
+    a_cut_head_is_no_response: {
+        let f = Fleet::start(1, 1, 1);
+        let warm = call_stream(&f, 0, "/stream/a1", "warm");
+        assert_eq!(warm.status, 200);
+        for bytes in [3, 12, 17, 40, 70, usize::MAX] {
+            f.plain[0].set_fault(Fault::CutHead(bytes));
+            f.engines[0].set_fault(Fault::CutHead(bytes));
+            for path in ["/unsafe/1", "/safe/1", "/once/a1", "/stream/a1"] {
+                let id = format!("h{bytes}{}", path.replace('/', "-"));
+                let a = f.call(0, path, &id, Some(KEY));
+                let ran = run_count(&f.plain, &id) + run_count(&f.engines, &id);
+                assert_ne!(a.status, 200, "{path}, {bytes} bytes");
+                assert!(ran == 0 || a.status != 503, "{path} ran and got {}", a.status);
+            }
+        }
+    }
+    // Guards against the text of an error in the middle of a stream that another replica should have
+    // continued, and against a broken stream that looks complete.
+    an_error_of_the_next_replica_is_not_part_of_the_stream: {
+        for fault in [Fault::Error, Fault::NotRun, Fault::CutHead(60), Fault::WrongId] {
+            let f = Fleet::start(1, 0, 2);
+            let adapters = ["a1", "a2", "a3", "a4"];
+            for adapter in adapters {
+                call_stream(&f, 0, &format!("/stream/{adapter}"), &format!("warm-{adapter}"));
+            }
+            f.engines[0].set_fault(Fault::Reset(2));
+            f.engines[1].set_fault(fault);
+            let mut begun = 0;
+            for adapter in adapters {
+                let id = format!("e-{adapter}");
+                let a = f.call(0, &format!("/stream/{adapter}"), &id, Some(KEY));
+                if a.status == 200 {
+                    begun += 1;
+                    assert!(!a.complete, "{fault:?}: a broken stream is complete");
+                    assert!(event_texts(&id, 5).starts_with(&a.body), "{fault:?}: {}", a.body);
+                }
+            }
+            assert!(begun > 0, "{fault:?}: no stream began");
+        }
+    }
     // Guards against extra bytes of a replica that are passed on as the next response on a kept
     // connection.
     extra_bytes_are_not_passed_on: {
