Keep what replicas say about leaving and about pauses in their responses

A replica that leaves may say so in its responses before its entry does, and a replica may ask a host for a pause with Retry-After.

Server-Leaving is read from each response of a replica (requests, reports, orders), is not undone by an entry, holds for the process that said it, and is passed on to the peers at once. A pause is one more reason in SendLimit, the only place that says when a replica may be sent a request: no requests, orders or reads of its report before its end; the latest end counts, one hour at most. Values that are no number of at least 0 change nothing and are logged once a second. When all replicas want a pause, requests are refused at once with the time until its end.

--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -40,6 +40,9 @@
     Limits(Box<LimitReport>),
     /// Era of the store. Hosts of an earlier release drop it.
     Era(EraReport),
+    /// [`super::replicas::Replica::id_hash`] of a replica that has said that it leaves. Hosts of an
+    /// earlier release drop it.
+    Leaving(u32),
 }
 
 /// What a host knows of the limits that replicas name. Hosts of an earlier release drop it.
--- a/crates/core/src/fleet/limit.rs
+++ b/crates/core/src/fleet/limit.rs
@@ -32,6 +32,10 @@
 /// Relative change of a limit that is logged.
 const NOTABLE_CHANGE: f64 = 0.1;
 
+/// Longest pause that a replica gets. A longer one is taken for a fault of the replica, which would
+/// otherwise be lost until its restart.
+pub const MAX_PAUSE: Duration = Duration::from_secs(3600);
+
 /// Whether a request may be sent to a replica now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendState {
@@ -76,9 +80,11 @@
     }
 }
 
-/// The limit of one replica as this host knows it.
+/// When this host may send requests to one replica: the limit that it names on all hosts, and the
+/// pause that it has asked this host for.
 #[derive(Debug, Default)]
 pub struct SendLimit {
+    paused_until: Option<Tick>,
     bucket: Option<Bucket>,
     // When the newest response arrived that named the limit or showed its end.
     named_at: Option<Tick>,
@@ -100,8 +106,28 @@
         self.sender = sender;
     }
 
+    /// Records that the replica wants nothing from this host for `time`, at most [`MAX_PAUSE`].
+    /// Responses overtake each other, so the latest end counts. Returns the time left if it is
+    /// longer than before.
+    pub fn pause(&mut self, now: Tick, time: Duration) -> Option<Duration> {
+        let until = now + time.min(MAX_PAUSE);
+        if self.paused_until.is_some_and(|t| t >= until) {
+            return None;
+        }
+        self.paused_until = Some(until);
+        Some(until.since(now))
+    }
+
+    /// Time left of a pause; the replica gets neither requests nor orders before its end.
+    pub fn pause_left(&self, now: Tick) -> Option<Duration> {
+        self.paused_until.map(|t| t.since(now)).filter(|d| !d.is_zero())
+    }
+
     /// Whether a request may be sent now.
     pub fn state(&self, now: Tick) -> SendState {
+        if let Some(left) = self.pause_left(now) {
+            return SendState::Wait(left);
+        }
         let Some(b) = &self.bucket else { return SendState::Free };
         if !self.sender {
             return SendState::Closed;
--- a/crates/core/src/fleet/limit/tests.rs
+++ b/crates/core/src/fleet/limit/tests.rs
@@ -131,3 +131,38 @@
         prop_assert!(sent.len() as f64 >= 0.7 * rate * 60.0 - 2.0, "{} in 60 s", sent.len());
     }
 }
+
+cases! {
+    // Guards against a pause that an overtaken, shorter one ends early.
+    the_latest_end_of_a_pause_counts: {
+        let mut l = SendLimit::default();
+        assert_eq!(l.pause(at(0), Duration::from_secs(2)), Some(Duration::from_secs(2)));
+        assert_eq!(l.pause(at(500), Duration::from_secs(1)), None);
+        assert_eq!(l.state(at(1700)), SendState::Wait(Duration::from_millis(300)));
+        assert_eq!(l.state(at(2000)), SendState::Free);
+    }
+    // Guards against a pause that ends with a limit, or a limit that ends with a pause.
+    a_pause_and_a_limit_hold_both: {
+        let mut l = limited(2.0);
+        l.pause(at(0), Duration::from_millis(200));
+        assert_eq!(l.state(at(100)), SendState::Wait(Duration::from_millis(100)));
+        assert_eq!(l.state(at(300)), SendState::Wait(Duration::from_millis(100)));
+    }
+}
+
+proptest! {
+    // Guards against a request within any pause, in whatever order the responses arrive, and against
+    // a replica that is never used again.
+    #[test]
+    fn no_request_within_a_pause(asked in prop::collection::vec((0..5000u64, 0..4000u64), 1..20)) {
+        let mut l = SendLimit::default();
+        for (from, time) in &asked {
+            l.pause(at(*from), Duration::from_millis(*time));
+        }
+        for ms in (0..10_000).step_by(50) {
+            let paused = asked.iter().any(|(from, time)| ms >= *from && ms < from + time);
+            prop_assert!(!paused || l.state(at(ms)) != SendState::Free);
+        }
+        prop_assert_eq!(l.state(at(9001)), SendState::Free);
+    }
+}
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -438,6 +438,11 @@
         }
     }
 
+    /// Records that a replica has said that it leaves. Returns whether that is new.
+    pub fn note_leaving(&mut self, k: ReplicaKey) -> bool {
+        self.map.get_mut(k).is_some_and(|r| !std::mem::replace(&mut r.leaving, true))
+    }
+
     /// Replaces the load that a peer reports.
     pub fn set_peer_loads(&mut self, ip: Ipv4Addr, loads: &[digest::ReplicaLoad]) {
         self.remove_peer(ip);
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -6,6 +6,7 @@
 mod loads;
 mod losses;
 mod orders;
+pub mod signals;
 mod sync;
 
 use std::{
@@ -44,6 +45,7 @@
     admit::{Admission, Admit, PlacedRequest, ReplicaFailed},
     limits::LimitSeen,
     losses::{ReplicaEnded, Served},
+    signals::SignalsSeen,
 };
 use self::{
     loads::Waiters,
@@ -136,6 +138,8 @@
     quarantine: Quarantine,
     starting: Starting,
     limits_repeated: Tick,
+    // When an unreadable signal of a replica was last logged.
+    signal_logged: Option<Tick>,
     catalog: Option<Arc<Catalog>>,
     started: Tick,
     incarnation: u64,
@@ -230,6 +234,7 @@
             quarantine,
             starting: Starting::default(),
             limits_repeated: now,
+            signal_logged: None,
             catalog: None,
             started: now,
             incarnation: clock::unix_ms(),
@@ -464,6 +469,7 @@
             PeerMessage::Losses(r) => self.handle_losses(now, &r),
             PeerMessage::ListingDelta(l) => self.handle_listing(now, &l),
             PeerMessage::Era(r) => self.handle_era(now, &r),
+            PeerMessage::Leaving(replica) => self.handle_leaving(replica),
         }
     }
 }
--- a/crates/daemon/src/front/control/orders.rs
+++ b/crates/daemon/src/front/control/orders.rs
@@ -18,9 +18,12 @@
     },
     time::Tick,
 };
-use yuccawing_platform::{headers, replica as wire};
+use yuccawing_platform::{
+    headers::{self, ReplicaSignals},
+    replica as wire,
+};
 
-use super::Control;
+use super::{Control, signals};
 use crate::{
     events::{Event, emit},
     front::{
@@ -70,6 +73,12 @@
     waiting_peers: Vec<(SocketAddr, Resident)>,
 }
 
+/// Response to an order, with what it says about the replica.
+struct Answer {
+    response: OrderResponse,
+    signals: ReplicaSignals,
+}
+
 impl Control {
     /// Requests an adapter from the loader of an engine that this host owns.
     pub(super) fn request_adapter(
@@ -153,7 +162,8 @@
         }
         let lease = self.lease();
         let Some(r) = self.dispatcher.replicas.get(k) else { return };
-        if !r.is_usable() || !r.ownership.may_order(now, lease) {
+        let paused = r.limit.pause_left(now).is_some();
+        if !r.is_usable() || paused || !r.ownership.may_order(now, lease) {
             return;
         }
         let expected = r.ownership.expected_count(now, lease);
@@ -186,11 +196,23 @@
         ctx: &mut Context<Self>,
     ) {
         let Some((fence, call)) = self.start_order(now, k, &step, expected) else { return };
-        ctx.spawn(call.into_actor(self).map(move |response, act, ctx| {
+        ctx.spawn(call.into_actor(self).map(move |answer, act, ctx| {
+            let response = act.order_response(k, answer);
             act.handle_response(k, &step, fence, &response, ctx);
         }));
     }
 
+    // Notes what the replica says about itself.
+    fn order_response(
+        &mut self,
+        k: ReplicaKey,
+        answer: Result<Answer, CallError>,
+    ) -> Result<OrderResponse, CallError> {
+        let Answer { response, signals } = answer?;
+        self.note_signals(clock::now(), k, signals);
+        Ok(response)
+    }
+
     // Records an order and returns its fencing token and the call that sends it. All orders of one
     // ownership have the same token.
     fn start_order(
@@ -199,7 +221,7 @@
         k: ReplicaKey,
         step: &Step,
         expected: Option<u64>,
-    ) -> Option<(u64, impl Future<Output = Result<OrderResponse, CallError>> + use<>)> {
+    ) -> Option<(u64, impl Future<Output = Result<Answer, CallError>> + use<>)> {
         let r = self.dispatcher.replicas.get_mut(k)?;
         let fence = r.ownership.record_order(now, self.store.count, self.settings.ip);
         let loads = step.verb == Verb::Load;
@@ -279,9 +301,15 @@
             if !may_order || !loading || act.leaving {
                 return;
             }
+            let pause = act.dispatcher.replicas.get(k).and_then(|r| r.limit.pause_left(now));
+            if let Some(left) = pause {
+                act.check_later(k, resident, left, ctx);
+                return;
+            }
             let step = Step { verb: Verb::Load, resident: resident.clone() };
             let Some((_, call)) = act.start_order(now, k, &step, None) else { return };
-            ctx.spawn(call.into_actor(act).map(move |response, act, ctx| {
+            ctx.spawn(call.into_actor(act).map(move |answer, act, ctx| {
+                let response = act.order_response(k, answer);
                 act.handle_check(k, resident, &response, ctx);
             }));
         });
@@ -362,7 +390,8 @@
             let report_due = engine.last_report.is_none_or(|t| now.since(t) >= REPORT_INTERVAL)
                 && !engine.reading;
             let Some(r) = self.dispatcher.replicas.get(*k) else { continue };
-            if report_due && r.missing_since.is_none() {
+            let paused = r.limit.pause_left(now).is_some();
+            if report_due && r.missing_since.is_none() && !paused {
                 engine.last_report = Some(now);
                 engine.reading = true;
                 due.push((*k, r.address));
@@ -385,6 +414,9 @@
     ) {
         let now = clock::now();
         let lease = self.lease();
+        if let Ok(response) = &response {
+            self.note_signals(now, k, signals::read(response));
+        }
         let Some(engine) = self.engines.get_mut(&k) else { return };
         engine.reading = false;
         let Some(r) = self.dispatcher.replicas.get_mut(k) else { return };
@@ -458,7 +490,7 @@
     address: SocketAddr,
     id: ArcStr,
     order: Order,
-) -> Result<OrderResponse, CallError> {
+) -> Result<Answer, CallError> {
     let request = Request::post(wire::ORDER_PATH)
         .header("host", address.to_string())
         .header("content-type", "application/json")
@@ -466,5 +498,6 @@
         .body(Full::new(Bytes::from(wire::encode_order(&order))))
         .expect("the request is valid");
     let response = client.call(address, request, CALL_TIMEOUT, MAX_REPORT_BYTES).await?;
-    Ok(wire::order_response(response.status().as_u16()))
+    let signals = signals::read(&response);
+    Ok(Answer { response: wire::order_response(response.status().as_u16()), signals })
 }
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -13,7 +13,10 @@
 use slog::kv;
 use tokio::{sync::oneshot, time::timeout};
 use yuccawing_core::{fleet::health::Outcome, retry::Cause};
-use yuccawing_platform::{headers, replica as wire};
+use yuccawing_platform::{
+    headers::{self, PauseHeader},
+    replica as wire,
+};
 
 use self::{
     limit::report_limit,
@@ -23,7 +26,10 @@
 use super::{
     client::{CallError, Reply, Reuse},
     clock,
-    control::{Admission, Admit, LimitSeen, PlacedRequest, ReplicaEnded, ReplicaFailed},
+    control::{
+        Admission, Admit, LimitSeen, PlacedRequest, ReplicaEnded, ReplicaFailed, SignalsSeen,
+        signals,
+    },
     edge::{CallerRequest, Refusal, Worker},
     sse::{Event as SseEvent, Splitter, TooLong},
 };
@@ -361,6 +367,7 @@
     let sent_at = clock::now();
     let mut reply = w.client.send(placed.assignment.address, request, reuse, limit).await?;
     report_limit(w, placed, &reply, sent_at);
+    report_signals(w, r, placed, &reply);
     check_response(r, &reply)?;
     if !is_stream(&reply) {
         let body = reply.body(MAX_BODY_BYTES).await.map_err(Failure::Cut)?;
@@ -410,6 +417,20 @@
     out.body(Full::new(r.body.clone())).expect("method, path and headers were read from a request")
 }
 
+// Tells the control actor what a response says about the replica, unless it is a late copy of
+// another one.
+fn report_signals(w: &Worker, r: &CallerRequest, placed: &PlacedRequest, reply: &Reply) {
+    let id = reply.response.headers().get(headers::REQUEST_ID);
+    if id.is_some_and(|id| id.as_bytes() != r.id.as_bytes()) {
+        return;
+    }
+    let signals = signals::read(&reply.response);
+    if signals.leaving || signals.pause != PauseHeader::Absent {
+        let replica = placed.assignment.replica;
+        w.shared.control.do_send(SignalsSeen { replica, signals });
+    }
+}
+
 // Rejects what is not a valid response to this request.
 fn check_response(r: &CallerRequest, reply: &Reply) -> Result<(), Failure> {
     let head = reply.response.headers();
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod limits;
 mod restores;
+mod signals;
 
 use std::{
     io::Write,
