Let started hosts read the store again soon

Peers answer a first digest at once, so 150 ms are enough, and until then a host reads at the shortest spacing.

--- a/crates/core/src/fleet/freshness.rs
+++ b/crates/core/src/fleet/freshness.rs
@@ -172,16 +172,16 @@
     /// Records that the read that was sent at `sent_at` returned `hash`. Returns the hash of the
     /// previous copy.
     pub fn finish_read(&mut self, sent_at: Tick, hash: u64) -> Option<u64> {
-        let old = self.finish_unproved(sent_at, hash);
+        let old = self.finish_unproved(sent_at, hash, false);
         (self.last_failed, self.unproved) = (false, false);
         self.read_at = self.read_at.max(Some(sent_at));
         old
     }
 
-    /// As [`Self::finish_read`], for a read that does not prove that the copy is current. The next
-    /// read is due after a poll interval.
-    pub fn finish_unproved(&mut self, sent_at: Tick, hash: u64) -> Option<u64> {
-        (self.reading, self.last_failed, self.unproved) = (false, true, true);
+    /// As [`Self::finish_read`], for a read that does not prove that the copy is current. If it is
+    /// `paced`, the next read is due after a poll interval.
+    pub fn finish_unproved(&mut self, sent_at: Tick, hash: u64, paced: bool) -> Option<u64> {
+        (self.reading, self.last_failed, self.unproved) = (false, paced, true);
         let old = self.copy_hash.replace(hash);
         if self.stale_since.is_some_and(|t| t <= sent_at) {
             self.stale_since = None;
--- a/crates/core/src/fleet/freshness/tests.rs
+++ b/crates/core/src/fleet/freshness/tests.rs
@@ -41,7 +41,7 @@
     // store has shown.
     an_unproved_copy_is_not_announced: {
         let mut f = copy(0, 5);
-        f.finish_unproved(at(1000), 6);
+        f.finish_unproved(at(1000), 6, true);
         assert_eq!((f.mark(at(1100)), f.read_at()), (None, Some(at(0))));
         f.start_read(at(1500));
         f.finish_read(at(1500), 6);
@@ -51,7 +51,7 @@
     an_unproved_copy_is_read_once_per_interval: {
         let mut f = Freshness::default();
         f.start_read(at(0));
-        f.finish_unproved(at(10), 6);
+        f.finish_unproved(at(10), 6, true);
         assert!(!f.read_due(at(450), 0, POLL));
         assert!(f.read_due(at(500), 0, POLL));
     }
--- a/crates/core/src/fleet/history.rs
+++ b/crates/core/src/fleet/history.rs
@@ -22,8 +22,9 @@
 /// intervals of status reports, with a margin for the read.
 pub const STALE_ENTRIES: Duration = Duration::from_millis(4500);
 
-/// Time after the start of a process by which running peers have told it of a restore.
-const INTRODUCTION_TIME: Duration = Duration::from_millis(400);
+/// Time after the start of a process by which running peers have told it of a restore: a digest and
+/// its response. After the loss of all hosts there is nobody to wait for.
+const INTRODUCTION_TIME: Duration = Duration::from_millis(150);
 
 /// Revisions that one restore loses at most, for fencing tokens that rise across restores.
 const MAX_LOST: u64 = 1 << 20;
@@ -215,10 +216,14 @@
         version: u64,
         is_alive: impl Fn(Ipv4Addr) -> bool,
     ) -> bool {
-        let introduced = self.introduced || now.since(self.started) >= INTRODUCTION_TIME;
         let rewritten = self.rewritten || !self.restored_within(now, REWRITE_TIME);
         let behind = self.versions.iter().any(|(ip, (_, v))| *v > version && is_alive(*ip));
-        introduced && rewritten && !behind
+        self.is_introduced(now) && rewritten && !behind
+    }
+
+    /// Whether running peers have had the time to tell this host of a restore.
+    pub fn is_introduced(&self, now: Tick) -> bool {
+        self.introduced || now.since(self.started) >= INTRODUCTION_TIME
     }
 
     /// Whether the store was restored less than `time` ago.
--- a/crates/core/src/fleet/history/tests.rs
+++ b/crates/core/src/fleet/history/tests.rs
@@ -177,3 +177,13 @@
         prop_assert!(h.restored_within(at(first + 10), Duration::from_millis(20)));
     }
 }
+
+cases! {
+    // Guards against seconds of refusals after the loss of all hosts, when no peer can tell more.
+    a_fleet_that_lost_all_hosts_does_not_wait_for_peers: {
+        let mut h = History::new(at(0));
+        h.observe(at(10), 4);
+        assert!(!is_current(&h, 10, 1));
+        assert!(is_current(&h, 200, 1));
+    }
+}
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -147,10 +147,12 @@
                 let version = self.version();
                 let hash = listed ^ hash(&["in force", &version.to_string()]);
                 let is_alive = |ip| self.peers.is_alive(now, ip);
-                if self.store.history.proves_current(now, version, is_alive) {
+                let history = &self.store.history;
+                if history.proves_current(now, version, is_alive) {
                     self.store.operator.finish_read(sent_at, hash);
                 } else {
-                    self.store.operator.finish_unproved(sent_at, hash);
+                    let paced = history.is_introduced(now);
+                    self.store.operator.finish_unproved(sent_at, hash, paced);
                 }
                 self.publish(now);
             }
