--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -360,8 +360,11 @@
         if !self.stalls.is_current(now) {
             return;
         }
-        if let Some(mark) = d.operator {
-            self.store.operator.observe(now, mark);
+        if let Some(mark) = d.operator
+            && self.store.operator.observe(now, mark)
+            && !self.serving
+        {
+            self.publish(now);
         }
         if let Some(mark) = d.listing
             && self.store.listing.observe(now, mark)
