--- a/crates/core/src/fleet/freshness.rs
+++ b/crates/core/src/fleet/freshness.rs
@@ -92,7 +92,9 @@
     // Since when a peer has had a newer copy.
     stale_since: Option<Tick>,
     reading: bool,
-    last_failed: bool,
+    // Whether the next read is due only after a poll interval, since the last one failed or proved
+    // nothing.
+    paced: bool,
     // Whether the last read did not prove that its copy is current.
     unproved: bool,
 }
@@ -128,7 +130,7 @@
     /// Whether this host, with `rank` among the readers that poll at interval `poll`, must read
     /// now.
     pub fn read_due(&self, now: Tick, rank: usize, poll: Duration) -> bool {
-        let spacing = if self.last_failed { poll } else { MIN_SPACING };
+        let spacing = if self.paced { poll } else { MIN_SPACING };
         if self.reading || self.read_started.is_some_and(|t| now.since(t) < spacing) {
             return false;
         }
@@ -173,7 +175,7 @@
     /// previous copy.
     pub fn finish_read(&mut self, sent_at: Tick, hash: u64) -> Option<u64> {
         let old = self.finish_unproved(sent_at, hash, false);
-        (self.last_failed, self.unproved) = (false, false);
+        (self.paced, self.unproved) = (false, false);
         self.read_at = self.read_at.max(Some(sent_at));
         old
     }
@@ -181,7 +183,7 @@
     /// As [`Self::finish_read`], for a read that does not prove that the copy is current. If it is
     /// `paced`, the next read is due after a poll interval.
     pub fn finish_unproved(&mut self, sent_at: Tick, hash: u64, paced: bool) -> Option<u64> {
-        (self.reading, self.last_failed, self.unproved) = (false, paced, true);
+        (self.reading, self.paced, self.unproved) = (false, paced, true);
         let old = self.copy_hash.replace(hash);
         if self.stale_since.is_some_and(|t| t <= sent_at) {
             self.stale_since = None;
@@ -191,6 +193,6 @@
 
     /// Records that the read failed.
     pub fn fail_read(&mut self) {
-        (self.reading, self.last_failed) = (false, true);
+        (self.reading, self.paced) = (false, true);
     }
 }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -71,7 +71,7 @@
     206 AttemptFailed Info "An attempt to serve a request at a replica failed.";
     207 LimitReached Info "A request exceeded its account's limit.";
     208 RequestTurnedAway Info "A request was refused before it was forwarded.";
-    209 RequestHeld Info "A request was refused because replicas ended under one of its prompt blocks.";
+    209 RequestHeld Info "A request was refused because replicas ended under it or under one of its prompt blocks.";
     300 UpstreamConnect Warning "The connection to an upstream failed.";
     301 UpstreamSilent Warning "An upstream stopped responding; its connection is replaced.";
     302 StreamResumed Info "An interrupted stream was resumed.";
@@ -85,8 +85,8 @@
     310 ReplicaAnswers Info "A replica responds again.";
     311 ReplicaEjected Warning "A replica was ejected for a while because its requests failed.";
     312 ReplicaEnded Warning "A replica ended while it ran a request.";
-    313 BlockHeld Warning "Requests with a prompt block are refused because replicas ended under it.";
-    314 BlockReleased Warning "Requests with a prompt block are served again.";
+    313 BlockHeld Warning "A prompt block, or a request by its fingerprint, is refused because replicas ended under it.";
+    314 BlockReleased Warning "A prompt block, or a request by its fingerprint, is served again.";
     315 LimitNamed Info "A replica names a limit on the requests of all hosts.";
     316 LimitLifted Info "A replica names no limit any more.";
     317 LimitInvalid Warning "A response names a limit that is no number of at least 0; the limit in force stays.";
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -1,7 +1,7 @@
 //! Keeps the view of the store, the peers and the replicas current: reads the store, applies
 //! digests and assigns engines to their owners.
 
-use std::{net::Ipv4Addr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use slog::kv;
@@ -194,8 +194,8 @@
     fn observe_era(&mut self, now: Tick, sent_at: Tick, position: Position) -> bool {
         let change = self.store.history.observe(now, position.era);
         self.note_era(change);
-        if let EraChange::Restored(_) = change {
-            self.announce_era(now);
+        if let (EraChange::Restored(_), Some(report)) = (change, self.era_report(now)) {
+            self.broadcast(&report);
         }
         if change == EraChange::Outdated {
             let fields = kv!(
@@ -221,19 +221,9 @@
         }
     }
 
-    fn announce_era(&self, now: Tick) {
+    fn era_report(&self, now: Tick) -> Option<PeerMessage> {
         let (ip, process) = (self.settings.ip, self.incarnation);
-        if let Some(r) = self.store.history.report(now, ip, process, self.version()) {
-            self.broadcast(&PeerMessage::Era(r));
-        }
-    }
-
-    // Tells a peer that has just started or returned of the era.
-    fn introduce_era(&self, now: Tick, peer: Ipv4Addr) {
-        let (ip, process) = (self.settings.ip, self.incarnation);
-        if let Some(r) = self.store.history.report(now, ip, process, self.version()) {
-            self.send(peer, &PeerMessage::Era(r));
-        }
+        self.store.history.report(now, ip, process, self.version()).map(PeerMessage::Era)
     }
 
     /// Applies what a peer reports of the era. Its age is wrong if it waited while this host was
@@ -397,7 +387,9 @@
         }
         if matches!(change, PeerChange::Joined | PeerChange::Restarted) {
             self.introduce_losses(now, d.ip);
-            self.introduce_era(now, d.ip);
+            if let Some(report) = self.era_report(now) {
+                self.send(d.ip, &report);
+            }
         }
         if change == PeerChange::Leaving {
             self.quota.remove_peer(d.ip);
