Write the configuration again after the restore in one more test

The hosts of these tests use keys for 1.6 s after the last read that proves their configuration; after a restore no read does for 2 s unless the operators write it again, which they do by the platform's pages and this test did not. Its requests take 1.3 s on an idle machine and longer on a busy one. The message now shows the reason of a refusal.

--- a/crates/daemon/tests/platform/restores.rs
+++ b/crates/daemon/tests/platform/restores.rs
@@ -151,9 +151,11 @@
         f.plain[0].register(&f.store, f.plain[0].address);
         (0..2).for_each(|i| wait_status(&f, i, KEY, 200));
         f.store.restore(&copy);
+        put_config(&f, 1, &accounts());
         for n in 0..13 {
             for i in 0..2 {
-                assert_eq!(f.call(i, "/safe/1", &format!("s{i}-{n}"), Some(KEY)).status, 200);
+                let a = f.call(i, "/safe/1", &format!("s{i}-{n}"), Some(KEY));
+                assert_eq!(a.status, 200, "{}", a.body);
             }
             thread::sleep(Duration::from_millis(100));
         }
