Test that late and repeated orders do not exceed the adapter slots

An order that arrives 4 s late loads a ninth adapter into eight slots; a restarted owner whose report is older than the last order of its previous process gets its first order rejected by the expected count, and repeats it without one 60 ms later.

--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -9,6 +9,7 @@
 
 mod crashes;
 mod limits;
+mod orders;
 mod restores;
 mod signals;
 
