Name the count of accepted orders in each order

Callers saw LIMIT: an engine was ordered to load more adapters than it has slots.

Cause: only the first order of an ownership named the count that the replica must have accepted before. Later orders, repeated orders that ask whether a load has ended, and the repetition of a rejected order named none, so an engine executed them late, after another host's orders, or on the strength of an old report. The loader kept its results by time instead of by the count that tells what a report contains.

Change: each order names the count that the loader's view rests on, one at a time. A conflict, a lost or an unexpected response stops the orders until a later report. An unload whose response was lost no longer blocks the engine's orders for good.

The reports in the loader's tests count the orders, as those of a replica do.

--- a/crates/core/src/fleet/loader.rs
+++ b/crates/core/src/fleet/loader.rs
@@ -2,6 +2,11 @@
 //!
 //! Loads are ordered on demand, when a request needs one. An adapter in use is never unloaded;
 //! among the others the least recently used one is evicted.
+//!
+//! Each order names the number of orders that the replica has accepted as far as the loader knows,
+//! and the replica rejects it if that has changed. So an order is executed only in the state that it
+//! was decided on: not late, not beside an order of another host, and not twice. A report or a
+//! response that leaves the number open stops the orders until a newer report.
 
 #[cfg(test)]
 mod tests;
@@ -27,12 +32,6 @@
 /// Loads that may be queued for one engine. Further ones are refused.
 const MAX_QUEUED: usize = 32;
 
-/// Time after which a load without a result no longer counts as in progress.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// [`LOAD_TIMEOUT`] of a base model, whose load waits for other loads at the weight store.
-const MODEL_LOAD_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Shortest time that a newly loaded adapter stays resident, so that the request that it was loaded
 /// for can still use it.
 const MIN_RESIDENCY: Duration = Duration::from_millis(400);
@@ -42,10 +41,10 @@
 /// orders until its requests end.
 const IDLE_BEFORE_UNLOAD: Duration = Duration::from_millis(300);
 
-/// Pause after an order that was rejected because of another order or a running request.
+/// Pause after an order that was rejected or has no response.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(60);
 
-/// Age of a report's content: orders that were executed later are missing from it.
+/// Age of a report's content: loads that ended later are missing from it.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 
 /// Next order for an engine.
@@ -68,26 +67,47 @@
     Refused,
 }
 
+/// A load that this host has ordered.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    version: u64,
+    at: Tick,
+    // Number of orders that the replica has accepted with this one.
+    count: u64,
+}
+
+/// An order that has no response yet.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    // Number of accepted orders that it names.
+    expected: u64,
+    // Whether it asks for a change, and not for a load that is under way already.
+    changes: bool,
+}
+
 /// Load state of one engine and its queue of loads.
 #[derive(Debug, Default)]
 pub struct Loader {
+    // Content of the newest report, and the orders of this host that it does not show yet. Each is
+    // kept with the number of orders that the replica has accepted with it.
     reported: Vec<Resident>,
-    // Results of this host's orders that reports may not show yet, with their times.
-    loaded: HashMap<ArcStr, (u64, Tick)>,
-    unloaded: HashMap<ArcStr, Tick>,
+    loaded: HashMap<ArcStr, Load>,
+    unloaded: HashMap<ArcStr, u64>,
+    loading: BTreeMap<ArcStr, Load>,
     // Unloads that wait for running requests. They still occupy a slot.
-    unloading: HashMap<ArcStr, Tick>,
+    unloading: HashMap<ArcStr, u64>,
     // Adapters in transfer according to the newest report, possibly ordered by an earlier owner.
     transferring: Vec<ArcStr>,
-    // Whether a report was read since the replica started.
-    report_seen: bool,
-    loading: BTreeMap<ArcStr, (u64, Tick)>,
+    // Number of orders that the replica has accepted; none until a report settles it.
+    count: Option<u64>,
+    // Since when the number is unknown. Reports that were requested earlier do not settle it.
+    unknown_since: Option<Tick>,
     queue: VecDeque<(Resident, Tick)>,
     last_used: HashMap<ArcStr, Tick>,
     // No order is sent before this time.
     paused_until: Option<Tick>,
-    // An order is under way; the next one waits for its response.
-    awaiting_response: bool,
+    // The next order waits for the response to this one.
+    pending: Option<Pending>,
     model_busy: bool,
 }
 
@@ -98,14 +118,32 @@
 impl Loader {
     /// Applies a report that was requested at `sent_at`.
     pub fn apply_report(&mut self, sent_at: Tick, report: &Report) {
+        let count = report.order_count;
+        match self.count {
+            Some(known) => self.count = Some(known.max(count)),
+            None if self.unknown_since.is_some_and(|t| sent_at < t) => return,
+            None => {
+                // What this host assumed about orders beyond the report is void.
+                self.unloaded.clear();
+                self.unloading.retain(|_, n| *n <= count);
+                self.loading.retain(|_, l| l.count <= count);
+                self.loaded.values_mut().for_each(|l| l.count = l.count.min(count));
+                self.count = Some(count);
+            }
+        }
         self.reported.clone_from(&report.residents);
         self.transferring = report.transferring.iter().map(|r| r.artifact.clone()).collect();
         self.model_busy = report.model_busy;
-        self.report_seen = true;
         let listed = |a: &ArcStr| report.residents.iter().any(|r| r.artifact == *a);
-        self.unloading.retain(|a, t| listed(a) || sent_at.since(*t) < REPORT_LAG);
-        self.loaded.retain(|_, (_, t)| sent_at.since(*t) < REPORT_LAG);
-        self.unloaded.retain(|_, t| sent_at.since(*t) < REPORT_LAG);
+        self.unloading.retain(|a, n| *n > count || listed(a));
+        self.unloaded.retain(|_, n| *n > count);
+        self.loaded.retain(|_, l| l.count > count || sent_at.since(l.at) < REPORT_LAG);
+        let transferring = &self.transferring;
+        self.loading.retain(|a, l| {
+            let in_progress =
+                if is_adapter(a) { transferring.contains(a) } else { report.model_busy };
+            l.count > count || in_progress
+        });
     }
 
     /// Resident artifacts according to the newest report and the orders after it.
@@ -119,9 +157,9 @@
                 out.insert(r.artifact.clone(), r.version);
             }
         }
-        for (artifact, (version, _)) in &self.loaded {
+        for (artifact, l) in &self.loaded {
             let v = out.entry(artifact.clone()).or_default();
-            *v = (*v).max(*version);
+            *v = (*v).max(l.version);
         }
         out.into_iter().map(|(artifact, version)| Resident { artifact, version }).collect()
     }
@@ -189,15 +227,12 @@
         transfers: usize,
         in_use: impl Fn(&str) -> bool,
     ) -> Option<Step> {
-        self.loading.retain(|a, (_, t)| {
-            now.since(*t) < if is_adapter(a) { LOAD_TIMEOUT } else { MODEL_LOAD_TIMEOUT }
-        });
         self.queue.retain(|(_, t)| now.since(*t) < QUEUE_TIMEOUT);
-        if self.awaiting_response || !self.report_seen || self.paused_until.is_some_and(|t| now < t)
-        {
+        if self.expected_count().is_none() || self.paused_until.is_some_and(|t| now < t) {
             return None;
         }
         let residents = self.residents();
+        self.queue.retain(|(w, _)| !residents.contains(w));
         if let Some(step) = self.model_step(spec, &residents) {
             return Some(step);
         }
@@ -216,12 +251,13 @@
             let model = w.artifact.split('/').next().unwrap_or_default();
             !self.loading.contains_key(&w.artifact) && residents.iter().any(|r| r.artifact == model)
         })?;
-        if transferring >= transfers {
+        let request = self.queue[index].0.clone();
+        let counted = self.transferring.contains(&request.artifact);
+        if transferring >= transfers && !counted {
             return None;
         }
-        let request = self.queue[index].0.clone();
         let replaces = adapters.iter().any(|r| r.artifact == request.artifact);
-        if replaces || taken < spec.adapter_slots as usize {
+        if counted || replaces || taken < spec.adapter_slots as usize {
             self.queue.remove(index);
             return Some(Step { verb: Verb::Load, resident: request });
         }
@@ -230,7 +266,7 @@
             .filter(|r| {
                 let requested = self.queue.iter().any(|(w, _)| w.artifact == r.artifact);
                 let settled =
-                    self.loaded.get(&r.artifact).is_none_or(|(_, t)| now.since(*t) > MIN_RESIDENCY);
+                    self.loaded.get(&r.artifact).is_none_or(|l| now.since(l.at) > MIN_RESIDENCY);
                 let idle = self
                     .last_used
                     .get(&r.artifact)
@@ -257,54 +293,98 @@
         })
     }
 
+    /// Number of accepted orders that the next order must name; none while no order may be sent.
+    pub fn expected_count(&self) -> Option<u64> {
+        if self.pending.is_some() { None } else { self.count }
+    }
+
+    /// Whether a report is needed before the next order.
+    pub fn needs_report(&self) -> bool {
+        self.count.is_none()
+    }
+
     /// Records that an order is sent.
     pub fn record_sent(&mut self, now: Tick, step: &Step) {
-        self.awaiting_response = true;
+        let Some(expected) = self.count else { return };
+        let a = &step.resident.artifact;
+        let changes = step.verb == Verb::Unload || !self.transferring.contains(a);
+        self.pending = Some(Pending { expected, changes });
         if step.verb == Verb::Load {
-            self.loading.insert(step.resident.artifact.clone(), (step.resident.version, now));
-            self.unloaded.remove(&step.resident.artifact);
+            let count = expected + u64::from(changes);
+            let load = Load { version: step.resident.version, at: now, count };
+            self.loading.insert(a.clone(), load);
         }
     }
 
+    /// Records that the order of a load under way is repeated, to learn whether it has ended.
+    pub fn record_check_sent(&mut self) {
+        self.pending = self.count.map(|expected| Pending { expected, changes: false });
+    }
+
     /// Records the response to an order, none if it timed out.
     pub fn record_response(&mut self, now: Tick, step: &Step, response: Option<OrderResponse>) {
-        self.awaiting_response = false;
-        if response == Some(OrderResponse::Conflict) {
-            self.paused_until = Some(now + CONFLICT_PAUSE);
-            if step.verb == Verb::Load {
-                self.queue.push_front((step.resident.clone(), now));
-            }
-        }
+        let Some(pending) = self.pending.take() else { return };
+        let count = pending.expected + u64::from(pending.changes);
         let a = &step.resident.artifact;
         match (step.verb, response) {
             (Verb::Load, Some(OrderResponse::Done)) => {
                 self.finish_load(now, &step.resident);
             }
-            // Without a response the order may still have been accepted.
-            (Verb::Load, Some(OrderResponse::Accepted) | None) => {}
-            (Verb::Load, Some(_)) => {
-                self.loading.remove(a);
-            }
+            (Verb::Load, Some(OrderResponse::Accepted)) => self.raise_count(count),
             (Verb::Unload, Some(OrderResponse::Done)) => {
+                self.raise_count(count);
                 self.loaded.remove(a);
-                self.unloaded.insert(a.clone(), now);
+                self.unloaded.insert(a.clone(), count);
             }
-            (Verb::Unload, Some(OrderResponse::Accepted) | None) => {
+            (Verb::Unload, Some(OrderResponse::Accepted)) => {
+                self.raise_count(count);
                 self.loaded.remove(a);
-                self.unloading.insert(a.clone(), now);
+                self.unloading.insert(a.clone(), count);
             }
-            (Verb::Unload, Some(_)) => {}
+            // It was rejected because of an order that is unknown here, or it may still be accepted.
+            (Verb::Load, Some(OrderResponse::Conflict) | None) => {
+                self.loading.remove(a);
+                self.queue.push_front((step.resident.clone(), now));
+                self.forget_count(now);
+            }
+            (Verb::Load, Some(_)) => {
+                self.loading.remove(a);
+                self.forget_count(now);
+            }
+            (Verb::Unload, _) => self.forget_count(now),
+        }
+    }
+
+    /// Records the response to a repeated order, none if it timed out.
+    pub fn record_check(&mut self, now: Tick, r: &Resident, response: Option<OrderResponse>) {
+        self.pending = None;
+        match response {
+            Some(OrderResponse::Done | OrderResponse::Accepted) => {}
+            // An engine rejects all orders while it loads a base model.
+            Some(OrderResponse::Conflict) if !is_adapter(&r.artifact) => {}
+            _ => self.forget_count(now),
         }
     }
 
+    fn raise_count(&mut self, count: u64) {
+        self.count = self.count.map(|c| c.max(count));
+    }
+
+    fn forget_count(&mut self, now: Tick) {
+        self.count = None;
+        self.unknown_since = Some(now);
+        self.paused_until = Some(now + CONFLICT_PAUSE);
+    }
+
     /// Records that a load has completed. Returns the time since its order.
     pub fn finish_load(&mut self, now: Tick, r: &Resident) -> Option<Duration> {
         let ordered = self.loading.remove(&r.artifact);
+        let count = ordered.map_or(0, |l| l.count);
         self.queue.retain(|(w, _)| w != r);
         self.unloaded.remove(&r.artifact);
-        self.loaded.insert(r.artifact.clone(), (r.version, now));
+        self.loaded.insert(r.artifact.clone(), Load { version: r.version, at: now, count });
         self.last_used.insert(r.artifact.clone(), now);
-        ordered.map(|(_, at)| now.since(at))
+        ordered.map(|l| now.since(l.at))
     }
 
     /// Number of loads that are under way or queued.
--- a/crates/core/src/fleet/loader/tests.rs
+++ b/crates/core/src/fleet/loader/tests.rs
@@ -1,3 +1,5 @@
+mod network;
+
 use super::{LoadStatus, Loader, Step};
 use crate::{
     fleet::{
@@ -22,16 +24,17 @@
     Resident { artifact: format!("m/a{n}").into(), version: 1 }
 }
 
-fn report(adapters: &[u32]) -> Report {
+// A report of an engine that has accepted `order_count` orders.
+fn report(order_count: u64, adapters: &[u32]) -> Report {
     let model = Resident { artifact: "m".into(), version: 1 };
     let residents = adapters.iter().map(|n| adapter(*n)).chain([model]).collect();
-    Report { residents, ..Report::default() }
+    Report { residents, order_count, ..Report::default() }
 }
 
 // An engine that holds `adapters`, none of them used recently.
 fn loader(adapters: &[u32]) -> Loader {
     let mut l = Loader::default();
-    l.apply_report(at(0), &report(adapters));
+    l.apply_report(at(0), &report(0, adapters));
     l
 }
 
@@ -105,7 +108,7 @@
         l.record_response(at(1005), &step, Some(OrderResponse::Accepted));
         assert_eq!(next(&mut l, 1100, 2, &[]), None);
         assert!(!l.is_resident(&step.resident), "no new request may count on it");
-        l.apply_report(at(1800), &report(&[2]));
+        l.apply_report(at(1800), &report(1, &[2]));
         assert_eq!(next(&mut l, 1900, 2, &[]).unwrap().verb, Verb::Load);
     }
     // Guards against a report from before an order that reverts its effect.
@@ -116,15 +119,15 @@
         l.record_sent(at(1000), &step);
         l.record_response(at(1005), &step, Some(OrderResponse::Accepted));
         l.finish_load(at(1050), &adapter(3));
-        l.apply_report(at(1100), &report(&[]));
+        l.apply_report(at(1100), &report(0, &[]));
         assert!(l.is_resident(&adapter(3)));
-        l.apply_report(at(2000), &report(&[]));
+        l.apply_report(at(2000), &report(2, &[]));
         assert!(!l.is_resident(&adapter(3)), "it was unloaded since");
     }
     // Guards against exceeding the slots because a load ordered by an earlier owner is not counted.
     loads_of_earlier_owners_take_slots: {
         let mut l = Loader::default();
-        let mut r = report(&[1]);
+        let mut r = report(1, &[1]);
         r.transferring = vec![adapter(9)];
         l.apply_report(at(0), &r);
         request(&mut l, 1000, 3, 2, &[1]);
@@ -137,8 +140,60 @@
         let step = next(&mut l, 1000, 2, &[]).unwrap();
         l.record_sent(at(1000), &step);
         l.record_response(at(1005), &step, Some(OrderResponse::Conflict));
+        l.apply_report(at(1004), &report(0, &[]));
+        assert_eq!(next(&mut l, 1100, 2, &[]), None, "the report was requested before the conflict");
+        l.apply_report(at(1006), &report(1, &[]));
         assert_eq!(next(&mut l, 1010, 2, &[]), None);
         assert_eq!(next(&mut l, 1100, 2, &[]).unwrap(), step, "it is retried");
+        assert_eq!(l.expected_count(), Some(1), "with the count of the report");
+    }
+    // Guards against an order that an engine executes in another state than the one it was decided
+    // on, for example late or beside an order of another host.
+    every_order_names_the_count: {
+        let mut l = loader(&[]);
+        request(&mut l, 1000, 3, 2, &[]);
+        let step = next(&mut l, 1000, 2, &[]).unwrap();
+        assert_eq!(l.expected_count(), Some(0));
+        l.record_sent(at(1000), &step);
+        assert_eq!(l.expected_count(), None, "one order at a time");
+        l.record_response(at(1005), &step, Some(OrderResponse::Accepted));
+        assert_eq!(l.expected_count(), Some(1));
+        l.record_check_sent();
+        assert_eq!(l.expected_count(), None, "a repeated order is one as well");
+        l.record_check(at(1010), &adapter(3), Some(OrderResponse::Accepted));
+        assert_eq!(l.expected_count(), Some(1), "it changes nothing");
+        l.apply_report(at(1020), &report(0, &[]));
+        assert_eq!(l.expected_count(), Some(1), "an older report");
+        l.apply_report(at(1030), &report(4, &[]));
+        assert_eq!(l.expected_count(), Some(4), "another host has sent orders");
+    }
+    // Guards against orders that go on after a lost response, when it is open what the engine holds.
+    a_lost_response_waits_for_a_report: {
+        let mut l = loader(&[1]);
+        request(&mut l, 1000, 3, 2, &[]);
+        let step = next(&mut l, 1000, 2, &[]).unwrap();
+        l.record_sent(at(1000), &step);
+        l.record_response(at(1300), &step, None);
+        assert!(l.needs_report());
+        assert_eq!(next(&mut l, 1400, 2, &[]), None);
+        let mut r = report(1, &[1]);
+        r.transferring = vec![adapter(3)];
+        l.apply_report(at(1400), &r);
+        assert_eq!(next(&mut l, 1410, 2, &[]).unwrap(), step, "to learn when the load ends");
+        assert_eq!(l.expected_count(), Some(1));
+        l.record_sent(at(1410), &step);
+        l.record_response(at(1420), &step, Some(OrderResponse::Accepted));
+        assert_eq!(l.expected_count(), Some(1), "the load was under way");
+    }
+    // Guards against an engine that gets no orders any more after the response to an unload is lost.
+    an_unload_without_a_response_does_not_block_orders: {
+        let mut l = loader(&[1, 2]);
+        request(&mut l, 1000, 3, 2, &[]);
+        let step = next(&mut l, 1000, 2, &[]).unwrap();
+        l.record_sent(at(1000), &step);
+        l.record_response(at(1300), &step, None);
+        l.apply_report(at(1400), &report(0, &[1, 2]));
+        assert_eq!(next(&mut l, 1410, 2, &[]).unwrap().verb, Verb::Unload);
     }
     // Guards against a lost response that lets a second load exceed the slots.
     an_unanswered_load_counts_as_under_way: {
--- a/crates/core/src/fleet/order.rs
+++ b/crates/core/src/fleet/order.rs
@@ -33,7 +33,7 @@
     /// Version to load; the newest one if absent.
     pub version: Option<u64>,
     /// Number of orders that the replica must have accepted before; it rejects the order otherwise.
-    pub expected_count: Option<u64>,
+    pub expected_count: u64,
     /// Name of the host that sends the order.
     pub holder: ArcStr,
     /// Fencing token.
@@ -158,12 +158,6 @@
         self.last_order.filter(|o| *o >= t).and(Some(self.highest_fence))
     }
 
-    /// Count that the first order of an ownership must name; none for later ones, since this host's
-    /// own orders change the count faster than reports show.
-    pub fn expected_count(&self, now: Tick, lease: OrderLease) -> Option<u64> {
-        if self.ordered_recently(now, lease) { None } else { self.count.map(|(n, _)| n) }
-    }
-
     /// Whether this host may send an order now.
     pub fn may_order(&self, now: Tick, lease: OrderLease) -> bool {
         let Some(since) = self.owned_since else { return false };
--- a/crates/core/src/fleet/report.rs
+++ b/crates/core/src/fleet/report.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of a base model or an adapter that an engine holds or loads.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Resident {
     /// `MODEL` or `MODEL/ADAPTER`.
     pub artifact: ArcStr,
--- a/crates/daemon/src/front/control/orders.rs
+++ b/crates/daemon/src/front/control/orders.rs
@@ -73,6 +73,15 @@
     waiting_peers: Vec<(SocketAddr, Resident)>,
 }
 
+impl OwnedEngine {
+    // Makes a report due if the loader cannot go on without one.
+    fn request_report(&mut self) {
+        if self.loader.needs_report() {
+            self.last_report = None;
+        }
+    }
+}
+
 /// Response to an order, with what it says about the replica.
 struct Answer {
     response: OrderResponse,
@@ -166,13 +175,13 @@
         if !r.is_usable() || paused || !r.ownership.may_order(now, lease) {
             return;
         }
-        let expected = r.ownership.expected_count(now, lease);
         let Some(spec) = self.dispatcher.engine_spec(&r.service) else { return };
         let dispatcher = &self.dispatcher;
         let Some(engine) = self.engines.get_mut(&k) else { return };
         let transfers = dispatcher.transfers(now);
         let in_use = |a: &str| dispatcher.in_use(k, a);
         let Some(step) = engine.loader.next_step(now, spec, transfers, in_use) else { return };
+        let Some(expected) = engine.loader.expected_count() else { return };
         engine.loader.record_sent(now, &step);
         let loading = engine.loader.load_count() as u32;
         if let Some(r) = self.dispatcher.replicas.get_mut(k) {
@@ -192,7 +201,7 @@
         now: Tick,
         k: ReplicaKey,
         step: Step,
-        expected: Option<u64>,
+        expected: u64,
         ctx: &mut Context<Self>,
     ) {
         let Some((fence, call)) = self.start_order(now, k, &step, expected) else { return };
@@ -220,7 +229,7 @@
         now: Tick,
         k: ReplicaKey,
         step: &Step,
-        expected: Option<u64>,
+        expected: u64,
     ) -> Option<(u64, impl Future<Output = Result<Answer, CallError>> + use<>)> {
         let r = self.dispatcher.replicas.get_mut(k)?;
         let fence = r.ownership.record_order(now, self.store.count, self.settings.ip);
@@ -259,9 +268,10 @@
         emit(&self.log, Event::OrderAnswered, &fields);
         let Some(engine) = self.engines.get_mut(&k) else { return };
         engine.loader.record_response(now, step, response.as_ref().ok().copied());
+        engine.request_report();
         match (step.verb, response) {
             (Verb::Load, Ok(OrderResponse::Done)) => self.load_done(now, k, &step.resident),
-            (Verb::Load, Ok(OrderResponse::Accepted) | Err(_)) => {
+            (Verb::Load, Ok(OrderResponse::Accepted)) => {
                 let model = !step.resident.artifact.contains('/');
                 let wait = match (model, warm) {
                     (true, _) => MODEL_CHECK_DELAY,
@@ -271,7 +281,7 @@
                 self.check_later(k, step.resident.clone(), wait, ctx);
             }
             // The loader retries it.
-            (Verb::Load, Ok(OrderResponse::Conflict)) => {}
+            (Verb::Load, Ok(OrderResponse::Conflict) | Err(_)) => {}
             (Verb::Load, Ok(_)) => self.load_failed(k, &step.resident),
             (Verb::Unload, _) => {}
         }
@@ -307,7 +317,13 @@
                 return;
             }
             let step = Step { verb: Verb::Load, resident: resident.clone() };
-            let Some((_, call)) = act.start_order(now, k, &step, None) else { return };
+            let Some(engine) = act.engines.get_mut(&k) else { return };
+            let Some(expected) = engine.loader.expected_count() else {
+                act.check_later(k, resident, RECHECK_DELAY, ctx);
+                return;
+            };
+            engine.loader.record_check_sent();
+            let Some((_, call)) = act.start_order(now, k, &step, expected) else { return };
             ctx.spawn(call.into_actor(act).map(move |answer, act, ctx| {
                 let response = act.order_response(k, answer);
                 act.handle_check(k, resident, &response, ctx);
@@ -324,6 +340,10 @@
     ) {
         let now = clock::now();
         self.metrics.order("check", &response_name(response));
+        if let Some(engine) = self.engines.get_mut(&k) {
+            engine.loader.record_check(now, &resident, response.as_ref().ok().copied());
+            engine.request_report();
+        }
         match response {
             Ok(OrderResponse::Done) => {
                 self.load_done(now, k, &resident);
