--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -217,6 +217,26 @@
         exchange(c, method, path, &headers, b"body").unwrap()
     }
 
+    /// Takes up a stream whose first event came with the attempt `first`, after event `last`.
+    pub fn take_up(&self, i: usize, path: &str, id: &str, first: &str, last: u64) -> Response {
+        let (method, mut headers) = request(path, id, Some(KEY));
+        headers.push(("Resumes".into(), first.into()));
+        headers.push(("Last-Event-Id".into(), last.to_string()));
+        let mut c = connect(self.ip(i), 8221).unwrap();
+        exchange(&mut c, method, path, &headers, b"body").unwrap()
+    }
+
+    /// Kills all hosts at once and starts them again.
+    pub fn restart_all(&mut self) {
+        for h in &mut self.hosts {
+            h.child.kill().unwrap();
+            h.child.wait().unwrap();
+        }
+        let n = self.hosts.len();
+        self.hosts = (0..n).map(|i| self.spawn_host(i, n)).collect();
+        self.wait_ready();
+    }
+
     pub fn connect(&self, i: usize) -> TcpStream {
         connect(self.ip(i), 8221).unwrap()
     }
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod orders;
 mod restores;
 mod signals;
+mod versions;
 
 use std::{
     io::Write,
--- /dev/null
+++ b/crates/daemon/tests/platform/versions.rs
@@ -0,0 +1,130 @@
+//! Tests of streams while engines of several software versions serve side by side. What two versions
+//! write does not fit together, and engines do not check it.
+
+use std::time::{Duration, Instant};
+
+use yuccawing_platform_standin::replica::Fault;
+
+use crate::{
+    call_stream, event_texts,
+    fleet::{Fleet, KEY, Response, wait_until},
+    run_count,
+};
+
+/// Adapters of the streams of one test.
+const ADAPTERS: [&str; 6] = ["a1", "a2", "a3", "a4", "a5", "a6"];
+
+// Fleet in which the engines have these versions and have loaded their adapters.
+fn fleet(hosts: usize, versions: &[&str]) -> Fleet {
+    let mut f = Fleet::start(hosts, 0, versions.len());
+    set_versions(&f, versions);
+    f.restart_all();
+    warm(&f);
+    f
+}
+
+fn set_versions(f: &Fleet, versions: &[&str]) {
+    for (e, v) in f.engines.iter().zip(versions) {
+        e.set_version(v);
+        e.register(&f.store, e.address);
+    }
+}
+
+fn warm(f: &Fleet) {
+    for a in ADAPTERS {
+        assert_eq!(call_stream(f, 0, &format!("/stream/{a}"), &format!("warm-{a}")).status, 200);
+    }
+}
+
+fn set_faults(f: &Fleet, fault: Fault) {
+    f.engines.iter().for_each(|e| e.set_fault(fault));
+}
+
+// Versions of the engines that ran the request.
+fn versions_run<'a>(f: &Fleet, versions: &[&'a str], id: &str) -> Vec<&'a str> {
+    let ran =
+        f.engines.iter().zip(versions).filter(|(e, _)| run_count(std::slice::from_ref(*e), id) > 0);
+    ran.map(|(_, v)| *v).collect()
+}
+
+// A stream that is cut after at least one event, with the number of its last one.
+fn cut_stream(f: &Fleet, host: usize, path: &str, id: &str) -> (Response, u64) {
+    set_faults(f, Fault::Reset(2));
+    let a = f.call(host, path, id, Some(KEY));
+    set_faults(f, Fault::None);
+    assert_eq!((a.status, a.complete), (200, false), "{a:?}");
+    let last = (1..5).rev().find(|n| a.body == event_texts(id, *n));
+    (a, last.expect("whole events in order"))
+}
+
+cases! {
+    // Guards against a stream that breaks off at one engine and goes on, within the same response, at
+    // an engine of another software version.
+    a_response_is_not_joined_from_two_versions: {
+        let versions = ["v1", "v2"];
+        let f = fleet(1, &versions);
+        for a in ADAPTERS {
+            let id = format!("cut-{a}");
+            cut_stream(&f, 0, &format!("/stream/{a}"), &id);
+            assert_eq!(versions_run(&f, &versions, &id).len(), 1, "{id}");
+        }
+    }
+    // Guards against a stream that its caller takes up at another host and that goes on at an engine
+    // of another software version, or not at all although its version serves.
+    a_stream_is_taken_up_at_its_version: {
+        let versions = ["v1", "v1", "v2", "v2"];
+        let f = fleet(3, &versions);
+        for (i, a) in ADAPTERS.into_iter().enumerate() {
+            let (id, path) = (format!("first-{a}"), format!("/stream/{a}"));
+            let (_, last) = cut_stream(&f, i % 3, &path, &id);
+            let begun = versions_run(&f, &versions, &id);
+            let again = format!("again-{a}");
+            // The engines that broke the stream are avoided for a moment.
+            let end = Instant::now() + Duration::from_secs(8);
+            let taken = loop {
+                let r = f.take_up(1, &path, &again, &id, last);
+                if r.status != 503 || Instant::now() > end {
+                    break r;
+                }
+                std::thread::sleep(Duration::from_millis(100));
+            };
+            assert_eq!((taken.status, taken.complete), (200, true), "{a}: {taken:?}");
+            assert_eq!(versions_run(&f, &versions, &again), begun[..1], "{a}");
+        }
+    }
+    // Guards against a take-up that is served by any engine because all hosts that knew the version
+    // of the stream were killed, or that waits for its deadline.
+    a_stream_of_an_unknown_version_is_refused: {
+        let versions = ["v1", "v2"];
+        let mut f = fleet(2, &versions);
+        let (_, last) = cut_stream(&f, 0, "/stream/a1", "lost");
+        f.restart_all();
+        warm(&f);
+        let begun = Instant::now();
+        let r = f.take_up(0, "/stream/a1", "again", "lost", last);
+        assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
+        assert_eq!(r.status, 503, "{r:?}");
+        assert_eq!(run_count(&f.engines, "again"), 0);
+        let other = f.take_up(1, "/stream/a2", "odd", "never-sent", 2);
+        assert_eq!((other.status, run_count(&f.engines, "odd")), (503, 0));
+        assert_eq!(call_stream(&f, 1, "/stream/a1", "new").status, 200);
+    }
+    // Guards against a take-up by another account, which would learn at which version a stream runs.
+    a_stream_of_another_path_is_unknown: {
+        let versions = ["v1", "v2"];
+        let f = fleet(1, &versions);
+        let (_, last) = cut_stream(&f, 0, "/stream/a1", "mine");
+        let r = f.take_up(0, "/stream/a2", "again", "mine", last);
+        assert_eq!((r.status, run_count(&f.engines, "again")), (503, 0));
+    }
+    // Guards against refused take-ups after the loss of all hosts although only one version has been
+    // in service for longer than any stream lasts.
+    a_stream_goes_on_after_the_loss_of_all_hosts: {
+        let mut f = fleet(2, &["v1", "v1"]);
+        let (_, last) = cut_stream(&f, 0, "/stream/a1", "lost");
+        f.restart_all();
+        wait_until(Duration::from_secs(20), "the stream is not taken up", || {
+            f.take_up(1, "/stream/a1", "again", "lost", last).status == 200
+        });
+    }
+}
