Keep a stream at the software version that began it

Cause: no code read the software version of a replica. A stream that broke off, within one response or over a caller's attempts, went on at any engine of the service.

Change: the version is read from the store's entry and is a condition of the dispatch decision from the first event on. If none knows, it goes on only if the store has listed one version alone for longer than any stream lasts, and is refused at once otherwise.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -15,6 +15,7 @@
 pub mod load_time;
 pub mod loader;
 pub mod order;
+pub mod origin;
 pub mod peers;
 pub mod quarantine;
 pub mod quota;
--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -174,4 +174,6 @@
     pub remaining: Option<Duration>,
     /// Artifacts that were resident when the entry was written.
     pub residents: Vec<Resident>,
+    /// Version of its software, not of its weights.
+    pub software: ArcStr,
 }
--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -6,7 +6,13 @@
 use arcstr::ArcStr;
 use serde::{Deserialize, Serialize};
 
-use super::{config::ReplicaEntry, freshness::SnapshotMark, history::EraReport, report::Resident};
+use super::{
+    config::ReplicaEntry,
+    freshness::SnapshotMark,
+    history::EraReport,
+    origin::{BegunStream, Origin},
+    report::Resident,
+};
 
 /// Whether a host takes requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +49,13 @@
     /// [`super::replicas::Replica::id_hash`] of a replica that has said that it leaves. Hosts of an
     /// earlier release drop it.
     Leaving(u32),
+    /// Streams that have begun, to those that keep them. Hosts of an earlier release drop it, as they
+    /// do the next two.
+    Begun(Vec<BegunStream>),
+    /// Asks for the origin of the stream with this key.
+    OriginQuery(u64),
+    /// Response to [`Self::OriginQuery`]: the key, and the origin if it is known.
+    OriginReply(u64, Option<Origin>),
 }
 
 /// What a host knows of the limits that replicas name. Hosts of an earlier release drop it.
--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -116,6 +116,8 @@
     pub required_load: Option<Resident>,
     /// Whether the replica names a limit.
     pub limited: bool,
+    /// Version of the replica's software.
+    pub software: ArcStr,
 }
 
 /// Why a request gets no replica.
@@ -123,6 +125,8 @@
 pub enum Refusal {
     /// The service has no usable replica.
     NoReplica,
+    /// The software version that began the stream has no usable replica.
+    NoVersion,
     /// No usable engine holds the adapter or may load it, for instance because all its slots hold
     /// adapters in use.
     NoAdapterSlot,
@@ -137,6 +141,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NoReplica => "no_replica",
+            Self::NoVersion => "no_version",
             Self::NoAdapterSlot => "no_place",
             Self::Late => "late",
             Self::Limited => "replica_limit",
@@ -269,8 +274,11 @@
     /// Chooses a replica and counts the request there.
     pub fn choose(&mut self, now: Tick, request: &ReplicaRequest) -> DispatchDecision {
         let spec = self.engines.get(&request.service);
-        let all =
-            self.replicas.iter().filter(|(_, r)| r.service == request.service && r.is_usable());
+        let fits = |r: &Replica| request.software.as_ref().is_none_or(|s| *s == r.software);
+        let all = self
+            .replicas
+            .iter()
+            .filter(|(_, r)| r.service == request.service && fits(r) && r.is_usable());
         let all: Vec<_> = all.collect();
         let healthy =
             all.iter().filter(|(_, r)| r.health.state(now) == HealthState::Healthy).count();
@@ -332,7 +340,11 @@
                 return DispatchDecision::Refused { reason, retry_after };
             }
             let no_engine = usable && request.inference.is_some() && spec.is_some();
-            let reason = if no_engine { Refusal::NoAdapterSlot } else { Refusal::NoReplica };
+            let reason = match request.software {
+                _ if no_engine => Refusal::NoAdapterSlot,
+                Some(_) if !usable => Refusal::NoVersion,
+                _ => Refusal::NoReplica,
+            };
             let ownerless = (no_engine && !has_owner)
                 .then(|| OWNERLESS_MS * (1.0 - OWNERLESS_SPREAD * hash_fraction(&[&request.id])));
             return DispatchDecision::Refused {
@@ -402,6 +414,7 @@
             expected_latency: millis(cost.time_ms),
             required_load: cost.load.clone(),
             limited: r.limit.is_limited(),
+            software: r.software.clone(),
         }
     }
 
--- a/crates/core/src/fleet/dispatch/tests.rs
+++ b/crates/core/src/fleet/dispatch/tests.rs
@@ -52,6 +52,7 @@
         leaving: false,
         remaining: None,
         residents,
+        software: "v1".into(),
     };
     let mut entries: Vec<_> = adapters
         .iter()
@@ -88,6 +89,7 @@
         excluded: Vec::new(),
         attempts: 0,
         fingerprint: 0,
+        software: None,
     }
 }
 
--- a/crates/core/src/fleet/listing.rs
+++ b/crates/core/src/fleet/listing.rs
@@ -110,5 +110,6 @@
 // the replica.
 fn entry_hash(e: &ReplicaEntry) -> u64 {
     let (started, address) = (e.started_ms.to_string(), e.address.to_string());
-    hash(&[&e.id, &started, &address, &e.service, if e.leaving { "leaving" } else { "" }])
+    let leaving = if e.leaving { "leaving" } else { "" };
+    hash(&[&e.id, &started, &address, &e.service, &e.software, leaving])
 }
--- a/crates/core/src/fleet/listing/tests.rs
+++ b/crates/core/src/fleet/listing/tests.rs
@@ -24,6 +24,7 @@
         leaving,
         remaining: None,
         residents: Vec::new(),
+        software: "v1".into(),
     }
 }
 
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -323,11 +323,21 @@
     /// The first `count` members in an order that depends on the replica with `id`, which send
     /// requests to it if it names a limit.
     pub fn senders(&self, now: Tick, id: &str, count: usize) -> Vec<Ipv4Addr> {
+        self.ranked(now, [b"sender", id.as_bytes()], count)
+    }
+
+    /// The first `count` members in an order that depends on the stream with `key`, which keep its
+    /// origin.
+    pub fn keepers(&self, now: Tick, key: u64, count: usize) -> Vec<Ipv4Addr> {
+        self.ranked(now, [b"keeper", &key.to_le_bytes()], count)
+    }
+
+    fn ranked(&self, now: Tick, [role, id]: [&[u8]; 2], count: usize) -> Vec<Ipv4Addr> {
         let usable =
             |p: &Peer| p.state != HostState::Leaving && now.since(p.last_heard) <= SUSPECT_AFTER;
         let live = self.iter().filter(|(_, p)| usable(p)).map(|(ip, _)| ip);
         let mut out: Vec<_> = live.chain([self.local_ip]).collect();
-        out.sort_by_key(|ip| hash_bytes([b"sender".as_slice(), id.as_bytes(), &ip.octets()]));
+        out.sort_by_key(|ip| hash_bytes([role, id, &ip.octets()]));
         out.truncate(count);
         out
     }
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -54,6 +54,8 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub zone: ArcStr,
+    /// Version of its software.
+    pub software: ArcStr,
     /// Start time in Unix milliseconds.
     pub started_ms: u64,
     /// Requests that it processes concurrently.
@@ -129,6 +131,7 @@
             service: e.service,
             address: e.address,
             zone: e.zone,
+            software: e.software,
             started_ms: e.started_ms,
             slots: e.slots,
             leaving: e.leaving,
@@ -389,7 +392,8 @@
         let known = self.ids.get(&e.id).copied();
         if let Some(k) = known {
             let r = &mut self.map[k];
-            if r.started_ms == e.started_ms && r.address == e.address && r.service == e.service {
+            let same = r.address == e.address && r.service == e.service && r.software == e.software;
+            if r.started_ms == e.started_ms && same {
                 let outdated = self.restored_at.filter(|t| now.since(*t) < STALE_ENTRIES);
                 if r.missing_since.is_some_and(|t| outdated.is_none_or(|o| t >= o)) {
                     r.missing_since = None;
--- a/crates/core/src/fleet/replicas/tests.rs
+++ b/crates/core/src/fleet/replicas/tests.rs
@@ -27,6 +27,7 @@
         leaving: false,
         remaining: None,
         residents: Vec::new(),
+        software: "v1".into(),
     }
 }
 
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -63,6 +63,8 @@
     pub attempts: u32,
     /// The same for each attempt of a caller at the same request; see [`fingerprint`].
     pub fingerprint: u64,
+    /// The only software version that may serve it: the one that began its stream.
+    pub software: Option<ArcStr>,
 }
 
 /// Fingerprint of a request of an account. A cryptographic hash, since an account could otherwise
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -6,6 +6,7 @@
 mod loads;
 mod losses;
 mod orders;
+mod origins;
 pub mod signals;
 mod sync;
 
@@ -45,12 +46,14 @@
     admit::{Admission, Admit, PlacedRequest, ReplicaFailed},
     limits::LimitSeen,
     losses::{ReplicaEnded, Served},
+    origins::{FindOrigin, StreamBegan},
     signals::SignalsSeen,
 };
 use self::{
     loads::Waiters,
     losses::Starting,
     orders::OwnedEngine,
+    origins::StreamOrigins,
     sync::{Route, StoreState},
 };
 use super::{
@@ -137,6 +140,7 @@
     waiters: Waiters,
     quarantine: Quarantine,
     starting: Starting,
+    origins: StreamOrigins,
     limits_repeated: Tick,
     // When an unreadable signal of a replica was last logged.
     signal_logged: Option<Tick>,
@@ -233,6 +237,7 @@
             waiters: Waiters::default(),
             quarantine,
             starting: Starting::default(),
+            origins: StreamOrigins::default(),
             limits_repeated: now,
             signal_logged: None,
             catalog: None,
@@ -406,6 +411,7 @@
         }
         self.report_losses(now);
         self.repeat_limits(now);
+        self.send_origins(now);
         self.check_waiters(now, ctx);
         self.read_reports(now, ctx);
         self.read_store(now, ctx);
@@ -425,6 +431,7 @@
         }
         self.quota.charge_silent(now);
         self.expire_losses(now);
+        self.expire_origins(now);
         self.assign_owners(now);
         self.client.sweep();
         self.publish(now);
@@ -470,6 +477,11 @@
             PeerMessage::ListingDelta(l) => self.handle_listing(now, &l),
             PeerMessage::Era(r) => self.handle_era(now, &r),
             PeerMessage::Leaving(replica) => self.handle_leaving(replica),
+            PeerMessage::Begun(streams) => self.handle_begun(now, streams),
+            PeerMessage::OriginQuery(key) => self.handle_origin_query(msg.from, key),
+            PeerMessage::OriginReply(key, origin) => {
+                self.handle_origin_reply(now, msg.from, key, origin.as_ref());
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/front/control/origins.rs
@@ -0,0 +1,229 @@
+//! Origins of streams: what this host tells its peers of the streams that it passes on, and what it
+//! asks them when a caller takes up a stream.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use actix::{Handler, Message};
+use arcstr::ArcStr;
+use slog::kv;
+use tokio::sync::oneshot;
+use yuccawing_core::{
+    fleet::{
+        config::{ReplicaEntry, RouteKind},
+        digest::Message as PeerMessage,
+        origin::{ASKED, BegunStream, KEEPERS, Origin, Origins, SoftwareVersions},
+    },
+    time::Tick,
+};
+
+use super::{Control, STORE_OUTAGE};
+use crate::{
+    events::{Event, emit},
+    front::clock,
+};
+
+/// Streams in one message, so that it fits into a datagram.
+const MAX_ENTRIES: usize = 256;
+
+/// Time for which a host waits for the responses of its peers.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Interval at which peers that have not responded are asked again.
+const QUERY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Largest number of take-ups that wait for peers. Further ones count as unknown.
+const MAX_QUERIES: usize = 1024;
+
+/// Margin on the longest timeout of a stream, for the time until its caller takes it up.
+const STREAM_MARGIN: Duration = Duration::from_secs(1);
+
+/// Reports the first event of a stream that may be taken up.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct StreamBegan(pub BegunStream);
+
+/// Asks where a stream began.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct FindOrigin {
+    /// Id of the request that takes it up, for logs.
+    pub id: ArcStr,
+    /// Key of the stream; `None` if the caller does not name the attempt that began it.
+    pub key: Option<u64>,
+    /// Service of the request, if its route has only one.
+    pub service: Option<ArcStr>,
+    /// Receives the origin; `None` if it is unknown.
+    pub reply: oneshot::Sender<Option<Origin>>,
+}
+
+struct Query {
+    find: FindOrigin,
+    since: Tick,
+    asked_at: Tick,
+    waiting: BTreeSet<Ipv4Addr>,
+}
+
+/// State of this slice.
+#[derive(Default)]
+pub(super) struct StreamOrigins {
+    known: Origins,
+    versions: SoftwareVersions,
+    // Streams that the keepers have not been told of.
+    unsent: BTreeMap<Ipv4Addr, Vec<BegunStream>>,
+    queries: Vec<Query>,
+}
+
+impl Handler<StreamBegan> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: StreamBegan, _: &mut Self::Context) {
+        let now = clock::now();
+        let own = self.settings.ip;
+        let keepers = self.peers.keepers(now, msg.0.key, KEEPERS + 1);
+        for ip in keepers.into_iter().filter(|ip| *ip != own).take(KEEPERS) {
+            self.origins.unsent.entry(ip).or_default().push(msg.0.clone());
+        }
+        self.origins.known.record(now, msg.0);
+    }
+}
+
+impl Handler<FindOrigin> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: FindOrigin, _: &mut Self::Context) {
+        let now = clock::now();
+        if let Some(origin) = msg.key.and_then(|key| self.origins.known.get(key)).cloned() {
+            self.answer_origin(now, msg, Some(origin), "known");
+            return;
+        }
+        if let Some(origin) = self.only_origin(now, &msg) {
+            self.answer_origin(now, msg, Some(origin), "only_version");
+            return;
+        }
+        let own = self.settings.ip;
+        let keepers = msg.key.map(|key| self.peers.keepers(now, key, ASKED + 1));
+        let waiting: BTreeSet<_> =
+            keepers.into_iter().flatten().filter(|ip| *ip != own).take(ASKED).collect();
+        if waiting.is_empty() || self.origins.queries.len() >= MAX_QUERIES {
+            self.answer_origin(now, msg, None, "nobody_to_ask");
+            return;
+        }
+        let query = Query { find: msg, since: now, asked_at: now, waiting };
+        self.ask(&query);
+        self.origins.queries.push(query);
+    }
+}
+
+impl Control {
+    fn ask(&self, q: &Query) {
+        if let Some(key) = q.find.key {
+            let targets: Vec<_> = q.waiting.iter().copied().collect();
+            self.multicast(&targets, &PeerMessage::OriginQuery(key));
+        }
+    }
+
+    // The origin of any stream of the service, if only one version has served for longer than any
+    // stream lasts.
+    fn only_origin(&self, now: Tick, find: &FindOrigin) -> Option<Origin> {
+        let service = find.service.as_ref()?;
+        let routes = &self.catalog.as_ref()?.config.routes;
+        let streams = routes.iter().filter(|r| matches!(r.kind, RouteKind::Stream { .. }));
+        let span = streams.map(|r| r.timeout).max()? + STREAM_MARGIN;
+        let software = self.origins.versions.only(now, service, span)?.clone();
+        Some(Origin { service: service.clone(), software })
+    }
+
+    fn answer_origin(&mut self, now: Tick, find: FindOrigin, origin: Option<Origin>, source: &str) {
+        let age = self.store.listing.read_at().map(|t| now.since(t).as_millis() as u64);
+        let fields = kv!(
+            "id" => find.id.as_str(), "source" => source,
+            "service" => origin.as_ref().map(|o| o.service.to_string()),
+            "software" => origin.as_ref().map(|o| o.software.to_string()), "listing_age_ms" => age,
+        );
+        emit(&self.log, Event::StreamTakenUp, &fields);
+        // Sending fails only if the caller has left.
+        let _ = find.reply.send(origin);
+    }
+
+    /// Tells the keepers of the streams that have begun, and ends queries without a response.
+    pub(super) fn send_origins(&mut self, now: Tick) {
+        for (ip, streams) in std::mem::take(&mut self.origins.unsent) {
+            for part in streams.chunks(MAX_ENTRIES) {
+                self.send(ip, &PeerMessage::Begun(part.to_vec()));
+            }
+        }
+        for mut q in std::mem::take(&mut self.origins.queries) {
+            if q.waiting.is_empty() || now.since(q.since) >= QUERY_TIMEOUT {
+                let source = if q.waiting.is_empty() { "nobody_knows" } else { "no_response" };
+                self.answer_origin(now, q.find, None, source);
+                continue;
+            }
+            if now.since(q.asked_at) >= QUERY_INTERVAL {
+                q.asked_at = now;
+                self.ask(&q);
+            }
+            self.origins.queries.push(q);
+        }
+    }
+
+    pub(super) fn expire_origins(&mut self, now: Tick) {
+        self.origins.known.expire(now);
+    }
+
+    /// Tells a host that has joined or started again of the streams that it is to keep.
+    pub(super) fn introduce_origins(&mut self, now: Tick, ip: Ipv4Addr) {
+        let streams = self.origins.known.iter(now);
+        let kept =
+            streams.filter(|s| self.peers.keepers(now, s.key, KEEPERS).contains(&ip)).collect();
+        self.origins.unsent.insert(ip, kept);
+    }
+
+    pub(super) fn handle_begun(&mut self, now: Tick, streams: Vec<BegunStream>) {
+        for s in streams {
+            self.origins.known.record(now, s);
+        }
+    }
+
+    pub(super) fn handle_origin_query(&self, from: SocketAddr, key: u64) {
+        let reply = PeerMessage::OriginReply(key, self.origins.known.get(key).cloned());
+        super::datagrams::send(&self.socket, from, &reply, &self.log);
+    }
+
+    pub(super) fn handle_origin_reply(
+        &mut self,
+        now: Tick,
+        from: SocketAddr,
+        key: u64,
+        origin: Option<&Origin>,
+    ) {
+        for mut q in std::mem::take(&mut self.origins.queries) {
+            if q.find.key == Some(key) {
+                if let Some(origin) = origin {
+                    self.answer_origin(now, q.find, Some(origin.clone()), "peer");
+                    continue;
+                }
+                q.waiting.retain(|ip| *ip != from.ip());
+                if q.waiting.is_empty() {
+                    self.answer_origin(now, q.find, None, "nobody_knows");
+                    continue;
+                }
+            }
+            self.origins.queries.push(q);
+        }
+    }
+
+    pub(super) fn note_versions(&mut self, now: Tick, entries: &[ReplicaEntry]) {
+        let listed = entries
+            .iter()
+            .map(|e| Origin { service: e.service.clone(), software: e.software.clone() });
+        self.origins.versions.observe(now, listed.collect(), STORE_OUTAGE);
+    }
+
+    pub(super) fn confirm_versions(&mut self, now: Tick) {
+        self.origins.versions.confirm(now, STORE_OUTAGE);
+    }
+}
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -326,6 +326,7 @@
         entries: Vec<ReplicaEntry>,
         revision: u64,
     ) {
+        self.note_versions(now, &entries);
         for c in self.dispatcher.replicas.sync(now, sent_at, entries, STORE_OUTAGE) {
             let (event, k) = match c {
                 ReplicaChange::Joined(k) => (Event::ReplicaJoined, k),
@@ -360,6 +361,7 @@
             && self.store.listing.observe(now, mark)
         {
             self.dispatcher.replicas.confirm_listing(now, STORE_OUTAGE);
+            self.confirm_versions(now);
         }
     }
 
@@ -387,6 +389,7 @@
         }
         if matches!(change, PeerChange::Joined | PeerChange::Restarted) {
             self.introduce_losses(now, d.ip);
+            self.introduce_origins(now, d.ip);
             if let Some(report) = self.era_report(now) {
                 self.send(d.ip, &report);
             }
--- a/crates/daemon/src/front/edge.rs
+++ b/crates/daemon/src/front/edge.rs
@@ -151,6 +151,10 @@
     pub priority: u8,
     /// Id of the last event that the caller has received.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of the stream that the request takes up.
+    pub resumes: Option<ArcStr>,
+    /// Time for which the caller waits, also beyond the timeout of the route.
+    pub budget: Duration,
     /// Version of the configuration that was used.
     pub config_version: u64,
     /// Age of that configuration when the request arrived.
@@ -315,6 +319,7 @@
             path,
             &body,
         ),
+        software: None,
     };
     let keyed = catalog.config.keys_required;
     Ok(CallerRequest {
@@ -330,6 +335,8 @@
         request,
         may_have_run: false,
         last_event: header_str(head, headers::LAST_EVENT_ID).and_then(|v| v.trim().parse().ok()),
+        resumes: header_str(head, headers::RESUMES).map(|id| ArcStr::from(id.trim())),
+        budget: requested_ms.map_or(route.timeout, Duration::from_millis),
         config_version: catalog.config.version,
         config_age: age,
         route,
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -2,6 +2,7 @@
 
 mod limit;
 mod loss;
+mod origin;
 mod stream;
 
 use std::{pin::pin, time::Duration};
@@ -124,6 +125,9 @@
     let mut retry_cause = None;
     let mut failed = Vec::new();
     let mut successor = None;
+    if let Err(e) = origin::bind(w, &mut r).await {
+        return refuse(w, &r, false, e.name(), Duration::ZERO, leaving);
+    }
     loop {
         let admission = match successor.take() {
             Some(placed) => Admission::Placed(placed),
@@ -268,6 +272,7 @@
         }
         Ok(Received::Stream(reply, splitter, first)) => {
             placed.guard.first_event();
+            origin::begin(w, r, &placed);
             w.shared.metrics.first_event(&r.route.name, clock::now().since(r.arrived));
             let status = status(&reply)?;
             let headers = response_headers(&reply);
--- /dev/null
+++ b/crates/daemon/src/front/forward/origin.rs
@@ -0,0 +1,78 @@
+//! Keeps a stream at the software version that began it.
+
+use std::time::Duration;
+
+use tokio::{sync::oneshot, time::timeout};
+use yuccawing_core::fleet::{
+    config::RouteKind,
+    origin::{BegunStream, Origin, stream_key},
+};
+
+use crate::front::{
+    clock,
+    control::{FindOrigin, PlacedRequest, StreamBegan},
+    edge::{CallerRequest, Worker},
+};
+
+/// Longest time for which a caller may take up a stream, whatever time it says that it waits.
+const MAX_LIFETIME: Duration = Duration::from_secs(120);
+
+/// Why a stream that its caller takes up cannot go on. The texts are log values and metric labels.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TakeUpError {
+    /// No host knows which software version began it.
+    UnknownOrigin,
+    /// The route does not lead to the service that began it any more.
+    ServiceChanged,
+}
+
+impl TakeUpError {
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::UnknownOrigin => "unknown_origin",
+            Self::ServiceChanged => "service_changed",
+        }
+    }
+}
+
+/// Binds a request that takes up a stream to the service and the software version that began it.
+pub(super) async fn bind(w: &Worker, r: &mut CallerRequest) -> Result<(), TakeUpError> {
+    if r.last_event.is_none() || !matches!(r.request.kind, RouteKind::Stream { .. }) {
+        return Ok(());
+    }
+    let key = r.resumes.as_ref().map(|id| key(r, id));
+    let service = Some(r.request.service.clone()).filter(|_| r.route.targets.len() == 1);
+    let (reply, origin) = oneshot::channel();
+    w.shared.control.do_send(FindOrigin { id: r.id.clone(), key, service, reply });
+    let left = r.request.remaining(clock::now());
+    let Ok(Ok(Some(Origin { service, software }))) = timeout(left, origin).await else {
+        return Err(TakeUpError::UnknownOrigin);
+    };
+    if !r.route.targets.iter().any(|t| t.service == service) {
+        return Err(TakeUpError::ServiceChanged);
+    }
+    (r.request.service, r.request.software) = (service, Some(software));
+    Ok(())
+}
+
+/// Records the first event of a stream, which goes on at no other version from now on.
+pub(super) fn begin(w: &Worker, r: &mut CallerRequest, placed: &PlacedRequest) {
+    if r.request.software.is_some() {
+        return;
+    }
+    let software = placed.assignment.software.clone();
+    r.request.software = Some(software.clone());
+    if r.request.kind == (RouteKind::Stream { resumable: true }) {
+        let lifetime = r.budget.min(MAX_LIFETIME);
+        let begun = BegunStream {
+            key: key(r, &r.id),
+            lifetime_ms: u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX),
+            origin: Origin { service: r.request.service.clone(), software },
+        };
+        w.shared.control.do_send(StreamBegan(begun));
+    }
+}
+
+fn key(r: &CallerRequest, id: &str) -> u64 {
+    stream_key(r.account.as_ref().map(|a| a.name.as_str()), &r.path, id)
+}
