Search the engines for the prompt of a stream that no host knows

Cause: the hosts' memory was the only source. The engines keep the prompt that a stream was begun with, and say so.

Change: if hosts may have forgotten the stream (one is silent, leaves or has started within the longest time of a stream), all engines of the service are asked once, for all waiting take-ups together, which blocks they keep. The last block of a prompt belongs to the request or to its session; if it is kept at engines of one version only, the stream goes on at that version. At two, at none, or if an engine does not say, it is refused. This is evidence, not a record: an engine that began the stream and has ended since is not asked, and another run of the same session may have left the block elsewhere.

a_stream_of_another_path_is_unknown now waits until the host would know the stream; its assertion is unchanged. a_stream_of_an_unknown_version_is_refused has the engines evict their blocks first, since the prompt would show the version otherwise.

--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -55,6 +55,8 @@
     pub last_heard: Tick,
     /// When it last reported that it receives this host's digests.
     pub last_ack: Tick,
+    /// When its process started.
+    pub started: Tick,
     /// Whether its process is old enough to know of all orders that may still matter.
     pub knows_orders: bool,
     /// Whether its process has listed this host among the live members that it knows.
@@ -182,6 +184,7 @@
                 state: d.state,
                 last_heard: now,
                 last_ack,
+                started: now - Duration::from_millis(d.age_ms),
                 knows_orders: d.age_ms >= ORDER_WINDOW.as_millis() as u64,
                 acked: acked || hears_me,
                 ordered: d.fences.iter().map(|o| o.replica).collect(),
@@ -326,6 +329,17 @@
         self.ranked(now, [b"sender", id.as_bytes()], count)
     }
 
+    /// Whether all known hosts are alive and have been so for `span`, so that what they keep is
+    /// complete.
+    pub fn all_alive_for(&self, now: Tick, span: Duration) -> bool {
+        now.since(self.started) >= span
+            && self.peers.values().all(|p| {
+                p.state != HostState::Leaving
+                    && now.since(p.last_heard) <= SUSPECT_AFTER
+                    && now.since(p.started) >= span
+            })
+    }
+
     /// The first `count` members in an order that depends on the stream with `key`, which keep its
     /// origin.
     pub fn keepers(&self, now: Tick, key: u64, count: usize) -> Vec<Ipv4Addr> {
--- a/crates/core/src/fleet/peers/tests.rs
+++ b/crates/core/src/fleet/peers/tests.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr},
+    time::Duration,
 };
 
 use super::{Owner, PeerChange, Peers};
@@ -96,6 +97,33 @@
 }
 
 cases! {
+    // Guards against a stream that counts as never begun although the hosts that knew it have been
+    // lost: a silent, a leaving and a restarted host each have taken along what they kept.
+    hosts_that_may_have_forgotten_are_noticed: {
+        let span = Duration::from_secs(16);
+        let now = at(20_000);
+        assert!(peers(now).all_alive_for(now, span));
+        assert!(!peers(at(10_000)).all_alive_for(at(10_000), span), "this host is younger");
+        assert!(!peers(now).all_alive_for(at(21_500), span), "silent hosts");
+        let restarted = Digest { age_ms: 15_000, ..digest(3, 2, 1) };
+        let leaving = Digest { state: HostState::Leaving, ..digest(3, 1, 2) };
+        for d in [restarted, leaving] {
+            let mut p = peers(now);
+            p.apply_digest(now, &d);
+            assert!(!p.all_alive_for(now, span));
+        }
+    }
+    // Guards against keepers that differ between hosts, or that change with hosts that are not among
+    // them.
+    all_hosts_choose_the_same_keepers: {
+        let fleet: Vec<_> = (1..=12).map(|i| large_fleet(i, 12)).collect();
+        for key in 0..50 {
+            let keepers = fleet[0].keepers(at(0), key, 3);
+            assert!(fleet.iter().all(|p| p.keepers(at(0), key, 3) == keepers));
+            let smaller = large_fleet(1, 11).keepers(at(0), key, 3);
+            assert!(smaller == keepers || keepers.contains(&ip(12)));
+        }
+    }
     // Guards against sending callers to a host that has fallen silent.
     a_silent_peer_is_not_offered: {
         let p = peers(at(1000));
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -93,6 +93,7 @@
     318 PauseAsked Info "A replica wants no requests from this host for a while.";
     319 PauseInvalid Warning "A refusal asks for a pause that is no number of at least 0; nothing changes.";
     320 StreamTakenUp Info "A caller takes up a stream; without a known origin it is refused.";
+    321 BlocksUnread Warning "An engine did not say which prompt blocks it keeps.";
     400 LeaseAdmitted Info "The host holds the lease of its ordinal.";
     401 LeaseLost Warning "The host's lease expired without a renewal.";
     402 LeaseReplaced Warning "Another process holds the ordinal; this one applies again with a new identity.";
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -412,6 +412,7 @@
         self.report_losses(now);
         self.repeat_limits(now);
         self.send_origins(now);
+        self.start_search(now, ctx);
         self.check_waiters(now, ctx);
         self.read_reports(now, ctx);
         self.read_store(now, ctx);
--- a/crates/daemon/src/front/control/origins.rs
+++ b/crates/daemon/src/front/control/origins.rs
@@ -7,8 +7,12 @@
     time::Duration,
 };
 
-use actix::{Handler, Message};
+use actix::{ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
 use arcstr::ArcStr;
+use bytes::Bytes;
+use futures::future::join_all;
+use http_body_util::Full;
+use hyper::Request;
 use slog::kv;
 use tokio::sync::oneshot;
 use yuccawing_core::{
@@ -19,11 +23,12 @@
     },
     time::Tick,
 };
+use yuccawing_platform::replica as wire;
 
 use super::{Control, STORE_OUTAGE};
 use crate::{
     events::{Event, emit},
-    front::clock,
+    front::{client::Client, clock},
 };
 
 /// Streams in one message, so that it fits into a datagram.
@@ -38,6 +43,15 @@
 /// Largest number of take-ups that wait for peers. Further ones count as unknown.
 const MAX_QUERIES: usize = 1024;
 
+/// Largest number of engines that are asked which blocks they keep.
+const MAX_SEARCHED: usize = 128;
+
+/// Timeout of that question, which does not wait for a slot of the engine.
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Largest response to it, in bytes: some ten thousand blocks.
+const MAX_KEPT_BYTES: usize = 1024 * 1024;
+
 /// Margin on the longest timeout of a stream, for the time until its caller takes it up.
 const STREAM_MARGIN: Duration = Duration::from_secs(1);
 
@@ -56,6 +70,8 @@
     pub key: Option<u64>,
     /// Service of the request, if its route has only one.
     pub service: Option<ArcStr>,
+    /// Prompt block that belongs to the request or to its session, with its base model.
+    pub block: Option<(u64, ArcStr)>,
     /// Receives the origin; `None` if it is unknown.
     pub reply: oneshot::Sender<Option<Origin>>,
 }
@@ -75,8 +91,14 @@
     // Streams that the keepers have not been told of.
     unsent: BTreeMap<Ipv4Addr, Vec<BegunStream>>,
     queries: Vec<Query>,
+    // Streams that no host knows. Engines are asked which blocks they keep, for all at once.
+    searches: Vec<FindOrigin>,
+    searching: bool,
 }
 
+// A replica that was asked which blocks it keeps, and its response.
+type KeptBlocks = (Origin, Result<Vec<(u64, ArcStr)>, String>);
+
 impl Handler<StreamBegan> for Control {
     type Result = ();
 
@@ -109,7 +131,7 @@
         let waiting: BTreeSet<_> =
             keepers.into_iter().flatten().filter(|ip| *ip != own).take(ASKED).collect();
         if waiting.is_empty() || self.origins.queries.len() >= MAX_QUERIES {
-            self.answer_origin(now, msg, None, "nobody_to_ask");
+            self.search_origin(now, msg, "nobody_to_ask");
             return;
         }
         let query = Query { find: msg, since: now, asked_at: now, waiting };
@@ -126,14 +148,18 @@
         }
     }
 
+    // Longest time from the begin of a stream until its caller takes it up.
+    fn stream_span(&self) -> Option<Duration> {
+        let routes = &self.catalog.as_ref()?.config.routes;
+        let streams = routes.iter().filter(|r| matches!(r.kind, RouteKind::Stream { .. }));
+        Some(streams.map(|r| r.timeout).max()? + STREAM_MARGIN)
+    }
+
     // The origin of any stream of the service, if only one version has served for longer than any
     // stream lasts.
     fn only_origin(&self, now: Tick, find: &FindOrigin) -> Option<Origin> {
         let service = find.service.as_ref()?;
-        let routes = &self.catalog.as_ref()?.config.routes;
-        let streams = routes.iter().filter(|r| matches!(r.kind, RouteKind::Stream { .. }));
-        let span = streams.map(|r| r.timeout).max()? + STREAM_MARGIN;
-        let software = self.origins.versions.only(now, service, span)?.clone();
+        let software = self.origins.versions.only(now, service, self.stream_span()?)?.clone();
         Some(Origin { service: service.clone(), software })
     }
 
@@ -159,7 +185,7 @@
         for mut q in std::mem::take(&mut self.origins.queries) {
             if q.waiting.is_empty() || now.since(q.since) >= QUERY_TIMEOUT {
                 let source = if q.waiting.is_empty() { "nobody_knows" } else { "no_response" };
-                self.answer_origin(now, q.find, None, source);
+                self.search_origin(now, q.find, source);
                 continue;
             }
             if now.since(q.asked_at) >= QUERY_INTERVAL {
@@ -170,6 +196,82 @@
         }
     }
 
+    // Searches the engines for the prompt of a stream that no host knows, unless the hosts would know
+    // it: the prompt may have been read for another request.
+    fn search_origin(&mut self, now: Tick, find: FindOrigin, source: &str) {
+        let lost = self.stream_span().is_some_and(|span| !self.peers.all_alive_for(now, span));
+        let searchable = lost && find.service.is_some() && find.block.is_some();
+        if searchable && self.origins.searches.len() < MAX_QUERIES {
+            self.origins.searches.push(find);
+        } else {
+            self.answer_origin(now, find, None, source);
+        }
+    }
+
+    /// Asks the engines which blocks they keep, if there are streams to search for.
+    pub(super) fn start_search(&mut self, now: Tick, ctx: &mut Context<Self>) {
+        if self.origins.searching || self.origins.searches.is_empty() {
+            return;
+        }
+        let finds = std::mem::take(&mut self.origins.searches);
+        let asked = self.dispatcher.replicas.iter().filter(|(_, r)| {
+            r.missing_since.is_none()
+                && finds.iter().any(|f| f.service.as_ref() == Some(&r.service))
+        });
+        let asked: Vec<_> = asked
+            .map(|(_, r)| {
+                let origin = Origin { service: r.service.clone(), software: r.software.clone() };
+                (origin, r.address)
+            })
+            .collect();
+        if asked.len() > MAX_SEARCHED {
+            for find in finds {
+                self.answer_origin(now, find, None, "too_many_engines");
+            }
+            return;
+        }
+        self.origins.searching = true;
+        let reads = asked.into_iter().map(|(origin, address)| {
+            let client = self.client.clone();
+            async move { (origin, read_kept_blocks(&client, address).await) }
+        });
+        ctx.spawn(join_all(reads).into_actor(self).map(move |kept, act, _| {
+            act.origins.searching = false;
+            act.finish_search(finds, &kept);
+        }));
+    }
+
+    // A stream began at the version of the engines that keep its prompt, if all engines have said
+    // what they keep and these are of one version.
+    fn finish_search(&mut self, finds: Vec<FindOrigin>, kept: &[KeptBlocks]) {
+        let now = clock::now();
+        for find in finds {
+            let relevant = kept.iter().filter(|(o, _)| Some(&o.service) == find.service.as_ref());
+            let unread = relevant.clone().find_map(|(_, blocks)| blocks.as_ref().err());
+            let holders: BTreeSet<_> = relevant
+                .filter(|(_, blocks)| {
+                    find.block.as_ref().is_some_and(|b| blocks.iter().flatten().any(|k| k == b))
+                })
+                .map(|(o, _)| &o.software)
+                .collect();
+            let (origin, source) = match (unread, holders.len()) {
+                (Some(error), _) => {
+                    let fields = kv!("id" => find.id.as_str(), "error" => error.as_str());
+                    emit(&self.log, Event::BlocksUnread, &fields);
+                    (None, "engine_unread")
+                }
+                (None, 0) => (None, "no_engine"),
+                (None, 1) => {
+                    let software = holders.first().copied().cloned();
+                    let origin = find.service.clone().zip(software);
+                    (origin.map(|(service, software)| Origin { service, software }), "engine")
+                }
+                (None, _) => (None, "several_versions"),
+            };
+            self.answer_origin(now, find, origin, source);
+        }
+    }
+
     pub(super) fn expire_origins(&mut self, now: Tick) {
         self.origins.known.expire(now);
     }
@@ -208,7 +310,7 @@
                 }
                 q.waiting.retain(|ip| *ip != from.ip());
                 if q.waiting.is_empty() {
-                    self.answer_origin(now, q.find, None, "nobody_knows");
+                    self.search_origin(now, q.find, "nobody_knows");
                     continue;
                 }
             }
@@ -227,3 +329,19 @@
         self.origins.versions.confirm(now, STORE_OUTAGE);
     }
 }
+
+async fn read_kept_blocks(
+    client: &Client,
+    address: SocketAddr,
+) -> Result<Vec<(u64, ArcStr)>, String> {
+    let request = Request::get(wire::KEPT_BLOCKS_PATH)
+        .header("host", address.to_string())
+        .body(Full::new(Bytes::new()))
+        .expect("the request is valid");
+    let response = client.call(address, request, SEARCH_TIMEOUT, MAX_KEPT_BYTES).await;
+    let response = response.map_err(|e| e.to_string())?;
+    if response.status().as_u16() != 200 {
+        return Err(format!("status {}", response.status().as_u16()));
+    }
+    wire::decode_kept_blocks(response.body()).map_err(|e| e.to_string())
+}
--- a/crates/daemon/src/front/forward/origin.rs
+++ b/crates/daemon/src/front/forward/origin.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use arcstr::ArcStr;
 use tokio::{sync::oneshot, time::timeout};
 use yuccawing_core::fleet::{
     config::RouteKind,
@@ -43,7 +44,9 @@
     let key = r.resumes.as_ref().map(|id| key(r, id));
     let service = Some(r.request.service.clone()).filter(|_| r.route.targets.len() == 1);
     let (reply, origin) = oneshot::channel();
-    w.shared.control.do_send(FindOrigin { id: r.id.clone(), key, service, reply });
+    let inference = r.request.inference.as_ref();
+    let block = inference.and_then(|i| Some((i.prefix.last()?.id, base_model(&i.artifact))));
+    w.shared.control.do_send(FindOrigin { id: r.id.clone(), key, service, block, reply });
     let left = r.request.remaining(clock::now());
     let Ok(Ok(Some(Origin { service, software }))) = timeout(left, origin).await else {
         return Err(TakeUpError::UnknownOrigin);
@@ -73,6 +76,10 @@
     }
 }
 
+fn base_model(artifact: &ArcStr) -> ArcStr {
+    artifact.split('/').next().map_or_else(|| artifact.clone(), ArcStr::from)
+}
+
 fn key(r: &CallerRequest, id: &str) -> u64 {
     stream_key(r.account.as_ref().map(|a| a.name.as_str()), &r.path, id)
 }
--- a/crates/daemon/tests/platform/versions.rs
+++ b/crates/daemon/tests/platform/versions.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use yuccawing_platform_standin::replica::Fault;
+use yuccawing_platform_standin::replica::{Fault, Replica};
 
 use crate::{
     call_stream, event_texts,
@@ -100,6 +100,7 @@
         let (_, last) = cut_stream(&f, 0, "/stream/a1", "lost");
         f.restart_all();
         warm(&f);
+        f.engines.iter().for_each(Replica::forget_blocks);
         let begun = Instant::now();
         let r = f.take_up(0, "/stream/a1", "again", "lost", last);
         assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
@@ -109,10 +110,47 @@
         assert_eq!((other.status, run_count(&f.engines, "odd")), (503, 0));
         assert_eq!(call_stream(&f, 1, "/stream/a1", "new").status, 200);
     }
+    // Guards against refused take-ups after the loss of all hosts although the engine that began the
+    // stream still keeps its prompt.
+    an_engine_that_keeps_the_prompt_shows_the_version: {
+        let versions = ["v1", "v2"];
+        let mut f = fleet(2, &versions);
+        let mut begun = Vec::new();
+        f.engines.iter().for_each(Replica::forget_blocks);
+        for a in ADAPTERS {
+            let id = format!("lost-{a}");
+            let (_, last) = cut_stream(&f, 0, &format!("/stream/{a}"), &id);
+            begun.push((a, versions_run(&f, &versions, &id), last));
+        }
+        f.restart_all();
+        // The engines that broke the streams are not avoided by the new processes.
+        for (a, versions_begun, last) in begun {
+            let again = format!("again-{a}");
+            let r = f.take_up(1, &format!("/stream/{a}"), &again, &format!("lost-{a}"), last);
+            assert_eq!((r.status, r.complete), (200, true), "{a}: {r:?}");
+            assert_eq!(versions_run(&f, &versions, &again), versions_begun, "{a}");
+        }
+    }
+    // Guards against a stream that is joined because engines of two versions keep its prompt.
+    a_prompt_at_two_versions_proves_nothing: {
+        let mut f = fleet(2, &["v1", "v2"]);
+        let (_, last) = cut_stream(&f, 0, "/stream/a1", "lost");
+        for e in &f.engines {
+            f.engines.iter().for_each(|o| o.set_fault(Fault::NotRun));
+            e.set_fault(Fault::None);
+            call_stream(&f, 0, "/stream/a1", &format!("at-{}", e.spec.id));
+        }
+        set_faults(&f, Fault::None);
+        f.restart_all();
+        let r = f.take_up(1, "/stream/a1", "again", "lost", last);
+        assert_eq!((r.status, run_count(&f.engines, "again")), (503, 0));
+    }
     // Guards against a take-up by another account, which would learn at which version a stream runs.
     a_stream_of_another_path_is_unknown: {
         let versions = ["v1", "v2"];
         let f = fleet(1, &versions);
+        // Until the host would know the stream if it had passed it on.
+        std::thread::sleep(Duration::from_secs(6));
         let (_, last) = cut_stream(&f, 0, "/stream/a1", "mine");
         let r = f.take_up(0, "/stream/a2", "again", "mine", last);
         assert_eq!((r.status, run_count(&f.engines, "again")), (503, 0));
