Count a slot of its own for an adapter version in transfer

Cause: an adapter that was being replaced counted as one with its replacement, while an engine holds the old version until its runs have ended. Loads and transfers were compared by name without the version: a host that regained an engine took another host's transfer of a newer version for its own, and the order that asks whether its load has ended was a load of the old version.

Change: held adapters and transfers are counted apart, by name and version. In a full engine a newer version first unloads the old one, or another one that is idle.

a_newer_version_replaces_the_old_one asserted that a replacement takes no slot; it is replaced by a_newer_version_takes_the_slot_of_the_old_one, which also asserts that no other adapter is unloaded for it.

--- a/crates/core/src/fleet/loader.rs
+++ b/crates/core/src/fleet/loader.rs
@@ -97,7 +97,7 @@
     // Unloads that wait for running requests. They still occupy a slot.
     unloading: HashMap<ArcStr, u64>,
     // Adapters in transfer according to the newest report, possibly ordered by an earlier owner.
-    transferring: Vec<ArcStr>,
+    transferring: Vec<Resident>,
     // Number of orders that the replica has accepted; none until a report settles it.
     count: Option<u64>,
     // Since when the number is unknown. Reports that were requested earlier do not settle it.
@@ -132,7 +132,7 @@
             }
         }
         self.reported.clone_from(&report.residents);
-        self.transferring = report.transferring.iter().map(|r| r.artifact.clone()).collect();
+        self.transferring.clone_from(&report.transferring);
         self.model_busy = report.model_busy;
         let listed = |a: &ArcStr| report.residents.iter().any(|r| r.artifact == *a);
         self.unloading.retain(|a, n| *n > count || listed(a));
@@ -140,8 +140,10 @@
         self.loaded.retain(|_, l| l.count > count || sent_at.since(l.at) < REPORT_LAG);
         let transferring = &self.transferring;
         self.loading.retain(|a, l| {
-            let in_progress =
-                if is_adapter(a) { transferring.contains(a) } else { report.model_busy };
+            let in_progress = match is_adapter(a) {
+                true => transferring.iter().any(|t| t.artifact == *a && t.version == l.version),
+                false => report.model_busy,
+            };
             l.count > count || in_progress
         });
     }
@@ -209,7 +211,7 @@
         taken.extend(self.loading.keys().cloned());
         taken.extend(self.unloading.keys().cloned());
         taken.extend(self.queue.iter().map(|(w, _)| w.artifact.clone()));
-        taken.retain(|a| is_adapter(a) && *a != r.artifact);
+        taken.retain(|a| is_adapter(a));
         if taken.len() >= slots || self.queue.len() >= MAX_QUEUED {
             return LoadStatus::Refused;
         }
@@ -236,14 +238,8 @@
         if let Some(step) = self.model_step(spec, &residents) {
             return Some(step);
         }
-        let adapters = residents.iter().filter(|r| is_adapter(&r.artifact));
-        let adapters: Vec<_> = adapters.collect();
-        let ordered = self.loading.keys().filter(|a| is_adapter(a)).count();
-        let earlier = self.transferring.iter().filter(|a| {
-            !self.loading.contains_key(*a) && !adapters.iter().any(|r| r.artifact == **a)
-        });
-        let transferring = ordered + earlier.count();
-        let taken = adapters.len() + transferring + self.unloading.len();
+        let transferring = self.in_transit();
+        let taken = self.held_adapters() + transferring;
         if !self.unloading.is_empty() {
             return None;
         }
@@ -252,17 +248,18 @@
             !self.loading.contains_key(&w.artifact) && residents.iter().any(|r| r.artifact == model)
         })?;
         let request = self.queue[index].0.clone();
-        let counted = self.transferring.contains(&request.artifact);
+        let counted = self.transferring.contains(&request);
         if transferring >= transfers && !counted {
             return None;
         }
-        let replaces = adapters.iter().any(|r| r.artifact == request.artifact);
-        if counted || replaces || taken < spec.adapter_slots as usize {
+        if counted || taken < spec.adapter_slots as usize {
             self.queue.remove(index);
             return Some(Step { verb: Verb::Load, resident: request });
         }
-        let victim = adapters
-            .into_iter()
+        let replaced = |r: &Resident| r.artifact == request.artifact;
+        let victim = residents
+            .iter()
+            .filter(|r| is_adapter(&r.artifact))
             .filter(|r| {
                 let requested = self.queue.iter().any(|(w, _)| w.artifact == r.artifact);
                 let settled =
@@ -271,12 +268,35 @@
                     .last_used
                     .get(&r.artifact)
                     .is_none_or(|t| now.since(*t) > IDLE_BEFORE_UNLOAD);
-                !requested && settled && idle && !in_use(&r.artifact)
+                (!requested || replaced(r)) && settled && idle && !in_use(&r.artifact)
             })
-            .min_by_key(|r| (self.last_used.get(&r.artifact).copied(), r.artifact.clone()))?;
+            .min_by_key(|r| {
+                (!replaced(r), self.last_used.get(&r.artifact).copied(), r.artifact.clone())
+            })?;
         Some(Step { verb: Verb::Unload, resident: victim.clone() })
     }
 
+    // Number of adapters that the engine holds, also those that are being unloaded or replaced: an
+    // older version stays until the runs that use it have ended.
+    fn held_adapters(&self) -> usize {
+        let reported = self.reported.iter().map(|r| &r.artifact);
+        let mut held: BTreeSet<_> = reported.filter(|a| !self.unloaded.contains_key(*a)).collect();
+        held.extend(self.loaded.keys());
+        held.extend(self.unloading.keys());
+        held.into_iter().filter(|a| is_adapter(a)).count()
+    }
+
+    // Number of adapters in transfer, each of which takes a slot of its own.
+    fn in_transit(&self) -> usize {
+        let ordered = self.loading.keys().filter(|a| is_adapter(a)).count();
+        let known = |r: &Resident| {
+            let ended = self.loaded.get(&r.artifact).is_some_and(|l| l.version == r.version);
+            ended || self.is_loading(r)
+        };
+        let earlier = self.transferring.iter().filter(|r| !known(r));
+        ordered + earlier.count()
+    }
+
     // A replica starts without a model; the first base model that fits is loaded.
     fn model_step(&self, spec: &EngineSpec, residents: &[Resident]) -> Option<Step> {
         let has = |m: &ArcStr| residents.iter().any(|r| r.artifact == *m);
@@ -307,7 +327,7 @@
     pub fn record_sent(&mut self, now: Tick, step: &Step) {
         let Some(expected) = self.count else { return };
         let a = &step.resident.artifact;
-        let changes = step.verb == Verb::Unload || !self.transferring.contains(a);
+        let changes = step.verb == Verb::Unload || !self.transferring.contains(&step.resident);
         self.pending = Some(Pending { expected, changes });
         if step.verb == Verb::Load {
             let count = expected + u64::from(changes);
@@ -378,7 +398,7 @@
 
     /// Records that a load has completed. Returns the time since its order.
     pub fn finish_load(&mut self, now: Tick, r: &Resident) -> Option<Duration> {
-        let ordered = self.loading.remove(&r.artifact);
+        let ordered = if self.is_loading(r) { self.loading.remove(&r.artifact) } else { None };
         let count = ordered.map_or(0, |l| l.count);
         self.queue.retain(|(w, _)| w != r);
         self.unloaded.remove(&r.artifact);
@@ -392,9 +412,9 @@
         self.loading.len() + self.queue.len()
     }
 
-    /// Whether a load of the artifact is under way.
-    pub fn is_loading(&self, artifact: &str) -> bool {
-        self.loading.contains_key(artifact)
+    /// Whether a load of this version of the artifact is under way.
+    pub fn is_loading(&self, r: &Resident) -> bool {
+        self.loading.get(&r.artifact).is_some_and(|l| l.version == r.version)
     }
 
     /// Clears the state after a restart of the replica, which then holds nothing.
--- a/crates/core/src/fleet/loader/tests.rs
+++ b/crates/core/src/fleet/loader/tests.rs
@@ -204,18 +204,41 @@
         l.record_response(at(1300), &step, None);
         assert_eq!(request(&mut l, 1400, 4, 2, &[1]), LoadStatus::Refused);
     }
-    // Guards against unloading another adapter when a new version replaces the old one in its slot.
-    a_newer_version_replaces_the_old_one: {
+    // Guards against unloading another adapter when a new version replaces an old one that no request
+    // uses.
+    a_newer_version_takes_the_slot_of_the_old_one: {
         let mut l = loader(&[1, 2]);
         let newer = Resident { version: 2, ..adapter(1) };
         assert_eq!(l.request_load(at(1000), newer.clone(), 2, |_| false), LoadStatus::Queued);
-        let step = next(&mut l, 1000, 2, &[]).unwrap();
+        let unload = next(&mut l, 1400, 2, &[]).unwrap();
+        assert_eq!(unload, Step { verb: Verb::Unload, resident: adapter(1) });
+        l.record_sent(at(1400), &unload);
+        l.record_response(at(1405), &unload, Some(OrderResponse::Done));
+        let step = next(&mut l, 1410, 2, &[]).unwrap();
         assert_eq!(step, Step { verb: Verb::Load, resident: newer.clone() });
-        l.record_sent(at(1000), &step);
+        l.record_sent(at(1410), &step);
         assert!(!l.is_resident(&adapter(1)), "the old version is not offered any more");
-        l.finish_load(at(1100), &newer);
+        l.finish_load(at(1500), &newer);
         assert!(l.is_resident(&newer));
     }
+    // Guards against a load beside a replacement: the old version stays until the runs that use it
+    // have ended, and the new one takes a slot of its own meanwhile (soak, seed 404: a seventh adapter
+    // beside a11@1 and a11@4).
+    a_replacement_takes_a_slot_of_its_own: {
+        let mut l = loader(&[1]);
+        let newer = Resident { version: 2, ..adapter(1) };
+        l.request_load(at(1000), newer, 2, |_| false);
+        let step = next(&mut l, 1000, 2, &[1]).unwrap();
+        assert_eq!(step.verb, Verb::Load);
+        l.record_sent(at(1000), &step);
+        l.record_response(at(1005), &step, Some(OrderResponse::Accepted));
+        request(&mut l, 1010, 3, 2, &[]);
+        assert_eq!(next(&mut l, 1020, 2, &[1]), None);
+        let mut r = report(1, &[1]);
+        r.transferring = vec![Resident { version: 2, ..adapter(1) }];
+        l.apply_report(at(1300), &r);
+        assert_eq!(next(&mut l, 1310, 2, &[1]), None, "as the report shows");
+    }
     // Guards against more transfers than an engine accepts.
     four_adapters_are_in_transit_at_most: {
         let mut l = loader(&[]);
--- a/crates/core/src/fleet/loader/tests/network.rs
+++ b/crates/core/src/fleet/loader/tests/network.rs
@@ -21,6 +21,8 @@
 const TIMEOUT_MS: u64 = 300;
 const TICK_MS: u64 = 10;
 const RUN_MS: u64 = 30_000;
+/// Time after which all adapters have a newer version, in ms.
+const VERSION_MS: u64 = 5000;
 
 struct Random(u64);
 
@@ -59,7 +61,7 @@
             }
             Verb::Unload => {
                 self.count += 1;
-                self.held.remove(r);
+                self.held.retain(|h| h.artifact != r.artifact);
                 Ok(OrderResponse::Done)
             }
         }
@@ -69,7 +71,10 @@
         let (done, rest): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.coming).into_iter().partition(|(_, t)| *t <= ms);
         self.coming = rest;
-        self.held.extend(done.into_iter().map(|(r, _)| r));
+        for (r, _) in done {
+            self.held.retain(|h| h.artifact != r.artifact);
+            self.held.insert(r);
+        }
         let model = Resident { artifact: "m".into(), version: 1 };
         let report = Report {
             residents: self.held.iter().cloned().chain([model]).collect(),
@@ -116,6 +121,12 @@
         }
     }
 
+    // One of the adapters, in the version that is the newest at the time.
+    fn newest(&mut self, ms: u64) -> Resident {
+        let n = self.random.below(ADAPTERS) as u32;
+        Resident { version: 1 + ms / VERSION_MS, ..adapter(n) }
+    }
+
     // Mostly a few ms, sometimes seconds.
     fn delay(&mut self) -> u64 {
         if self.random.below(12) == 0 { self.random.below(4000) } else { 1 + self.random.below(8) }
@@ -179,16 +190,17 @@
             self.hosts[owner].apply_report(at(ms), &report);
         }
         if self.random.below(4) == 0 {
-            let n = self.random.below(ADAPTERS) as u32;
-            self.hosts[owner].request_load(at(ms), adapter(n), SLOTS as usize, |_| false);
+            let r = self.newest(ms);
+            self.hosts[owner].request_load(at(ms), r, SLOTS as usize, |_| false);
         }
         let l = &mut self.hosts[owner];
         if let Some(step) = l.next_step(at(ms), &spec(SLOTS), MAX_TRANSFERS, |_| false) {
             self.send(ms, owner, step, false);
         } else if self.random.below(3) == 0 {
-            let n = self.random.below(ADAPTERS) as u32;
-            if self.hosts[owner].is_loading(&adapter(n).artifact) {
-                self.send(ms, owner, Step { verb: Verb::Load, resident: adapter(n) }, true);
+            let version = 1 + self.random.below(RUN_MS / VERSION_MS);
+            let r = Resident { version, ..self.newest(ms) };
+            if self.hosts[owner].is_loading(&r) {
+                self.send(ms, owner, Step { verb: Verb::Load, resident: r }, true);
             }
         }
         Ok(())
--- a/crates/daemon/src/front/control/orders.rs
+++ b/crates/daemon/src/front/control/orders.rs
@@ -304,10 +304,8 @@
                 .replicas
                 .get(k)
                 .is_some_and(|r| r.is_usable() && r.ownership.may_order(now, lease));
-            let loading = act
-                .engines
-                .get(&k)
-                .is_some_and(|engine| engine.loader.is_loading(&resident.artifact));
+            let loading =
+                act.engines.get(&k).is_some_and(|engine| engine.loader.is_loading(&resident));
             if !may_order || !loading || act.leaving {
                 return;
             }
