Take an engine that has ended for one that keeps no block

A take-up after the loss of all hosts was refused as long as one engine of the service had ended and was still listed. A refused connection now counts as an engine that keeps nothing (an_ended_engine_does_not_hide_the_version). A host that joins no longer discards streams that were about to be sent to it.

--- a/crates/daemon/src/front/control/origins.rs
+++ b/crates/daemon/src/front/control/origins.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    io::ErrorKind,
     net::{Ipv4Addr, SocketAddr},
     time::Duration,
 };
@@ -28,7 +29,10 @@
 use super::{Control, STORE_OUTAGE};
 use crate::{
     events::{Event, emit},
-    front::{client::Client, clock},
+    front::{
+        client::{CallError, Client},
+        clock,
+    },
 };
 
 /// Streams in one message, so that it fits into a datagram.
@@ -97,7 +101,25 @@
 }
 
 // A replica that was asked which blocks it keeps, and its response.
-type KeptBlocks = (Origin, Result<Vec<(u64, ArcStr)>, String>);
+type KeptBlocks = (Origin, Result<Vec<(u64, ArcStr)>, SearchError>);
+
+/// Why it is unknown which blocks an engine keeps. The texts are log values.
+#[derive(Debug, thiserror::Error)]
+enum SearchError {
+    #[error("{0}")]
+    Call(#[from] CallError),
+    #[error("status {0}")]
+    Status(u16),
+    #[error("{0}")]
+    Decode(#[from] serde_json::Error),
+}
+
+impl SearchError {
+    // Whether nothing listens at the engine's address, so that it has ended and keeps nothing.
+    fn has_ended(&self) -> bool {
+        matches!(self, Self::Call(CallError::Connect(e)) if e.kind() == ErrorKind::ConnectionRefused)
+    }
+}
 
 impl Handler<StreamBegan> for Control {
     type Result = ();
@@ -247,7 +269,10 @@
         let now = clock::now();
         for find in finds {
             let relevant = kept.iter().filter(|(o, _)| Some(&o.service) == find.service.as_ref());
-            let unread = relevant.clone().find_map(|(_, blocks)| blocks.as_ref().err());
+            let unread = relevant
+                .clone()
+                .filter_map(|(_, blocks)| blocks.as_ref().err())
+                .find(|e| !e.has_ended());
             let holders: BTreeSet<_> = relevant
                 .filter(|(_, blocks)| {
                     find.block.as_ref().is_some_and(|b| blocks.iter().flatten().any(|k| k == b))
@@ -256,7 +281,7 @@
                 .collect();
             let (origin, source) = match (unread, holders.len()) {
                 (Some(error), _) => {
-                    let fields = kv!("id" => find.id.as_str(), "error" => error.as_str());
+                    let fields = kv!("id" => find.id.as_str(), "error" => error.to_string());
                     emit(&self.log, Event::BlocksUnread, &fields);
                     (None, "engine_unread")
                 }
@@ -279,9 +304,9 @@
     /// Tells a host that has joined or started again of the streams that it is to keep.
     pub(super) fn introduce_origins(&mut self, now: Tick, ip: Ipv4Addr) {
         let streams = self.origins.known.iter(now);
-        let kept =
+        let kept: Vec<_> =
             streams.filter(|s| self.peers.keepers(now, s.key, KEEPERS).contains(&ip)).collect();
-        self.origins.unsent.insert(ip, kept);
+        self.origins.unsent.entry(ip).or_default().extend(kept);
     }
 
     pub(super) fn handle_begun(&mut self, now: Tick, streams: Vec<BegunStream>) {
@@ -333,15 +358,14 @@
 async fn read_kept_blocks(
     client: &Client,
     address: SocketAddr,
-) -> Result<Vec<(u64, ArcStr)>, String> {
+) -> Result<Vec<(u64, ArcStr)>, SearchError> {
     let request = Request::get(wire::KEPT_BLOCKS_PATH)
         .header("host", address.to_string())
         .body(Full::new(Bytes::new()))
         .expect("the request is valid");
-    let response = client.call(address, request, SEARCH_TIMEOUT, MAX_KEPT_BYTES).await;
-    let response = response.map_err(|e| e.to_string())?;
-    if response.status().as_u16() != 200 {
-        return Err(format!("status {}", response.status().as_u16()));
+    let response = client.call(address, request, SEARCH_TIMEOUT, MAX_KEPT_BYTES).await?;
+    match response.status().as_u16() {
+        200 => Ok(wire::decode_kept_blocks(response.body())?),
+        status => Err(SearchError::Status(status)),
     }
-    wire::decode_kept_blocks(response.body()).map_err(|e| e.to_string())
 }
--- a/crates/daemon/tests/platform/versions.rs
+++ b/crates/daemon/tests/platform/versions.rs
@@ -131,6 +131,21 @@
             assert_eq!(versions_run(&f, &versions, &again), versions_begun, "{a}");
         }
     }
+    // Guards against take-ups that are refused because an engine that has ended does not say what it
+    // keeps.
+    an_ended_engine_does_not_hide_the_version: {
+        let versions = ["v1", "v2", "v2"];
+        let mut f = fleet(2, &versions);
+        f.engines.iter().for_each(Replica::forget_blocks);
+        let (_, last) = cut_stream(&f, 0, "/stream/a1", "lost");
+        let begun = versions_run(&f, &versions, "lost");
+        f.restart_all();
+        let other = f.engines.iter().find(|e| run_count(std::slice::from_ref(*e), "lost") == 0);
+        other.unwrap().end();
+        let r = f.take_up(1, "/stream/a1", "again", "lost", last);
+        assert_eq!((r.status, r.complete), (200, true), "{r:?}");
+        assert_eq!(versions_run(&f, &versions, "again")[0], begun[0]);
+    }
     // Guards against a stream that is joined because engines of two versions keep its prompt.
     a_prompt_at_two_versions_proves_nothing: {
         let mut f = fleet(2, &["v1", "v2"]);
