Match loads without a version with those that a report lists

Cause: an order that asks for the newest version has version 0, while the report names the version in transfer, so each load was taken for ended at the next report.

Evidence: a_load_of_the_newest_version_is_found_in_the_report failed before.

--- a/crates/core/src/fleet/loader.rs
+++ b/crates/core/src/fleet/loader.rs
@@ -115,6 +115,12 @@
     artifact.contains('/')
 }
 
+// Whether an engine that loads version `loaded` does what an order for `ordered` asks; 0 asks for the
+// newest version.
+fn is_version(ordered: u64, loaded: u64) -> bool {
+    ordered == 0 || ordered == loaded
+}
+
 impl Loader {
     /// Applies a report that was requested at `sent_at`.
     pub fn apply_report(&mut self, sent_at: Tick, report: &Report) {
@@ -141,7 +147,9 @@
         let transferring = &self.transferring;
         self.loading.retain(|a, l| {
             let in_progress = match is_adapter(a) {
-                true => transferring.iter().any(|t| t.artifact == *a && t.version == l.version),
+                true => transferring
+                    .iter()
+                    .any(|t| t.artifact == *a && is_version(l.version, t.version)),
                 false => report.model_busy,
             };
             l.count > count || in_progress
@@ -248,7 +256,7 @@
             !self.loading.contains_key(&w.artifact) && residents.iter().any(|r| r.artifact == model)
         })?;
         let request = self.queue[index].0.clone();
-        let counted = self.transferring.contains(&request);
+        let counted = self.is_transferring(&request);
         if transferring >= transfers && !counted {
             return None;
         }
@@ -290,8 +298,8 @@
     fn in_transit(&self) -> usize {
         let ordered = self.loading.keys().filter(|a| is_adapter(a)).count();
         let known = |r: &Resident| {
-            let ended = self.loaded.get(&r.artifact).is_some_and(|l| l.version == r.version);
-            ended || self.is_loading(r)
+            let loads = [self.loaded.get(&r.artifact), self.loading.get(&r.artifact)];
+            loads.into_iter().flatten().any(|l| is_version(l.version, r.version))
         };
         let earlier = self.transferring.iter().filter(|r| !known(r));
         ordered + earlier.count()
@@ -327,7 +335,7 @@
     pub fn record_sent(&mut self, now: Tick, step: &Step) {
         let Some(expected) = self.count else { return };
         let a = &step.resident.artifact;
-        let changes = step.verb == Verb::Unload || !self.transferring.contains(&step.resident);
+        let changes = step.verb == Verb::Unload || !self.is_transferring(&step.resident);
         self.pending = Some(Pending { expected, changes });
         if step.verb == Verb::Load {
             let count = expected + u64::from(changes);
@@ -412,6 +420,11 @@
         self.loading.len() + self.queue.len()
     }
 
+    fn is_transferring(&self, r: &Resident) -> bool {
+        let same = |t: &Resident| t.artifact == r.artifact && is_version(r.version, t.version);
+        self.transferring.iter().any(same)
+    }
+
     /// Whether a load of this version of the artifact is under way.
     pub fn is_loading(&self, r: &Resident) -> bool {
         self.loading.get(&r.artifact).is_some_and(|l| l.version == r.version)
--- a/crates/core/src/fleet/loader/tests.rs
+++ b/crates/core/src/fleet/loader/tests.rs
@@ -239,6 +239,24 @@
         l.apply_report(at(1300), &r);
         assert_eq!(next(&mut l, 1310, 2, &[1]), None, "as the report shows");
     }
+    // Guards against a load that is taken for ended, and ordered again, because it names no version
+    // while the report does.
+    a_load_of_the_newest_version_is_found_in_the_report: {
+        let mut l = loader(&[]);
+        let newest = Resident { version: 0, ..adapter(3) };
+        l.request_load(at(1000), newest.clone(), 2, |_| false);
+        let step = next(&mut l, 1000, 2, &[]).unwrap();
+        l.record_sent(at(1000), &step);
+        l.record_response(at(1005), &step, Some(OrderResponse::Accepted));
+        let mut r = report(1, &[]);
+        r.transferring = vec![adapter(3)];
+        l.apply_report(at(1100), &r);
+        assert!(l.is_loading(&newest));
+        assert_eq!(l.request_load(at(1110), newest, 2, |_| false), LoadStatus::Queued);
+        assert_eq!(next(&mut l, 1120, 2, &[]), None, "it is under way");
+        request(&mut l, 1130, 4, 2, &[]);
+        assert_eq!(next(&mut l, 1140, 2, &[]).unwrap().resident, adapter(4), "one slot is taken");
+    }
     // Guards against more transfers than an engine accepts.
     four_adapters_are_in_transit_at_most: {
         let mut l = loader(&[]);
