--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,7 +23,7 @@
         return lab.Replica(record, store, f"i-{version}-{n}", "deck-models", "m0", version,
                            events=EVENTS, gap_s=GAP_S)
 
-    old = [replica("v1", n) for n in range(3)]
+    old = [replica("v1", n) for n in range(4)]
     for r in old:
         await r.start()
     fleet = lab.Fleet(record, store, HOSTS, temp)
@@ -81,8 +81,9 @@
         await r.end()
         record(f"{r.ident} has ended")
 
-    # The release, one replica after the other: the new one starts first, then the old one leaves. The old
-    # ones never report `draining`: their entries are removed, and they serve on for a while.
+    # Two releases of half of the replicas each, one replica after the other: the new one starts first, then
+    # the old one leaves. The old ones never report `draining`: their entries are removed, and they serve on
+    # for a while.
     ends = []
     for k, r in enumerate(old):
         if k == len(old) - 1:
