Show that an odd entry of the store leaves requests without an answer

Cause: the id of a replica goes into a header unchecked, and a line feed in it makes the host panic.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,73 +1,79 @@
-"""ONE: the owner of a replica is cut off from the other machines for 12 s and comes back."""
+"""LOST: another writer leaves an odd entry among those of the replicas."""
 
 import asyncio
 import os
-import random
 import time
 
 import lab
 
-HOSTS, REPLICAS = 3, 4
-LEASE_S, THAW_S = 3.0, 0.3  # LeaseMs, ThawMs
-CUT_S = 12.0
+HOSTS, CLIENTS = 3, 30
 
 
 async def case(record, temp, cleanups):
     store = lab.Store()
     await store.listen()
-    services = [{"Name": "deck-models", "HealthPath": "/health", "MaxConns": 370, "Engine": lab.engine()}]
-    routes = [lab.route("notes", "streaming", "deck-models", 15000)]
+    services = [{"Name": "orders-app", "HealthPath": "/health", "MaxConns": 110}]
+    routes = [lab.route("order-lookup", "safe", "orders-app", 1000, slo_ms=150, attempts=2),
+              lab.route("order-commit", "unsafe", "orders-app", 1000, slo_ms=150, attempts=1)]
     store.put("op/config", lab.config(1, routes, services))
-    replicas = [lab.Replica(record, store, f"i-{n}", "deck-models", "m0", events=4) for n in range(REPLICAS)]
+    replicas = [lab.Replica(record, store, f"i-{n}", "orders-app", work_s=0.03, errors=0.14) for n in range(4)]
     for r in replicas:
         await r.start()
-    fleet = lab.Fleet(record, store, HOSTS, temp, linked=True)
+    fleet = lab.Fleet(record, store, HOSTS, temp)
     cleanups.append(fleet.close)
-    await fleet.links.start()
-    cleanups.append(fleet.links.close)
     for i in range(HOSTS):
         fleet.start(i)
     await fleet.ready()
-    await asyncio.sleep(6)
-    tasks, count = [], 0
+    await asyncio.sleep(3)
+    end = time.monotonic() + 24
+    sent, counts = [], {"whole": 0}
 
-    async def ask(seconds, hosts):
-        """Requests for adapters that few others ask for, every 150 ms."""
-        nonlocal count
-        end = time.monotonic() + seconds
+    async def client(n):
+        """Sends one request after the other on a kept channel, to the host of its number."""
+        front, number = fleet.front(n % HOSTS), 0
         while time.monotonic() < end:
-            count += 1
-            i = hosts[count % len(hosts)]
-            ident = f"notes-{count}"
-            headers = lab.generation(f"a{random.randrange(3000)}")
-            tasks.append(asyncio.create_task(lab.send(fleet.front(i), "POST", "/notes/1", ident, headers,
-                                                      b"x", 6000)))
-            await asyncio.sleep(0.15)
+            c = lab.Channel(front)
+            while time.monotonic() < end:
+                number += 1
+                name = ("order-lookup", "order-commit")[number % 2]
+                ident = f"{name}-{n}-{number}"
+                kept = c.answers > 0
+                a = await c.send("GET" if name == "order-lookup" else "POST", f"/{name}/1", ident,
+                                 body=b"" if name == "order-lookup" else b"x" * 300, deadline_ms=1000)
+                sent.append((ident, kept, a))
+                counts["whole"] += a.whole
+                if not a.whole:
+                    record(f"{ident} on a {'kept' if kept else 'new'} channel to {front[0]}: {a}, {c.error}")
+                    break
+                await asyncio.sleep(0.1)
+            c.close()
+            await asyncio.sleep(0.1)
 
-    everyone = list(range(HOSTS))
-    await ask(6, everyone)
-    orders = [o for r in replicas for o in r.orders]
-    if not orders:
-        raise lab.CannotRun("no order was given")
-    # The machine that gave the last order is cut off from the other machines. Clients use the others
-    # meanwhile, as the directory tells them.
-    giver = max(orders)[1]
-    cut = int(giver.split("-")[1]) - 1
-    rest = [i for i in everyone if i != cut]
+    clients = [asyncio.create_task(client(n)) for n in range(CLIENTS)]
+    await asyncio.sleep(4)
     if lab.TROUBLE:
-        fleet.links.cut.add(cut)
-        record(f"{fleet.ips[cut]} ({giver}) is cut off from the other machines")
-    await ask(CUT_S, rest)
-    fleet.links.cut.clear()
-    healed = time.monotonic()
-    record("the cut has healed")
-    await ask(10, everyone)
-    answers = await asyncio.gather(*tasks)
-    record(f"answers: {sum(a.status == 200 and a.whole for a in answers)} of {len(answers)} whole")
-    lower, turns = lab.judge_orders(replicas, LEASE_S, [(healed, healed + THAW_S)])
-    record(f"orders: {sum(len(r.orders) for r in replicas)}; with a lower fence after a higher one: "
-           f"{len(lower)} {lower[:3]}; two holders within the lease: {len(turns)} {turns[:3]}")
-    return bool(lower or turns)
+        # A copy of the entry of a replica, under its id with a line feed, as a tool leaves it that takes
+        # the id from a line of text.
+        store.put("servers/i-0\n", store.items["servers/i-0"][0])
+        record("another writer has written an entry: servers/i-0 with a line feed at its end")
+    await asyncio.gather(*clients)
+    runs = {ident for r in replicas for ident, *_ in r.runs}
+    # Passed on to a sound replica, and the channel closed by the host without an answer.
+    lost = [i for i, kept, a in sent if kept and a.status is None and a.closed and i in runs]
+    unanswered = [i for i, _, a in sent if a.status is None and a.closed]
+    exits = [p.poll() for p in fleet.processes]
+    record(f"attempts: {len(sent)}, answered whole: {counts['whole']}; on a kept channel, run by a replica and "
+           f"closed without an answer: {len(lost)} {lost[:4]}; closed without an answer in all: "
+           f"{len(unanswered)}; exits of hosts: {exits}")
+    panics = 0
+    for name in sorted(os.listdir(temp)):
+        if name.endswith(".log"):
+            with open(os.path.join(temp, name)) as f:
+                lines = [line.strip() for line in f if "panicked" in line]
+            panics += len(lines)
+            for line in lines[:1]:
+                record(f"{name}: {len(lines)} times: {line}")
+    return len(lost) > 3
 
 
 lab.run(os.path.dirname(os.path.abspath(__file__)), case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,80 +1,107 @@
-"""CONFIG: the operator's items in the store fill more than 16 pages; then a configuration comes."""
+"""ORDER: streams are taken up after the software version that began them has left."""
 
 import asyncio
 import os
+import random
 import time
 
 import lab
 
-# A page of the store holds 500 items. With the configuration, 7,900 versions fill 16 pages, 8,100
-# versions fill 17.
-VERSIONS = 8100 if lab.TROUBLE else 7900
-HOSTS = 3
-APPLY_S = 2.0  # ConfigApplyMs
-KEY = [("Authorization", "Bearer key-one")]
+# A stream takes 6 s. The operator lets a request wait for 4 s; clients wait for 12 s.
+TIMEOUT_MS, BUDGET_MS, EVENTS, GAP_S = 4000, 12000, 30, 0.2
+HOSTS, STREAMS = 5, 120
 
 
 async def case(record, temp, cleanups):
-    store = lab.Store(page=500)
+    store = lab.Store()
     await store.listen()
-    services = [{"Name": n, "HealthPath": "/health", "MaxConns": 110} for n in ("orders-old", "orders-new")]
-    services.append({"Name": "deck-models", "HealthPath": "/health", "MaxConns": 370,
-                     "Engine": lab.engine(adapters=24000)})
-    tenants = [{"Name": "one", "ApiKeys": ["key-one"]}]
+    services = [{"Name": "deck-models", "HealthPath": "/health", "MaxConns": 370, "Engine": lab.engine()}]
+    routes = [lab.route("audit", "streaming", "deck-models", TIMEOUT_MS, attempts=2, resume=True)]
+    store.put("op/config", lab.config(1, routes, services))
 
-    def configure(version, service):
-        routes = [lab.route("check", "safe", service, public=True), lab.route("order", "unsafe", service),
-                  lab.route("note", "streaming", "deck-models", 15000)]
-        store.put("op/config", lab.config(version, routes, services, tenants))
+    def replica(version, n):
+        return lab.Replica(record, store, f"i-{version}-{n}", "deck-models", "m0", version,
+                           events=EVENTS, gap_s=GAP_S)
 
-    configure(1, "orders-old")
-    replicas = [lab.Replica(record, store, f"i-{s}-{n}", f"orders-{s}") for s in ("old", "new") for n in (1, 2)]
-    for r in replicas:
+    old = [replica("v1", n) for n in range(4)]
+    for r in old:
         await r.start()
-    fleet = lab.Fleet(record, store, HOSTS + 1, temp)
+    fleet = lab.Fleet(record, store, HOSTS, temp)
     cleanups.append(fleet.close)
     for i in range(HOSTS):
         fleet.start(i)
     await fleet.ready()
-    sent = []
+    # Machines order nothing before the lease has passed, and judge versions after some seconds.
+    await asyncio.sleep(8)
+    joined, resumed = [], []
 
-    async def ask(phase):
-        """Each host gets one public request and one with a key."""
-        for i in range(HOSTS):
-            for name, method, headers in (("check", "GET", []), ("order", "POST", KEY)):
-                ident = f"{phase}-{name}-{len(sent)}"
-                at = time.monotonic()
-                a = await lab.send(fleet.front(i), method, f"/{name}/1", ident, headers, deadline_ms=1500)
-                record(f"{ident} at {fleet.ips[i]}: {a} {a.body[:60]!r}")
-                sent.append((ident, at, a))
+    async def client(n):
+        """One request: it goes on at `Last-Event-Id` after a broken channel, at a random host."""
+        end, first, events, tries, wait = time.monotonic() + BUDGET_MS / 1000, None, [], 0, 0
+        while time.monotonic() < end and tries < 5 and len(events) < EVENTS:
+            await asyncio.sleep(wait)
+            tries += 1
+            ident = f"audit-{n}-{tries}"
+            left = max(int((end - time.monotonic()) * 1000), 1)
+            headers = lab.generation("a1", block=1000 + n)
+            if events:
+                headers += [("Last-Event-Id", events[-1][0]), ("Resumes", first)]
+            i = random.randrange(HOSTS)
+            a = await lab.send(fleet.front(i), "POST", f"/audit/{n}", ident, headers, b"x" * 100, left)
+            got = a.events() if a.status == 200 else []
+            record(f"{ident} at {fleet.ips[i]}: {a}, events {got[0][0] if got else '-'} to "
+                   f"{got[-1][0] if got else '-'}, {sorted({d.split()[0] for _, d in got})}")
+            first = first or (ident if got else None)
+            if events and got:
+                resumed.append(ident)
+            events += got
+            # At once after a broken channel, then with a growing pause that is at least what the host
+            # asks for, up to a third of the time left.
+            pause = 0.1 if tries == 1 else 0.25 * 2 ** (tries - 1)
+            wait = min(max(float(a.headers.get("retry-after", 0)), pause), left / 3000)
+        versions = sorted({d.split()[0] for _, d in events})
+        record(f"audit-{n}: {len(events)} events of versions {versions} over {tries} tries")
+        if len(versions) > 1:
+            joined.append(n)
 
-    for _ in range(3):
-        await ask("before")
-        await asyncio.sleep(0.3)
-    record(f"the operator writes versions of {VERSIONS} adapters")
-    for n in range(VERSIONS):
-        store.put(f"op/version/m0.a{n}", {"Model": "m0", "Adapter": f"a{n}", "Version": 2})
-        if n % 500 == 0:
-            await asyncio.sleep(0.05)
-    await asyncio.sleep(4)
-    configure(2, "orders-new")
-    ack = time.monotonic()
-    record("version 2 is acknowledged: /check/ and /order/ go to orders-new")
-    while time.monotonic() < ack + 12:
-        await ask("after")
-        await asyncio.sleep(0.5)
-    runs = {ident: r.service for r in replicas for ident, *_ in r.runs}
-    late = [(i, a) for i, at, a in sent if at > ack + APPLY_S]
-    old = [i for i, _ in late if runs.get(i) == "orders-old"]
-    refused = [i for i, a in late if a.status == 503]
-    record(f"sent later than {APPLY_S} s after the ack: {len(late)}; run by orders-old: {len(old)}; "
-           f"run by orders-new: {sum(runs.get(i) == 'orders-new' for i, _ in late)}; 503: {len(refused)}")
-    # Only for the record: a machine that is added now.
-    fleet.start(HOSTS)
-    await asyncio.sleep(8)
-    ready = [await lab.get(ip, fleet.ports + 17, "/ready") for ip in fleet.ips]
-    record(f"/ready of the machines, the last of which was added 8 s ago: {ready}")
-    return bool(old)
+    warm = await lab.send(fleet.front(0), "POST", "/audit/w", "warm", lab.generation("a1"), b"x", 4000)
+    record(f"first load: {warm}")
+    # The replica that holds the adapter is the last one that is replaced.
+    old.sort(key=lambda r: "a1" in r.adapters)
+    clients = []
+
+    async def begin_streams():
+        for n in range(STREAMS):
+            clients.append(asyncio.create_task(client(n)))
+            await asyncio.sleep(0.6 / STREAMS)
+
+    async def serve_on(r):
+        """A replica that has left the store serves for DrainMs and 1 s more."""
+        await asyncio.sleep(3.0)
+        await r.end()
+        record(f"{r.ident} has ended")
+
+    # Two releases of half of the replicas each, one replica after the other: the new one starts first, then
+    # the old one leaves. The old ones never report `draining`: their entries are removed, and they serve on
+    # for a while.
+    ends = []
+    for k, r in enumerate(old):
+        if k == len(old) - 1:
+            await begin_streams()
+        if lab.TROUBLE:
+            new = replica("v2", k)
+            await new.start()
+            record(f"{new.ident} of v2 is listed")
+            await asyncio.sleep(0.3)
+            r.unlist()
+            record(f"{r.ident} has left the store")
+            ends.append(asyncio.create_task(serve_on(r)))
+        await asyncio.sleep(0.7)
+    await asyncio.gather(*ends)
+    await asyncio.gather(*clients)
+    record(f"streams: {STREAMS}; taken up with events: {len(resumed)}; "
+           f"with events of two versions: {len(joined)} {joined}")
+    return len(joined) > 2
 
 
 lab.run(os.path.dirname(os.path.abspath(__file__)), case)
--- a/review/lib/lab.py
+++ b/review/lib/lab.py
@@ -113,6 +113,7 @@
     def __init__(self, page=500):
         super().__init__()
         self.items, self.rev, self.page, self.reads = {}, 100, page, 0
+        self.era, self.down = 1, False
 
     def put(self, key, value):
         self.rev += 1
@@ -123,11 +124,22 @@
         if self.items.pop(key, None):
             self.rev += 1
 
+    def copy(self):
+        return dict(self.items), self.rev
+
+    def restore(self, copy):
+        """Comes back from a copy: revisions go back, and a new era begins."""
+        self.items, self.rev = dict(copy[0]), copy[1]
+        self.era += 1
+
     async def handle(self, reader, writer, method, path, headers, body):
+        if self.down:
+            await respond(writer, 503, [])
+            return True
         self.reads += 1
         url = urlsplit(path)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
-        era = [("Content-Type", "application/json"), ("Store-Era", 1)]
+        era = [("Content-Type", "application/json"), ("Store-Era", self.era)]
         if url.path != "/kv-range":
             await respond(writer, 404, era)
             return True
@@ -159,7 +171,8 @@
 
     def __init__(self, record, store, ident, service, model=None, version="v1", zone="a", slots=8,
                  weights_mb=67100.0, model_mb=65500.0, adapter_mb=40.0, adapter_s=0.25,
-                 events=10, gap_s=0.1, work_s=0.015):
+                 events=10, gap_s=0.1, work_s=0.015,
+                 errors=0.0):
         super().__init__()
         self.record, self.store = record, store
         self.ident, self.service, self.zone, self.version = ident, service, zone, version
@@ -167,6 +180,7 @@
         self.weights_mb, self.model_mb, self.adapter_mb = weights_mb, model_mb, adapter_mb
         self.adapter_s, self.events, self.gap_s, self.work_s = adapter_s, events, gap_s, work_s
         self.orders, self.runs, self.over = [], [], []
+        self.errors = errors  # share of the requests that it answers with a 500 of its own
         self.state, self.listed, self.beats = "ready", True, 0
         self._reset()
 
@@ -195,7 +209,7 @@
             return
         self.beats += 1
         entry = {"Service": self.service, "Address": self.address, "Zone": self.zone,
-                 "Version": self.version, "Slots": 64, "State": self.state, "ColdLeftMs": 0,
+                 "Version": self.version, "Slots": 64 if self.model else 6, "State": self.state, "ColdLeftMs": 0,
                  "Seq": self.beats, "born": self.born}
         if self.model:
             entry["Models"] = self._models()
@@ -341,6 +355,9 @@
             sealed = [*echo, ("Yuccawing-Response-Seal", f"seal-{self.ident}")]
             if not self.model:
                 await asyncio.sleep(self.work_s)
+                if random.random() < self.errors:
+                    await respond(writer, 500, sealed, b"error")
+                    return True
                 await respond(writer, 200, sealed, f"answer of {self.service} to {ident}".encode())
                 return True
             writer.write(head(200, [*sealed, ("Content-Type", "text/event-stream"),
@@ -574,6 +591,7 @@
 
     def __init__(self):
         self.status, self.headers, self.body, self.whole = None, {}, b"", False
+        self.closed = False  # whether the host has closed the channel
 
     def events(self):
         """Whole events as (id, data)."""
@@ -609,6 +627,37 @@
     return a
 
 
+class Channel:
+    """A channel of a client, kept for several requests."""
+
+    def __init__(self, front):
+        self.front, self.writer, self.answers, self.error = front, None, 0, None
+
+    async def send(self, method, path, ident, headers=(), body=b"", deadline_ms=6000):
+        a = Answer()
+        try:
+            async with asyncio.timeout(deadline_ms / 1000):
+                if self.writer is None:
+                    self.reader, self.writer = await asyncio.open_connection(*self.front, limit=1 << 20)
+                lines = [("Host", HOST), ("Yuccawing-Request-Id", ident),
+                         ("Yuccawing-Deadline-Ms", deadline_ms), *headers, ("Content-Length", len(body))]
+                text = f"{method} {path} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in lines) + "\r\n"
+                self.writer.write(text.encode() + body)
+                await self.writer.drain()
+                await _read_answer(self.reader, a)
+                self.answers += a.whole
+                a.closed = not a.whole
+        except asyncio.TimeoutError:
+            self.error = "no answer in time"
+        except (OSError, asyncio.IncompleteReadError, ValueError) as e:
+            a.closed, self.error = self.writer is not None, repr(e)
+        return a
+
+    def close(self):
+        if self.writer:
+            self.writer.close()
+
+
 async def _read_answer(reader, a):
     got = await read_head(reader)
     if got is None:
