Ask the other hosts before the listing where a stream began

Cause: a host that did not know a stream first asked its own listing for the only version of the longest route timeout plus 1 s, and other hosts only if it found none. That span bounds no stream: callers wait for longer than the timeout of their route. And "only one version is listed" speaks of the listing at the time of its last read at this host, not of a stream that another host has begun since.

Change: a host asks the others first. The listing counts only if all of them have answered that they do not know the stream, this host reaches a majority, was not paused just now, and has read the listing after the take-up. The span is the longest lifetime of any stream so far, by route or by caller, plus 15 s for replicas that serve on unlisted. A host that does not answer may know the stream, so it is no evidence.

Test: a_stream_does_not_go_on_at_the_version_that_is_left failed on the code before (200 from v2 instead of 503). a_host_that_stood_still_does_not_know_the_version passed before as well: a pause of over 2 s already started the span again. It stays as a guard.

Evidence: the ten tests of versions pass, also those of take-ups that must go on. A take-up of an unknown stream takes one round trip more.

--- a/crates/core/src/fleet/origin.rs
+++ b/crates/core/src/fleet/origin.rs
@@ -3,8 +3,10 @@
 //! What replicas of two software versions write does not fit together, so a stream goes on only at
 //! the version that began it. A caller may take it up at any host. The host that passes on the first
 //! event therefore tells [`KEEPERS`] others, chosen by the stream's key, and a host that does not
-//! know a stream asks those that rank first for its key. If no host knows it, it may go on only if
-//! one version alone has been in service for longer than any stream lasts.
+//! know a stream asks those that rank first for its key. If none of them knows it, it may go on only
+//! if one version alone has been in service for as long as any stream may last, up to a read of the
+//! listing that is younger than the request: what one host lists says nothing about a stream that
+//! another one has begun since.
 
 #[cfg(test)]
 mod tests;
@@ -31,6 +33,10 @@
 /// Streams that a host keeps, which bounds its memory to some MB.
 const MAX_ORIGINS: usize = 32_768;
 
+/// Time for which a replica may go on serving after it has left the listing, and begin streams
+/// through hosts that have not read the listing since.
+pub const UNLISTED_SERVICE: Duration = Duration::from_secs(15);
+
 /// Service and software version at which a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
@@ -63,12 +69,16 @@
     known: HashMap<u64, (Origin, Tick)>,
     // Keys in the order in which they were recorded.
     order: VecDeque<u64>,
+    // Longest lifetime of any stream so far.
+    longest: Duration,
 }
 
 impl Origins {
     /// Records a stream. Beyond [`MAX_ORIGINS`] the oldest one is forgotten.
     pub fn record(&mut self, now: Tick, s: BegunStream) {
-        let until = now + Duration::from_millis(u64::from(s.lifetime_ms));
+        let lifetime = Duration::from_millis(u64::from(s.lifetime_ms));
+        self.note_lifetime(lifetime);
+        let until = now + lifetime;
         if self.known.insert(s.key, (s.origin, until)).is_none() {
             self.order.push_back(s.key);
         }
@@ -79,6 +89,16 @@
         }
     }
 
+    /// Records a time for which streams may last.
+    pub fn note_lifetime(&mut self, lifetime: Duration) {
+        self.longest = self.longest.max(lifetime);
+    }
+
+    /// Longest lifetime of any stream so far. Callers may wait for longer than their route's timeout.
+    pub fn longest_lifetime(&self) -> Duration {
+        self.longest
+    }
+
     /// Origin of a stream.
     pub fn get(&self, key: u64) -> Option<&Origin> {
         self.known.get(&key).map(|(origin, _)| origin)
--- a/crates/core/src/fleet/origin/tests.rs
+++ b/crates/core/src/fleet/origin/tests.rs
@@ -39,6 +39,16 @@
         assert_eq!((o.get(1), o.get(2)), (None, Some(&origin("v1"))));
         assert_eq!(o.iter(at(1000)).map(|s| s.lifetime_ms).collect::<Vec<_>>(), [4000]);
     }
+    // Pattern: callers wait for longer than the timeout of their route. Guards against a span in which
+    // one version alone was listed that is shorter than the life of a stream.
+    the_longest_lifetime_is_kept: {
+        let mut o = Origins::default();
+        o.note_lifetime(Duration::from_secs(4));
+        o.record(at(0), begun(1, 12_000));
+        o.record(at(0), begun(2, 500));
+        o.expire(at(20_000));
+        assert_eq!(o.longest_lifetime(), Duration::from_secs(12));
+    }
     // Guards against memory without a bound under many streams.
     the_oldest_streams_are_forgotten: {
         let mut o = Origins::default();
--- a/crates/daemon/src/front/control/origins.rs
+++ b/crates/daemon/src/front/control/origins.rs
@@ -18,9 +18,11 @@
 use tokio::sync::oneshot;
 use yuccawing_core::{
     fleet::{
-        config::{ReplicaEntry, RouteKind},
+        config::{FleetConfig, ReplicaEntry, RouteKind},
         digest::Message as PeerMessage,
-        origin::{ASKED, BegunStream, KEEPERS, Origin, Origins, SoftwareVersions},
+        origin::{
+            ASKED, BegunStream, KEEPERS, Origin, Origins, SoftwareVersions, UNLISTED_SERVICE,
+        },
     },
     time::Tick,
 };
@@ -56,9 +58,13 @@
 /// Largest response to it, in bytes: some ten thousand blocks.
 const MAX_KEPT_BYTES: usize = 1024 * 1024;
 
-/// Margin on the longest timeout of a stream, for the time until its caller takes it up.
+/// Margin on the longest lifetime of a stream, for the time on the way.
 const STREAM_MARGIN: Duration = Duration::from_secs(1);
 
+/// Time for which a take-up waits for a read of the listing: the age at which all hosts read it by
+/// themselves, and a slow response of the store.
+const LISTING_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// Reports the first event of a stream that may be taken up.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -95,6 +101,8 @@
     // Streams that the keepers have not been told of.
     unsent: BTreeMap<Ipv4Addr, Vec<BegunStream>>,
     queries: Vec<Query>,
+    // Streams that no host knows, of a service with one version, with the time of the take-up.
+    unlisted: Vec<(FindOrigin, Tick)>,
     // Streams that no host knows. Engines are asked which blocks they keep, for all at once.
     searches: Vec<FindOrigin>,
     searching: bool,
@@ -144,16 +152,12 @@
             self.answer_origin(now, msg, Some(origin), "known");
             return;
         }
-        if let Some(origin) = self.only_origin(now, &msg) {
-            self.answer_origin(now, msg, Some(origin), "only_version");
-            return;
-        }
         let own = self.settings.ip;
         let keepers = msg.key.map(|key| self.peers.keepers(now, key, ASKED + 1));
         let waiting: BTreeSet<_> =
             keepers.into_iter().flatten().filter(|ip| *ip != own).take(ASKED).collect();
         if waiting.is_empty() || self.origins.queries.len() >= MAX_QUERIES {
-            self.search_origin(now, msg, "nobody_to_ask");
+            self.resolve_unknown(now, now, msg, "nobody_to_ask");
             return;
         }
         let query = Query { find: msg, since: now, asked_at: now, waiting };
@@ -171,20 +175,48 @@
     }
 
     // Longest time from the begin of a stream until its caller takes it up.
-    fn stream_span(&self) -> Option<Duration> {
-        let routes = &self.catalog.as_ref()?.config.routes;
-        let streams = routes.iter().filter(|r| matches!(r.kind, RouteKind::Stream { .. }));
-        Some(streams.map(|r| r.timeout).max()? + STREAM_MARGIN)
+    fn longest_stream(&self) -> Duration {
+        self.origins.known.longest_lifetime() + STREAM_MARGIN
     }
 
-    // The origin of any stream of the service, if only one version has served for longer than any
-    // stream lasts.
+    // The origin of any stream of the service, if only one version has served for as long as any
+    // stream may last. A host that is cut off from most others may miss what began there.
     fn only_origin(&self, now: Tick, find: &FindOrigin) -> Option<Origin> {
+        if self.peers.is_minority(now) || !self.stalls.is_current(now) {
+            return None;
+        }
         let service = find.service.as_ref()?;
-        let software = self.origins.versions.only(now, service, self.stream_span()?)?.clone();
+        let span = self.longest_stream() + UNLISTED_SERVICE;
+        let software = self.origins.versions.only(now, service, span)?.clone();
         Some(Origin { service: service.clone(), software })
     }
 
+    // Resolves the origin of a stream, taken up at `since`, that none of the asked hosts knows.
+    fn resolve_unknown(&mut self, now: Tick, since: Tick, find: FindOrigin, source: &str) {
+        let room = self.origins.unlisted.len() < MAX_QUERIES;
+        if room && self.only_origin(now, &find).is_some() {
+            self.origins.unlisted.push((find, since));
+        } else {
+            self.search_origin(now, find, source);
+        }
+    }
+
+    // Answers the take-ups of a service with one version once the listing has been read after them.
+    fn check_unlisted(&mut self, now: Tick) {
+        for (find, since) in std::mem::take(&mut self.origins.unlisted) {
+            if self.store.listing.read_at().is_some_and(|t| t > since) {
+                match self.only_origin(now, &find) {
+                    Some(origin) => self.answer_origin(now, find, Some(origin), "only_version"),
+                    None => self.search_origin(now, find, "several_versions"),
+                }
+            } else if now.since(since) >= LISTING_TIMEOUT {
+                self.search_origin(now, find, "listing_unread");
+            } else {
+                self.origins.unlisted.push((find, since));
+            }
+        }
+    }
+
     fn answer_origin(&mut self, now: Tick, find: FindOrigin, origin: Option<Origin>, source: &str) {
         let age = self.store.listing.read_at().map(|t| now.since(t).as_millis() as u64);
         let fields = kv!(
@@ -205,9 +237,13 @@
             }
         }
         for mut q in std::mem::take(&mut self.origins.queries) {
-            if q.waiting.is_empty() || now.since(q.since) >= QUERY_TIMEOUT {
-                let source = if q.waiting.is_empty() { "nobody_knows" } else { "no_response" };
-                self.search_origin(now, q.find, source);
+            if q.waiting.is_empty() {
+                self.resolve_unknown(now, q.since, q.find, "nobody_knows");
+                continue;
+            }
+            // A host that does not respond may know the stream.
+            if now.since(q.since) >= QUERY_TIMEOUT {
+                self.search_origin(now, q.find, "no_response");
                 continue;
             }
             if now.since(q.asked_at) >= QUERY_INTERVAL {
@@ -216,12 +252,13 @@
             }
             self.origins.queries.push(q);
         }
+        self.check_unlisted(now);
     }
 
     // Searches the engines for the prompt of a stream that no host knows, unless the hosts would know
     // it: the prompt may have been read for another request.
     fn search_origin(&mut self, now: Tick, find: FindOrigin, source: &str) {
-        let lost = self.stream_span().is_some_and(|span| !self.peers.all_alive_for(now, span));
+        let lost = !self.peers.all_alive_for(now, self.longest_stream());
         let searchable = lost && find.service.is_some() && find.block.is_some();
         if searchable && self.origins.searches.len() < MAX_QUERIES {
             self.origins.searches.push(find);
@@ -335,7 +372,7 @@
                 }
                 q.waiting.retain(|ip| *ip != from.ip());
                 if q.waiting.is_empty() {
-                    self.search_origin(now, q.find, "nobody_knows");
+                    self.resolve_unknown(now, q.since, q.find, "nobody_knows");
                     continue;
                 }
             }
@@ -343,6 +380,14 @@
         }
     }
 
+    /// Records how long streams may last by the timeouts of their routes.
+    pub(super) fn note_lifetimes(&mut self, config: &FleetConfig) {
+        let streams = config.routes.iter().filter(|r| matches!(r.kind, RouteKind::Stream { .. }));
+        if let Some(longest) = streams.map(|r| r.timeout).max() {
+            self.origins.known.note_lifetime(longest);
+        }
+    }
+
     pub(super) fn note_versions(&mut self, now: Tick, entries: &[ReplicaEntry]) {
         let listed = entries
             .iter()
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -317,6 +317,7 @@
         self.metrics.config_version.set(config.version as i64);
         self.quota.configure(now, &config);
         self.dispatcher.configure(&config);
+        self.note_lifetimes(&config);
         self.catalog = Some(Arc::new(Catalog::new(config)));
     }
 
--- a/crates/daemon/tests/platform/versions.rs
+++ b/crates/daemon/tests/platform/versions.rs
@@ -1,13 +1,17 @@
 //! Tests of streams while engines of several software versions serve side by side. What two versions
 //! write does not fit together, and engines do not check it.
 
-use std::time::{Duration, Instant};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
+use yuccawing_platform::headers;
 use yuccawing_platform_standin::replica::{Fault, Replica};
 
 use crate::{
     call_stream, event_texts,
-    fleet::{Fleet, KEY, Response, wait_until},
+    fleet::{Fleet, KEY, Response, receive, request, send, wait_until},
     run_count,
 };
 
@@ -47,6 +51,24 @@
     ran.map(|(_, v)| *v).collect()
 }
 
+// Hosts with which each stream is unknown to some: more than the one that passes it on and those that
+// it tells.
+const MANY_HOSTS: usize = 7;
+
+// As [`cut_stream`], for a caller that waits for longer than the timeout of its route.
+fn cut_long_stream(f: &Fleet, host: usize, path: &str, id: &str) -> u64 {
+    let (method, mut fields) = request(path, id, Some(KEY));
+    fields.retain(|(n, _)| n != headers::DEADLINE_MS);
+    fields.push((headers::DEADLINE_MS.into(), "30000".into()));
+    set_faults(f, Fault::Reset(2));
+    let mut c = f.connect(host);
+    send(&mut c, method, path, &fields, b"body").unwrap();
+    let a = receive(&mut c).unwrap();
+    set_faults(f, Fault::None);
+    assert_eq!((a.status, a.complete), (200, false), "{a:?}");
+    (1..5).rev().find(|n| a.body == event_texts(id, *n)).expect("whole events in order")
+}
+
 // A stream that is cut after at least one event, with the number of its last one.
 fn cut_stream(f: &Fleet, host: usize, path: &str, id: &str) -> (Response, u64) {
     set_faults(f, Fault::Reset(2));
@@ -86,12 +108,71 @@
                 if r.status != 503 || Instant::now() > end {
                     break r;
                 }
-                std::thread::sleep(Duration::from_millis(100));
+                thread::sleep(Duration::from_millis(100));
             };
             assert_eq!((taken.status, taken.complete), (200, true), "{a}: {taken:?}");
             assert_eq!(versions_run(&f, &versions, &again), begun[..1], "{a}");
         }
     }
+    // Pattern: a release, and callers that wait for longer than the timeout of their route. Guards
+    // against a stream that goes on at the only version which a host has listed for some seconds,
+    // although it began at a version that has left and other hosts know it.
+    a_stream_does_not_go_on_at_the_version_that_is_left: {
+        let f = fleet(MANY_HOSTS, &["v1", "v1"]);
+        let mut begun = Vec::new();
+        for (i, a) in ADAPTERS.into_iter().enumerate() {
+            let id = format!("first-{a}");
+            begun.push((a, cut_long_stream(&f, i % 3, &format!("/stream/{a}"), &id)));
+        }
+        set_versions(&f, &["v2", "v2"]);
+        // The route's timeout is 4 s.
+        thread::sleep(Duration::from_secs(7));
+        for (a, last) in begun {
+            for host in 0..MANY_HOSTS {
+                let again = format!("again-{a}-{host}");
+                let r = f.take_up(host, &format!("/stream/{a}"), &again, &format!("first-{a}"), last);
+                assert_eq!((r.status, run_count(&f.engines, &again)), (503, 0), "{again}: {r:?}");
+            }
+        }
+        assert_eq!(call_stream(&f, 0, "/stream/a1", "new").status, 200);
+    }
+    // Pattern: a host stands still while engines of a new version join. Guards against a stream that
+    // began there through other hosts and goes on at the old version, the only one that this host
+    // has listed.
+    a_host_that_stood_still_does_not_know_the_version: {
+        let versions = ["v1", "v2"];
+        let mut f = Fleet::start(MANY_HOSTS, 0, 2);
+        f.store.remove("servers/e1");
+        set_versions(&f, &["v1"]);
+        f.restart_all();
+        warm(&f);
+        // The host takes a version for the only one after some seconds.
+        thread::sleep(Duration::from_secs(7));
+        f.signal(0, "STOP");
+        f.engines[1].set_version("v2");
+        f.engines[1].register(&f.store, f.engines[1].address);
+        f.engines[0].set_fault(Fault::NotRun);
+        let mut begun = Vec::new();
+        for a in ADAPTERS {
+            let id = format!("first-{a}");
+            wait_until(Duration::from_secs(20), "the new version serves no stream", || {
+                f.engines[1].set_fault(Fault::Reset(2));
+                let r = f.call(1, &format!("/stream/{a}"), &id, Some(KEY));
+                f.engines[1].set_fault(Fault::None);
+                r.status == 200
+            });
+            assert_eq!(versions_run(&f, &versions, &id), ["v2"]);
+            begun.push(a);
+        }
+        f.engines[0].set_fault(Fault::None);
+        f.signal(0, "CONT");
+        for a in begun {
+            let again = format!("again-{a}");
+            f.take_up(0, &format!("/stream/{a}"), &again, &format!("first-{a}"), 1);
+            let ran = versions_run(&f, &versions, &again);
+            assert!(!ran.contains(&"v1"), "{again} went on at {ran:?}");
+        }
+    }
     // Guards against a take-up that is served by any engine because all hosts that knew the version
     // of the stream were killed, or that waits for its deadline.
     a_stream_of_an_unknown_version_is_refused: {
@@ -165,7 +246,7 @@
         let versions = ["v1", "v2"];
         let f = fleet(1, &versions);
         // Until the host would know the stream if it had passed it on.
-        std::thread::sleep(Duration::from_secs(6));
+        thread::sleep(Duration::from_secs(6));
         let (_, last) = cut_stream(&f, 0, "/stream/a1", "mine");
         let r = f.take_up(0, "/stream/a2", "again", "mine", last);
         assert_eq!((r.status, run_count(&f.engines, "again")), (503, 0));
