--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -2,6 +2,11 @@
 //! much an account may use. Hosts discover each other from seeds and replicas from the store's
 //! entries; no decision needs a majority of hosts.
 
+#![cfg_attr(
+    not(test),
+    warn(clippy::unwrap_used, clippy::expect_used, clippy::panic, clippy::indexing_slicing)
+)]
+
 pub mod catalog;
 pub mod config;
 pub mod digest;
--- a/crates/core/src/fleet/catalog.rs
+++ b/crates/core/src/fleet/catalog.rs
@@ -46,7 +46,7 @@
 
     /// Account that `key` belongs to.
     pub fn account(&self, key: &str) -> Option<&Account> {
-        self.keys.get(key).map(|i| &self.config.accounts[*i])
+        self.keys.get(key).and_then(|i| self.config.accounts.get(*i))
     }
 
     /// Picks a service of `route` by weight: always the same one for the same `id`.
--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -371,6 +371,7 @@
     ) -> Assignment {
         let kv_tokens = request.inference.as_ref().map_or(0, |d| d.prompt_tokens + d.output_tokens);
         let version = request.inference.as_ref().and_then(|d| self.newest_version(&d.artifact));
+        #[expect(clippy::expect_used, reason = "the caller has chosen it from the replicas")]
         let r = self.replicas.get_mut(k).expect("the chosen replica is known");
         if r.health.state(now) == HealthState::Probe {
             r.health.start_probe(now);
--- a/crates/core/src/fleet/loader.rs
+++ b/crates/core/src/fleet/loader.rs
@@ -255,7 +255,7 @@
             let model = w.artifact.split('/').next().unwrap_or_default();
             !self.loading.contains_key(&w.artifact) && residents.iter().any(|r| r.artifact == model)
         })?;
-        let request = self.queue[index].0.clone();
+        let request = self.queue.get(index)?.0.clone();
         let counted = self.is_transferring(&request);
         if transferring >= transfers && !counted {
             return None;
--- a/crates/core/src/fleet/order.rs
+++ b/crates/core/src/fleet/order.rs
@@ -220,7 +220,7 @@
         }
         self.last_order = Some(now);
         if let Some(c) = &mut self.count {
-            c.explained += 1;
+            c.explained = c.explained.saturating_add(1);
         }
         let token =
             *self.fence.get_or_insert_with(|| fencing_token(position, self.highest_fence, ip));
--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -325,11 +325,11 @@
         domains.retain(|_, hosts| hosts.len() >= RELAYS);
         let relays: Vec<_> = domains
             .values_mut()
-            .map(|hosts| {
+            .filter_map(|hosts| {
                 hosts.sort_by_key(|ip| {
                     hash_bytes([b"relay".as_slice(), &self.local_ip.octets(), &ip.octets()])
                 });
-                hosts[(sequence % RELAYS as u64) as usize]
+                hosts.get((sequence % RELAYS as u64) as usize).copied()
             })
             .collect();
         direct.retain(|ip| self.peers.get(ip).is_none_or(|p| !domains.contains_key(&p.zone)));
@@ -411,19 +411,20 @@
         let silent = |ip: Ipv4Addr| self.peers.get(&ip).is_some_and(|p| !is_reached(now, p));
         let elsewhere =
             |ip: Ipv4Addr| self.peers.get(&ip).is_some_and(|p| is_alive_elsewhere(now, p));
-        let first = ranked[0].1;
-        let claimant = ranked.iter().position(|(_, ip)| !silent(*ip) || elsewhere(*ip));
-        match claimant {
-            Some(0) if first == self.local_ip => {
-                let lost = ranked.get(1).is_some_and(|(_, ip)| silent(*ip));
+        let ranked: Vec<_> = ranked.into_iter().map(|(_, ip)| ip).collect();
+        let first = ranked.first().copied().unwrap_or(self.local_ip);
+        let next_silent = ranked.get(1).is_some_and(|ip| silent(*ip));
+        let found = ranked.into_iter().enumerate().find(|(_, ip)| !silent(*ip) || elsewhere(*ip));
+        match found {
+            Some((0, ip)) if ip == self.local_ip => {
                 let hidden = self.peers.values().any(|p| is_alive_elsewhere(now, p));
                 let unknown = self.isolated || self.awaits_seed(now);
-                Owner::Local { contested: lost || hidden || unknown }
+                Owner::Local { contested: next_silent || hidden || unknown }
             }
-            Some(n) if ranked[n].1 == self.local_ip && (n == 1 || !self.is_minority(now)) => {
+            Some((n, ip)) if ip == self.local_ip && (n == 1 || !self.is_minority(now)) => {
                 Owner::Local { contested: true }
             }
-            Some(n) if !self.is_minority(now) => Owner::Peer(ranked[n].1),
+            Some((_, ip)) if !self.is_minority(now) => Owner::Peer(ip),
             _ => Owner::Peer(first),
         }
     }
--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -331,7 +331,7 @@
             // Drops the older half.
             let mut ticks: Vec<_> = self.served.values().copied().collect();
             ticks.sort_unstable();
-            let mid = ticks[ticks.len() / 2];
+            let mid = ticks.get(ticks.len() / 2).copied().unwrap_or(at);
             self.served.retain(|_, t| *t > mid);
             self.announced.retain(|_, t| *t > mid);
         }
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -390,8 +390,10 @@
 
     fn upsert(&mut self, now: Tick, e: ReplicaEntry, out: &mut Vec<ReplicaChange>) -> ReplicaKey {
         let known = self.ids.get(&e.id).copied();
-        if let Some(k) = known {
-            let r = &mut self.map[k];
+        let mut seen = 0;
+        if let Some(k) = known
+            && let Some(r) = self.map.get_mut(k)
+        {
             let same = r.address == e.address && r.service == e.service && r.software == e.software;
             if r.started_ms == e.started_ms && same {
                 let outdated = self.restored_at.filter(|t| now.since(*t) < STALE_ENTRIES);
@@ -420,10 +422,10 @@
                 return k;
             }
             r.missing_since = Some(now);
-            self.hashes.remove(&self.map[k].id_hash);
+            self.hashes.remove(&r.id_hash);
+            // Tokens rise across the starts of a replica that keeps its id.
+            seen = r.ownership.highest_fence();
         }
-        // Tokens rise across the starts of a replica that keeps its id.
-        let seen = known.map_or(0, |k| self.map[k].ownership.highest_fence());
         let mut r = Replica::new(e);
         r.ownership.observe_fence(now, seen);
         let (id, hash) = (r.id.clone(), r.id_hash);
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -38,7 +38,7 @@
     /// request or its session.
     pub fn shared_blocks(&self) -> Vec<u64> {
         let shared = self.prefix.len().saturating_sub(1).min(MAX_SHARED_BLOCKS);
-        self.prefix[..shared].iter().map(|b| b.id).collect()
+        self.prefix.iter().take(shared).map(|b| b.id).collect()
     }
 }
 
@@ -75,8 +75,8 @@
         h.update((part.len() as u64).to_le_bytes());
         h.update(part);
     }
-    let digest = h.finalize();
-    u64::from_le_bytes(digest[..8].try_into().expect("a digest has 32 bytes"))
+    let [a, b, c, d, e, f, g, i, ..] = <[u8; 32]>::from(h.finalize());
+    u64::from_le_bytes([a, b, c, d, e, f, g, i])
 }
 
 /// What of a request may make a replica end: the prompt blocks that other requests share with it,
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -72,6 +72,7 @@
     207 LimitReached Info "A request exceeded its account's limit.";
     208 RequestTurnedAway Info "A request was refused before it was forwarded.";
     209 RequestHeld Info "A request was refused because replicas ended under it or under one of its prompt blocks.";
+    210 RequestPanicked Error "The task of a request panicked; the caller got a response that promises nothing.";
     300 UpstreamConnect Warning "The connection to an upstream failed.";
     301 UpstreamSilent Warning "An upstream stopped responding; its connection is replaced.";
     302 StreamResumed Info "An interrupted stream was resumed.";
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -4,6 +4,11 @@
 //! The control actor owns all state that decisions depend on. One HTTP worker thread serves the
 //! callers and queries the actor for each request. No state outlives the process.
 
+#![cfg_attr(
+    not(test),
+    warn(clippy::unwrap_used, clippy::expect_used, clippy::panic, clippy::indexing_slicing)
+)]
+
 mod client;
 mod clock;
 mod control;
--- a/crates/daemon/src/front/client.rs
+++ b/crates/daemon/src/front/client.rs
@@ -51,6 +51,9 @@
 /// Why a call failed. The texts are log values and metric labels.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
+    /// The request cannot be expressed in HTTP; nothing was sent.
+    #[error("invalid request: {0}")]
+    Invalid(hyper::http::Error),
     /// The connection failed; nothing was sent.
     #[error("no connection: {0}")]
     Connect(std::io::Error),
@@ -80,7 +83,7 @@
 impl CallError {
     /// Whether it is certain that nothing was sent.
     pub fn unsent(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::ConnectTimeout | Self::Unsent)
+        matches!(self, Self::Invalid(_) | Self::Connect(_) | Self::ConnectTimeout | Self::Unsent)
     }
 }
 
--- a/crates/daemon/src/front/control/admit.rs
+++ b/crates/daemon/src/front/control/admit.rs
@@ -108,6 +108,10 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
+        // A replica whose attempts end the task must not look idle and healthy.
+        if std::thread::panicking() {
+            self.outcome = Outcome::NoResponse;
+        }
         self.control.do_send(AttemptEnded { attempt: self.attempt, outcome: self.outcome });
     }
 }
--- a/crates/daemon/src/front/control/loads.rs
+++ b/crates/daemon/src/front/control/loads.rs
@@ -85,7 +85,10 @@
         placed: PlacedRequest,
         waits: usize,
     ) {
-        let resident = placed.assignment.required_load.clone().expect("the request needs a load");
+        let Some(resident) = placed.assignment.required_load.clone() else {
+            let _ = reply.send(Admission::Placed(placed));
+            return;
+        };
         let w = Waiter {
             request,
             charge,
--- a/crates/daemon/src/front/control/orders.rs
+++ b/crates/daemon/src/front/control/orders.rs
@@ -537,7 +537,7 @@
                 // The content of the report is older than the requests that this host sent meanwhile.
                 let own = engine.max_inflight.max(r.local.inflight);
                 engine.max_inflight = r.local.inflight;
-                if report.running + report.queued > own {
+                if report.running.saturating_add(report.queued) > own {
                     self.survivor.record_foreign(now);
                 }
                 engine.loader.apply_report(sent_at, &report);
@@ -582,7 +582,7 @@
     let request = Request::get(wire::REPORT_PATH)
         .header("host", address.to_string())
         .body(Full::new(Bytes::new()))
-        .expect("the request is valid");
+        .map_err(CallError::Invalid)?;
     client.call(address, request, CALL_TIMEOUT, MAX_REPORT_BYTES).await
 }
 
@@ -597,7 +597,7 @@
         .header("content-type", "application/json")
         .header(headers::EXPECT_REPLICA, id.as_str())
         .body(Full::new(Bytes::from(wire::encode_order(&order))))
-        .expect("the request is valid");
+        .map_err(CallError::Invalid)?;
     let response = client.call(address, request, CALL_TIMEOUT, MAX_REPORT_BYTES).await?;
     let signals = signals::read(&response);
     Ok(Answer { response: wire::order_response(response.status().as_u16()), signals })
--- a/crates/daemon/src/front/control/origins.rs
+++ b/crates/daemon/src/front/control/origins.rs
@@ -407,7 +407,7 @@
     let request = Request::get(wire::KEPT_BLOCKS_PATH)
         .header("host", address.to_string())
         .body(Full::new(Bytes::new()))
-        .expect("the request is valid");
+        .map_err(CallError::Invalid)?;
     let response = client.call(address, request, SEARCH_TIMEOUT, MAX_KEPT_BYTES).await?;
     match response.status().as_u16() {
         200 => Ok(wire::decode_kept_blocks(response.body())?),
--- a/crates/daemon/src/front/datagrams.rs
+++ b/crates/daemon/src/front/datagrams.rs
@@ -37,7 +37,7 @@
         let received = stop.run_until_cancelled(socket.recv_from(&mut buf)).await;
         match received {
             None => return,
-            Some(Ok((n, from))) => match postcard::from_bytes(&buf[..n]) {
+            Some(Ok((n, from))) => match postcard::from_bytes(buf.get(..n).unwrap_or_default()) {
                 Ok(message) => control.do_send(Received { from, message }),
                 Err(e) => {
                     let from = from.to_string();
@@ -65,6 +65,7 @@
 
 /// Encodes a message, once for all of its recipients.
 pub fn encode(message: &Message) -> Vec<u8> {
+    #[expect(clippy::expect_used, reason = "a vector grows, and no type of a message fails")]
     postcard::to_stdvec(message).expect("postcard supports all types of a message")
 }
 
--- a/crates/daemon/src/front/edge.rs
+++ b/crates/daemon/src/front/edge.rs
@@ -2,7 +2,9 @@
 //! and metrics.
 
 use std::{
+    any::Any,
     cell::RefCell,
+    panic::AssertUnwindSafe,
     rc::Rc,
     sync::{
         Arc,
@@ -23,7 +25,7 @@
 use arc_swap::ArcSwap;
 use arcstr::ArcStr;
 use bytes::{Bytes, BytesMut};
-use futures::StreamExt;
+use futures::{FutureExt, StreamExt};
 use slog::{Logger, kv};
 use tokio_util::sync::CancellationToken;
 use yuccawing_core::{
@@ -173,7 +175,9 @@
     let local = req.app_config().local_addr();
     let s = &worker.shared.settings;
     if local == s.listen.front {
-        return serve_caller(req, payload, &worker).await;
+        let id = header_str(req.headers(), headers::REQUEST_ID).unwrap_or("-").to_owned();
+        let response = AssertUnwindSafe(serve_caller(req, payload, &worker)).catch_unwind().await;
+        return response.unwrap_or_else(|panic| answer_panic(&worker, &id, panic.as_ref()));
     }
     let snapshot = worker.shared.published.load();
     match req.path() {
@@ -194,6 +198,17 @@
     }
 }
 
+// Answers a request whose task has panicked. It may have run.
+fn answer_panic(worker: &Worker, id: &str, panic: &(dyn Any + Send)) -> HttpResponse {
+    let text = panic.downcast_ref::<&str>().copied();
+    let text = text.or_else(|| panic.downcast_ref::<String>().map(String::as_str));
+    let reason = "internal";
+    worker.shared.metrics.refusal(reason);
+    let fields = kv!("id" => id, "error" => text.unwrap_or("no message"));
+    emit(&worker.shared.log, Event::RequestPanicked, &fields);
+    Refusal::new(StatusCode::BAD_GATEWAY, reason).response(true)
+}
+
 fn lookup(snapshot: &Snapshot, settings: &Settings) -> HttpResponse {
     if snapshot.fronts.is_empty() {
         return HttpResponse::ServiceUnavailable().finish();
@@ -285,6 +300,9 @@
         .ok_or(Refusal::new(StatusCode::BAD_REQUEST, "no_id"))?;
     let host = header_str(head, "host").ok_or(Refusal::new(StatusCode::BAD_REQUEST, "no_host"))?;
     let path = req.uri().path_and_query().map_or("/", |p| p.as_str());
+    if !path.starts_with('/') {
+        return Err(Refusal::new(StatusCode::BAD_REQUEST, "bad_target"));
+    }
     let route = catalog
         .route(host, req.uri().path())
         .ok_or(Refusal::new(StatusCode::NOT_FOUND, "no_route"))?
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -383,7 +383,7 @@
     left: Duration,
     last: bool,
 ) -> Result<Received, Failure> {
-    let request = request(r, placed, left, r.last_event);
+    let request = request(r, placed, left, r.last_event).map_err(CallError::Invalid)?;
     let reuse = if r.request.kind.is_idempotent() { Reuse::Allowed } else { Reuse::Never };
     // Longer than the timeout of the whole exchange, so that the latter applies.
     let limit = left + Duration::from_secs(1);
@@ -414,7 +414,7 @@
     placed: &PlacedRequest,
     left: Duration,
     last_event: Option<u64>,
-) -> Request<Full<Bytes>> {
+) -> hyper::http::Result<Request<Full<Bytes>>> {
     let mut out = Request::builder().method(r.method.as_str()).uri(r.path.as_str());
     for (n, v) in r.headers.iter().filter(|(n, _)| n != headers::LAST_EVENT_ID) {
         out = out.header(n.as_str(), v.as_slice());
@@ -437,7 +437,7 @@
     if !r.body.is_empty() || r.method == "POST" || r.method == "PUT" {
         out = out.header("content-length", r.body.len().to_string());
     }
-    out.body(Full::new(r.body.clone())).expect("method, path and headers were read from a request")
+    out.body(Full::new(r.body.clone()))
 }
 
 // Tells the control actor what a response says about the replica, unless it is a late copy of
--- a/crates/daemon/src/front/sse.rs
+++ b/crates/daemon/src/front/sse.rs
@@ -63,9 +63,9 @@
     // Position after the first empty line. Bytes are searched once, however small the pieces are in
     // which they arrive.
     fn end(&mut self) -> Option<usize> {
-        while let Some(at) = self.buf[self.searched..].iter().position(|b| *b == b'\n') {
+        while let Some(at) = self.buf.get(self.searched..)?.iter().position(|b| *b == b'\n') {
             let end = self.searched + at;
-            let line = &self.buf[self.line..end];
+            let line = self.buf.get(self.line..end)?;
             let empty = line.is_empty() || line == b"\r";
             (self.line, self.searched) = (end + 1, end + 1);
             if empty {
--- a/crates/daemon/src/front/store.rs
+++ b/crates/daemon/src/front/store.rs
@@ -75,7 +75,7 @@
         let request = Request::get(path)
             .header("host", address.to_string())
             .body(Full::new(Bytes::new()))
-            .expect("the path is escaped");
+            .map_err(CallError::Invalid)?;
         let response = client.call(address, request, READ_TIMEOUT, MAX_PAGE_BYTES).await?;
         if response.status().as_u16() != 200 {
             return Err(Error::Status(response.status().as_u16()));
