Read the configuration apart from the versions of adapters

With pages of 50 items 820 versions were enough.

Cause: configuration and versions were one listing of at most 16 pages; beyond them the read failed and dropped everything, also the configuration on its first page. The listing of replicas had the same bound (800 to 8,000 replicas).

Change: once the operators' items fill more than a page, the configuration is read by its key, and the versions are listed on their own, with an age of their own, every 1.5 s. A listing of versions that fails halfway keeps what it read and goes on after it. One host lists them and tells the others the newest changes with a hash of all; a host whose hash differs lists them itself. The bound is the number of items (50,000), not of pages. Weighed and left for later: a watch from the last revision, which would save the listing but proves nothing while history is dropped. Other bounds looked at: MAX_PAGE_BYTES (4 MB, pages hold 1 MB), MAX_DELTA_ENTRIES (more changes make each host read by itself), MAX_REPORT_BYTES, MAX_KEPT_BYTES and MAX_SEARCHED (the call counts as unread). A digest longer than a datagram still goes unsent.

Test: the three tests of listings failed on the code before (key still works, versions unknown, a replica without an entry is used) and pass: 24,000 versions on 480 pages, peak memory of a host below the bound of 130 MB, a configuration in force within 2 s.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -28,6 +28,7 @@
 pub mod report;
 pub mod request;
 pub mod survivor;
+pub mod versions;
 
 /// FNV-1a with a final mix; gives the same value in every process and release.
 pub fn hash(parts: &[&str]) -> u64 {
--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -145,7 +145,7 @@
 }
 
 /// The newest version of an adapter.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NewestVersion {
     /// `MODEL/ADAPTER`.
     pub artifact: ArcStr,
--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -12,6 +12,7 @@
     history::EraReport,
     origin::{BegunStream, Origin},
     report::Resident,
+    versions::VersionReport,
 };
 
 /// Whether a host takes requests.
@@ -59,6 +60,8 @@
     /// Highest fencing tokens that the sender knows for the replicas that it has sent orders to, for a
     /// host that has just started or returned. Hosts of an earlier release drop it.
     Fences(Vec<ReplicaFence>),
+    /// Adapter versions that the sender has listed.
+    Versions(VersionReport),
 }
 
 /// What a host knows of the limits that replicas name. Hosts of an earlier release drop it.
--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -25,7 +25,7 @@
 pub use self::cost::prefill_ms;
 use self::cost::{Cost, Loads, plain_cost};
 use super::{
-    config::{EngineSpec, FleetConfig, NewestVersion, RouteKind},
+    config::{EngineSpec, FleetConfig, RouteKind},
     digest::{CachedBlock, Digest, ReplicaLoad},
     hash, hash32,
     health::{HealthState, Outcome},
@@ -34,6 +34,7 @@
     replicas::{Replica, ReplicaKey, Replicas},
     report::Resident,
     request::ReplicaRequest,
+    versions::AdapterVersions,
 };
 use crate::time::Tick;
 
@@ -182,7 +183,8 @@
     zone: ArcStr,
     attempts: SlotMap<AttemptKey, ActiveAttempt>,
     engines: HashMap<ArcStr, EngineSpec>,
-    versions: HashMap<ArcStr, u64>,
+    /// Newest declared versions of adapters.
+    pub versions: AdapterVersions,
     // Blocks sent since the last digest, and those of the digest before.
     cached: [Vec<CachedBlock>; 2],
     load_time: LoadTime,
@@ -198,7 +200,7 @@
             zone,
             attempts: SlotMap::with_key(),
             engines: HashMap::new(),
-            versions: HashMap::new(),
+            versions: AdapterVersions::default(),
             cached: [Vec::new(), Vec::new()],
             load_time: LoadTime::default(),
             unreported: BTreeSet::new(),
@@ -211,19 +213,6 @@
         self.engines = engines.filter_map(|s| Some((s.name.clone(), s.engine.clone()?))).collect();
     }
 
-    /// Raises the known versions of adapters. Returns those that rose; lower ones are ignored.
-    pub fn raise_versions(&mut self, versions: Vec<NewestVersion>) -> Vec<NewestVersion> {
-        let mut out = Vec::new();
-        for m in versions {
-            let known = self.versions.entry(m.artifact.clone()).or_default();
-            if m.version > *known {
-                *known = m.version;
-                out.push(m);
-            }
-        }
-        out
-    }
-
     /// Engine specification of a service, none for a plain one.
     pub fn engine_spec(&self, service: &str) -> Option<&EngineSpec> {
         self.engines.get(service)
@@ -231,7 +220,7 @@
 
     /// Newest announced version of an adapter.
     pub fn newest_version(&self, artifact: &str) -> Option<u64> {
-        self.versions.get(artifact).copied()
+        self.versions.get(artifact)
     }
 
     /// Whether the newest version of an artifact is resident.
--- a/crates/core/src/fleet/dispatch/tests.rs
+++ b/crates/core/src/fleet/dispatch/tests.rs
@@ -348,12 +348,12 @@
     an_old_version_is_not_used: {
         let mut d = engines(&[&["m/a1"]]);
         let mark = NewestVersion { artifact: "m/a1".into(), version: 2 };
-        assert_eq!(d.raise_versions(vec![mark.clone()]).len(), 1);
+        assert_eq!(d.versions.raise(at(0), vec![mark.clone()]).len(), 1);
         let g = assign(&mut d, &request("r", "m/a1", 800));
         assert_eq!(g.required_load, Some(Resident { artifact: "m/a1".into(), version: 2 }));
         assert_eq!(g.version, Some(2));
         assert!(
-            d.raise_versions(vec![NewestVersion { version: 1, ..mark }]).is_empty(),
+            d.versions.raise(at(0), vec![NewestVersion { version: 1, ..mark }]).is_empty(),
             "versions never fall"
         );
     }
--- a/crates/core/src/fleet/freshness.rs
+++ b/crates/core/src/fleet/freshness.rs
@@ -112,6 +112,11 @@
         Some(SnapshotMark { hash, age_ms: now.since(read).as_millis() as u64 })
     }
 
+    /// Sets the hash of a copy that has changed without a read.
+    pub fn set_copy(&mut self, hash: u64) {
+        self.copy_hash = Some(hash);
+    }
+
     /// Applies a peer's mark. Returns whether it confirms the copy here.
     pub fn observe(&mut self, now: Tick, mark: SnapshotMark) -> bool {
         let read = now - Duration::from_millis(mark.age_ms) - DIGEST_TRANSIT;
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -504,6 +504,7 @@
             PeerMessage::ListingDelta(l) => self.handle_listing(now, &l),
             PeerMessage::Era(r) => self.handle_era(now, &r),
             PeerMessage::Leaving(replica) => self.handle_leaving(replica),
+            PeerMessage::Versions(r) => self.handle_versions(now, r),
             PeerMessage::Fences(fences) => self.handle_fences(now, &fences),
             PeerMessage::Begun(streams) => self.handle_begun(now, streams),
             PeerMessage::OriginQuery(key) => self.handle_origin_query(msg.from, key),
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -8,7 +8,7 @@
 use yuccawing_core::{
     fleet::{
         catalog::Catalog,
-        config::{FleetConfig, ReplicaEntry},
+        config::{FleetConfig, NewestVersion, ReplicaEntry},
         digest::{Digest, ListingDelta, Message as PeerMessage},
         freshness::{Freshness, READS_PER_BOUND, SnapshotMark},
         hash,
@@ -17,6 +17,7 @@
         order::Claim,
         peers::PeerChange,
         replicas::{ReplicaChange, ReplicaKey},
+        versions::VersionReport,
     },
     time::Tick,
 };
@@ -31,6 +32,14 @@
     },
 };
 
+/// Interval at which the versions of adapters are listed if the operators' items fill more than one
+/// page. A listing at the design size takes about a third of a second, and a change is to
+/// be known within 5 s.
+const VERSIONS_POLL: Duration = Duration::from_millis(1500);
+
+/// Shortest time between two reports of the versions.
+const VERSION_REPORT_INTERVAL: Duration = Duration::from_millis(1000);
+
 /// Largest rank of a reader that announces its reads to all hosts. If that many in a row cannot reach
 /// the store, the others read it themselves.
 const MAX_ANNOUNCING_RANK: usize = 4;
@@ -55,9 +64,18 @@
 pub(super) struct StoreState {
     pub(super) operator: Freshness,
     pub(super) listing: Freshness,
+    // The versions of adapters have an age of their own: listing them may take long or fail, which
+    // must not hold up the configuration.
+    versions: Freshness,
     list: ReplicaList,
     operator_outage: OutageLog,
     listing_outage: OutageLog,
+    versions_outage: OutageLog,
+    // Whether the operators' items fill more than one page, so that the configuration is read by itself.
+    versions_apart: bool,
+    // Key after which the next listing of the versions goes on after a failed one.
+    versions_after: Option<String>,
+    versions_reported: Option<Tick>,
     // Where the configuration in force was last listed.
     config_at: Position,
     pub(super) history: History,
@@ -71,9 +89,14 @@
         Self {
             operator: Freshness::default(),
             listing: Freshness::default(),
+            versions: Freshness::default(),
             list: ReplicaList::default(),
             operator_outage: OutageLog::new("operator"),
             listing_outage: OutageLog::new("replicas"),
+            versions_outage: OutageLog::new("versions"),
+            versions_apart: false,
+            versions_after: None,
+            versions_reported: None,
             config_at: Position::default(),
             history: History::new(now),
             count: 0,
@@ -87,13 +110,9 @@
         let rank = self.peers.reader_rank(now);
         let bounds = &self.settings.bounds;
         for prefix in [Prefix::Operator, Prefix::Replicas] {
-            let (freshness, name, bound) = match prefix {
-                Prefix::Operator => {
-                    (&mut self.store.operator, wire::OPERATOR_PREFIX, bounds.config_ms)
-                }
-                Prefix::Replicas => {
-                    (&mut self.store.listing, wire::REPLICAS_PREFIX, bounds.drain_ms)
-                }
+            let (freshness, bound) = match prefix {
+                Prefix::Operator => (&mut self.store.operator, bounds.config_ms),
+                Prefix::Replicas => (&mut self.store.listing, bounds.drain_ms),
             };
             let poll = Duration::from_millis(bound) / READS_PER_BOUND;
             if !freshness.read_due(now, rank, poll) {
@@ -101,7 +120,15 @@
             }
             freshness.start_read(now);
             let unannounced = !freshness.is_behind();
-            let read = store::read(self.client.clone(), self.settings.store, name);
+            let (client, address) = (self.client.clone(), self.settings.store);
+            let apart = self.store.versions_apart;
+            let operator = if apart { wire::CONFIG_KEY } else { wire::OPERATOR_PREFIX };
+            let read = async move {
+                match prefix {
+                    Prefix::Operator => store::read_page(&client, address, operator, None).await,
+                    Prefix::Replicas => store::read(client, address, wire::REPLICAS_PREFIX).await,
+                }
+            };
             ctx.spawn(read.into_actor(self).map(move |read, act, _| {
                 let ok = read.is_ok() && rank <= MAX_ANNOUNCING_RANK;
                 act.finish_read(prefix, now, read, unannounced);
@@ -111,6 +138,81 @@
                 }
             }));
         }
+        self.read_versions(now, rank, ctx);
+    }
+
+    // Lists the versions of adapters if the page with the configuration does not show them all.
+    fn read_versions(&mut self, now: Tick, rank: usize, ctx: &mut Context<Self>) {
+        if self.store.operator.read_at().is_none()
+            || !self.store.versions.read_due(now, rank, VERSIONS_POLL)
+        {
+            return;
+        }
+        self.store.versions.start_read(now);
+        let after = self.store.versions_after.take();
+        let whole = after.is_none();
+        let (client, address) = (self.client.clone(), self.settings.store);
+        let read = store::read_from(client, address, wire::VERSION_PREFIX, after);
+        ctx.spawn(read.into_actor(self).map(move |(listing, error), act, _| {
+            act.finish_versions(now, listing, error, whole);
+        }));
+    }
+
+    // Applies a listing of the versions, also one that has failed halfway: versions only rise. The next
+    // one then goes on where it ended, and only after that all are listed anew.
+    fn finish_versions(
+        &mut self,
+        sent_at: Tick,
+        listing: Listing,
+        error: Option<store::Error>,
+        whole: bool,
+    ) {
+        let now = clock::now();
+        let last = listing.items.last().map(|i| i.key.clone());
+        let position = listing.position;
+        let read = error.map_or(Ok(position), Err);
+        self.store.versions_outage.record(&self.log, sent_at, read.as_ref().copied());
+        let current = listing.items.is_empty() || self.observe_era(now, sent_at, position);
+        if current {
+            self.apply_operator(now, sent_at, listing.items, position);
+        }
+        match read {
+            Ok(_) if current && whole => self.note_versions_read(now, sent_at),
+            Ok(_) => self.store.versions.fail_read(),
+            Err(_) => {
+                self.store.versions_after = last.filter(|_| current);
+                self.store.versions.fail_read();
+            }
+        }
+    }
+
+    // Records that all versions were listed, and tells the peers.
+    fn note_versions_read(&mut self, now: Tick, sent_at: Tick) {
+        self.store.versions.finish_read(sent_at, self.dispatcher.versions.hash());
+        let reported = self.store.versions_reported;
+        if reported.is_none_or(|t| now.since(t) >= VERSION_REPORT_INTERVAL) {
+            self.store.versions_reported = Some(now);
+            let report = self.dispatcher.versions.report(now, now.since(sent_at));
+            self.broadcast(&PeerMessage::Versions(report));
+        }
+    }
+
+    /// Applies the versions that a peer has listed. Its age is wrong if it waited while this host was
+    /// paused.
+    pub(super) fn handle_versions(&mut self, now: Tick, r: VersionReport) {
+        self.raise_versions(now, r.changes);
+        if self.stalls.is_current(now) {
+            let hash = self.dispatcher.versions.hash();
+            self.store.versions.set_copy(hash);
+            self.store.versions.observe(now, r.mark);
+        }
+    }
+
+    fn raise_versions(&mut self, now: Tick, versions: Vec<NewestVersion>) {
+        for v in self.dispatcher.versions.raise(now, versions) {
+            let fields = kv!("adapter" => v.artifact.as_str(), "version" => v.version);
+            emit(&self.log, Event::VersionRaised, &fields);
+        }
     }
 
     // `unannounced` tells that no digest had announced a newer listing when this read began;
@@ -126,7 +228,7 @@
             Prefix::Operator => &mut self.store.operator_outage,
             Prefix::Replicas => &mut self.store.listing_outage,
         };
-        outage.record(&self.log, sent_at, &read);
+        outage.record(&self.log, sent_at, read.as_ref().map(|l| l.position));
         let now = clock::now();
         if let Ok(listing) = &read
             && !self.observe_era(now, sent_at, listing.position)
@@ -138,10 +240,11 @@
             return;
         }
         match (prefix, read) {
-            (Prefix::Operator, Ok(Listing { items, position })) => {
-                let texts =
-                    items.iter().map(|i| format!("{}@{}.{}", i.key, position.era, i.revision));
+            (Prefix::Operator, Ok(Listing { items, position, more })) => {
+                let config = items.iter().filter(|i| i.is_config());
+                let texts = config.map(|i| format!("{}@{}.{}", i.key, position.era, i.revision));
                 let listed = hash_all(texts);
+                self.store.versions_apart |= more;
                 self.apply_operator(now, sent_at, items, position);
                 // A restored store may list an older version than the one in force. Hosts that have
                 // read the same items are up to date alike only with the same version in force.
@@ -155,9 +258,12 @@
                     let paced = history.is_introduced(now);
                     self.store.operator.finish_unproved(sent_at, hash, paced);
                 }
+                if !self.store.versions_apart {
+                    self.note_versions_read(now, sent_at);
+                }
                 self.publish(now);
             }
-            (Prefix::Replicas, Ok(Listing { items, position })) => {
+            (Prefix::Replicas, Ok(Listing { items, position, .. })) => {
                 let entries: Vec<_> = items
                     .iter()
                     .filter_map(|i| match self.decode_item(i) {
@@ -290,10 +396,7 @@
                 _ => {}
             }
         }
-        for m in self.dispatcher.raise_versions(versions) {
-            let fields = kv!("adapter" => m.artifact.as_str(), "version" => m.version);
-            emit(&self.log, Event::VersionRaised, &fields);
-        }
+        self.raise_versions(now, versions);
     }
 
     fn apply_config(&mut self, now: Tick, sent_at: Tick, config: FleetConfig, at: Position) {
--- a/crates/daemon/src/front/store.rs
+++ b/crates/daemon/src/front/store.rs
@@ -26,8 +26,10 @@
 /// Largest page in bytes: the pages hold about 1 MB of values, and base64 adds a third.
 const MAX_PAGE_BYTES: usize = 4 * 1024 * 1024;
 
-/// Largest number of pages of one listing: 16 pages of 500 items.
-const MAX_PAGES: usize = 16;
+/// Largest number of items of one listing, which bounds memory to some 20 MB: four times as many as
+/// the replicas of the design size, and twice as many as its adapters. A page may hold few items, so
+/// their number says nothing.
+const MAX_ITEMS: usize = 50_000;
 
 /// Why a read of the store failed.
 #[derive(Debug, thiserror::Error)]
@@ -47,9 +49,9 @@
     /// The store was restored between two pages.
     #[error("the pages are of eras {0} and {1}")]
     MixedEras(u64, u64),
-    /// The listing has more pages than expected.
-    #[error("more than {MAX_PAGES} pages")]
-    TooManyPages,
+    /// The listing has more items than a host keeps.
+    #[error("more than {MAX_ITEMS} items")]
+    TooManyItems,
 }
 
 /// Items of one read of the store.
@@ -59,45 +61,77 @@
     pub items: Vec<Item>,
     /// Position of the store at the time of the last page.
     pub position: Position,
+    /// Whether further items follow.
+    pub more: bool,
 }
 
-/// Reads all items under `prefix`.
+/// Reads one page of the items under `prefix` that sort after the key `after`.
 ///
 /// # Errors
 ///
 /// Returns an error if the store does not respond, responds with an error, or sends what cannot be
 /// decoded.
+pub async fn read_page(
+    client: &Client,
+    address: SocketAddr,
+    prefix: &str,
+    after: Option<&str>,
+) -> Result<Listing, Error> {
+    let request = Request::get(store::range_path(prefix, after))
+        .header("host", address.to_string())
+        .body(Full::new(Bytes::new()))
+        .map_err(CallError::Invalid)?;
+    let response = client.call(address, request, READ_TIMEOUT, MAX_PAGE_BYTES).await?;
+    if response.status().as_u16() != 200 {
+        return Err(Error::Status(response.status().as_u16()));
+    }
+    let era = response.headers().get(headers::STORE_ERA).map(|v| v.as_bytes());
+    let era = match headers::parse_era(era) {
+        EraHeader::Absent => 0,
+        EraHeader::Era(era) => era,
+        EraHeader::Invalid => return Err(Error::Era),
+    };
+    let page = Page::decode(response.body())?;
+    let more = page.more && !page.items.is_empty();
+    Ok(Listing { items: page.items, position: Position { era, revision: page.revision }, more })
+}
+
+/// Reads all items under `prefix`.
+///
+/// # Errors
+///
+/// As [`read_page`], and if there are too many items or the store was restored between two pages.
 pub async fn read(client: Rc<Client>, address: SocketAddr, prefix: &str) -> Result<Listing, Error> {
-    let mut items: Vec<Item> = Vec::new();
-    let mut first_era = None;
-    for _ in 0..MAX_PAGES {
-        let path = store::range_path(prefix, items.last().map(|i| i.key.as_str()));
-        let request = Request::get(path)
-            .header("host", address.to_string())
-            .body(Full::new(Bytes::new()))
-            .map_err(CallError::Invalid)?;
-        let response = client.call(address, request, READ_TIMEOUT, MAX_PAGE_BYTES).await?;
-        if response.status().as_u16() != 200 {
-            return Err(Error::Status(response.status().as_u16()));
-        }
-        let era = response.headers().get(headers::STORE_ERA).map(|v| v.as_bytes());
-        let era = match headers::parse_era(era) {
-            EraHeader::Absent => 0,
-            EraHeader::Era(era) => era,
-            EraHeader::Invalid => return Err(Error::Era),
+    let (listing, error) = read_from(client, address, prefix, None).await;
+    error.map_or(Ok(listing), Err)
+}
+
+/// Reads all items under `prefix` that sort after the key `after`. Returns what was read before an
+/// error as well.
+pub async fn read_from(
+    client: Rc<Client>,
+    address: SocketAddr,
+    prefix: &str,
+    after: Option<String>,
+) -> (Listing, Option<Error>) {
+    let mut out = Listing { items: Vec::new(), position: Position::default(), more: true };
+    while out.more {
+        let last = out.items.last().map(|i| i.key.as_str()).or(after.as_deref());
+        let page = match read_page(&client, address, prefix, last).await {
+            Ok(page) => page,
+            Err(e) => return (out, Some(e)),
         };
-        let first_era = *first_era.get_or_insert(era);
-        if era != first_era {
-            return Err(Error::MixedEras(first_era, era));
+        let era = out.position.era;
+        if !out.items.is_empty() && page.position.era != era {
+            return (out, Some(Error::MixedEras(era, page.position.era)));
         }
-        let page = Page::decode(response.body())?;
-        let empty = page.items.is_empty();
-        items.extend(page.items);
-        if !page.more || empty {
-            return Ok(Listing { items, position: Position { era, revision: page.revision } });
+        if out.items.len() + page.items.len() > MAX_ITEMS {
+            return (out, Some(Error::TooManyItems));
         }
+        out.items.extend(page.items);
+        (out.position, out.more) = (page.position, page.more);
     }
-    Err(Error::TooManyPages)
+    (out, None)
 }
 
 /// Logs the start and the end of a store outage instead of each failed read.
@@ -114,16 +148,15 @@
     }
 
     /// Records the outcome of the read that was sent at `sent_at`.
-    pub fn record(&mut self, log: &Logger, sent_at: Tick, read: &Result<Listing, Error>) {
+    pub fn record(&mut self, log: &Logger, sent_at: Tick, read: Result<Position, &Error>) {
         match (read, self.since) {
             (Err(e), None) => {
                 self.since = Some(sent_at);
                 emit(log, Event::StoreLost, &kv!("read" => self.prefix, "error" => e.to_string()));
             }
-            (Ok(listing), Some(since)) => {
+            (Ok(Position { era, revision }), Some(since)) => {
                 self.since = None;
                 let lost = clock::now().since(since).as_millis() as u64;
-                let Position { era, revision } = listing.position;
                 let fields = kv!(
                     "read" => self.prefix, "lost_ms" => lost, "era" => era, "revision" => revision,
                 );
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod entries;
 mod limits;
+mod listings;
 mod orders;
 mod restores;
 mod signals;
