Bound the new cached blocks in a digest

A host that counts as silent leaves its orders to others now.

Cause: a digest repeats all blocks of the prompts since the last one.

Change: at most 1,500 new blocks in a digest; the rest is not told, as if a datagram were lost.

Test: many_blocks_fit_into_a_digest failed before (59,633 bytes of blocks alone with 6,000, without a bound), and passes.

--- a/crates/core/src/fleet/dispatch.rs
+++ b/crates/core/src/fleet/dispatch.rs
@@ -43,6 +43,10 @@
     pub struct AttemptKey;
 }
 
+/// Largest number of cached blocks that are new in a digest. A digest that does not fit into a datagram
+/// is not sent, and its sender counts as silent; prompts may have a thousand blocks.
+const MAX_CACHED_BLOCKS: usize = 1500;
+
 /// Time of a decoding step shared with other streams, plus the network round trip, in ms.
 const STEP_MS: f64 = 15.0;
 
@@ -368,8 +372,9 @@
         if let Some(inference) = &request.inference {
             let hash = r.id_hash;
             let keys = r.record_prompt(inference, cost.uncached);
-            self.cached[0]
-                .extend(keys.into_iter().map(|block| CachedBlock { replica: hash, block }));
+            let room = MAX_CACHED_BLOCKS.saturating_sub(self.cached[0].len());
+            let blocks = keys.into_iter().map(|block| CachedBlock { replica: hash, block });
+            self.cached[0].extend(blocks.take(room));
         }
         r.local.prefill_ms += cost.prefill_ms;
         r.local.inflight += 1;
--- a/crates/core/src/fleet/dispatch/tests.rs
+++ b/crates/core/src/fleet/dispatch/tests.rs
@@ -146,6 +146,22 @@
 }
 
 cases! {
+    // Pattern: prompts of a thousand blocks, many a second. Guards against a digest that does not fit
+    // into a datagram, whose sender the peers take for silent.
+    many_blocks_fit_into_a_digest: {
+        let mut d = engines(&[&["m/a1"]]);
+        for _ in 0..2 {
+            for n in 0..6 {
+                let mut r = request(&format!("r{n}"), "m/a1", 1000);
+                let blocks = (0..1000).map(|i| PrefixBlock { id: n * 1000 + i, tokens: 1 });
+                r.inference.as_mut().unwrap().prefix = blocks.collect();
+                assign(&mut d, &r);
+            }
+            let (_, cached) = d.digest_entries();
+            let bytes = postcard::to_stdvec(&cached).unwrap().len();
+            assert!(!cached.is_empty() && bytes < 40_000, "{bytes}");
+        }
+    }
     // Pattern: some replicas in need. Guards against requests beyond the limit that a replica names
     // while another one has room.
     a_replica_whose_limit_is_used_up_is_passed_over: {
