Do not take a pause of the host for an outage of the store

Cause, by reading: after more than 2 s without a listing a host takes entries that are gone for expired in an outage of the store and uses the replicas for 2.5 s more. A host that was frozen for as long counts its own pause as that outage. And a replica that was spared so was judged again only with the next listing that differs or is read here; a host that only learns that the listing is still the same used it on.

Change: a pause does not count as a gap between listings.

Test: a_pause_is_no_outage_of_the_store and the_grace_period_ends_without_a_new_listing; each fails if its part of the change is undone."

--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -66,6 +66,8 @@
     pub leaving: bool,
     /// Since when its entry is missing from the store.
     pub missing_since: Option<Tick>,
+    // Whether the last listing contains its entry.
+    listed: bool,
     /// Whether it responds to the host that reads its reports.
     pub alive: bool,
     /// Whether a reachable host may send it orders.
@@ -136,6 +138,7 @@
             slots: e.slots,
             leaving: e.leaving,
             missing_since: None,
+            listed: true,
             alive: true,
             orderable: false,
             residents: BTreeMap::new(),
@@ -342,6 +345,29 @@
         self.last_listed = Some(now);
     }
 
+    /// Records that this process was paused for `pause`, in which it would have read no listing. That
+    /// is no outage of the store, in which entries expire.
+    pub fn note_pause(&mut self, pause: Duration) {
+        self.last_listed = self.last_listed.map(|t| t + pause);
+    }
+
+    /// Takes the replicas that the last listing lacks for missing, unless their entries may have
+    /// expired in an outage of the store. The listing itself may not change when that time ends.
+    pub fn expire_unlisted(&mut self, now: Tick) -> Vec<ReplicaChange> {
+        let within = |t: Option<Tick>| t.is_some_and(|t| now.since(t) < EXPIRY_GRACE);
+        if within(self.listed_since) || within(self.restored_at) {
+            return Vec::new();
+        }
+        let mut out = Vec::new();
+        for (k, r) in self.map.iter_mut().filter(|(_, r)| !r.listed) {
+            if r.missing_since.is_none() {
+                r.missing_since = Some(now);
+                out.push(ReplicaChange::Missing(k));
+            }
+        }
+        out
+    }
+
     /// Records that the store was restored at `at`. For a while its listing may lack running
     /// replicas and contain ones that have gone.
     pub fn note_restore(&mut self, at: Tick) {
@@ -366,22 +392,14 @@
         for e in entries {
             listed.push(self.upsert(now, e, &mut out));
         }
-        let within = |t: Option<Tick>| t.is_some_and(|t| now.since(t) < EXPIRY_GRACE);
-        let grace = within(self.listed_since) || within(self.restored_at);
         let mut dead = Vec::new();
         for (k, r) in &mut self.map {
-            if listed.contains(&k) {
-                continue;
-            }
-            match r.missing_since {
-                None if !grace => {
-                    r.missing_since = Some(now);
-                    out.push(ReplicaChange::Missing(k));
-                }
-                Some(t) if now.since(t) > FORGET_AFTER => dead.push(k),
-                _ => {}
+            r.listed = listed.contains(&k);
+            if !r.listed && r.missing_since.is_some_and(|t| now.since(t) > FORGET_AFTER) {
+                dead.push(k);
             }
         }
+        out.extend(self.expire_unlisted(now));
         for k in dead {
             self.remove(k);
         }
--- a/crates/core/src/fleet/replicas/tests.rs
+++ b/crates/core/src/fleet/replicas/tests.rs
@@ -71,6 +71,26 @@
         r.sync(at(11_600), at(11_600), vec![entry("a", 1)], GAP);
         assert_eq!(usable_ids(&r), ["a"]);
     }
+    // Guards against a replica that is used for as long as the listing does not change after an outage:
+    // hosts that do not read it only learn that it is still the same.
+    the_grace_period_ends_without_a_new_listing: {
+        let mut r = two();
+        r.sync(at(9000), at(9000), vec![entry("a", 1)], GAP);
+        r.confirm_listing(at(10_000), GAP);
+        assert!(r.expire_unlisted(at(11_000)).is_empty());
+        r.confirm_listing(at(11_400), GAP);
+        assert!(matches!(r.expire_unlisted(at(11_600))[..], [ReplicaChange::Missing(_)]));
+        assert_eq!(usable_ids(&r), ["a"]);
+        assert!(r.expire_unlisted(at(12_000)).is_empty(), "once");
+    }
+    // Guards against a host that was frozen, takes that for an outage of the store, and goes on using
+    // a replica that has left meanwhile.
+    a_pause_is_no_outage_of_the_store: {
+        let mut r = two();
+        r.note_pause(Duration::from_secs(8));
+        r.sync(at(9000), at(9000), vec![entry("a", 1)], GAP);
+        assert_eq!(usable_ids(&r), ["a"]);
+    }
     // Guards against adapters and counters of an earlier start with the same id.
     another_start_under_one_id_is_new: {
         let mut r = two();
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -422,6 +422,7 @@
         let now = clock::now();
         if let Some(gap) = self.stalls.tick(now) {
             emit(&self.log, Event::Paused, &kv!("paused_ms" => gap.as_millis() as u64));
+            self.dispatcher.replicas.note_pause(gap);
             if gap >= LONG_PAUSE {
                 // Digests that waited during the pause make peers look alive that are not.
                 self.restart_ownerships(now + CONTEST_AFTER);
@@ -459,6 +460,7 @@
         self.quota.charge_silent(now);
         self.expire_losses(now);
         self.expire_origins(now);
+        self.expire_unlisted(now);
         self.assign_owners(now);
         self.client.sweep();
         self.publish(now);
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -432,8 +432,25 @@
         revision: u64,
     ) {
         self.note_versions(now, &entries);
-        for c in self.dispatcher.replicas.sync(now, sent_at, entries, STORE_OUTAGE) {
-            let (event, k) = match c {
+        let changes = self.dispatcher.replicas.sync(now, sent_at, entries, STORE_OUTAGE);
+        let read_ms = now.since(sent_at).as_millis() as u64;
+        self.log_changes(&changes, revision, read_ms);
+        self.assign_owners(now);
+    }
+
+    /// Stops using the replicas whose entries have not come back after an outage of the store.
+    pub(super) fn expire_unlisted(&mut self, now: Tick) {
+        let changes = self.dispatcher.replicas.expire_unlisted(now);
+        if !changes.is_empty() {
+            let age = self.store.listing.read_at().map_or(0, |t| now.since(t).as_millis() as u64);
+            self.log_changes(&changes, self.store.count, age);
+            self.assign_owners(now);
+        }
+    }
+
+    fn log_changes(&self, changes: &[ReplicaChange], revision: u64, read_ms: u64) {
+        for c in changes {
+            let (event, k) = match *c {
                 ReplicaChange::Joined(k) => (Event::ReplicaJoined, k),
                 ReplicaChange::Leaving(k) => (Event::UpstreamLeaving, k),
                 ReplicaChange::Missing(k) => (Event::ReplicaMissing, k),
@@ -443,12 +460,11 @@
                 let fields = kv!(
                     "replica" => r.id.as_str(), "service" => r.service.as_str(),
                     "address" => r.address.to_string(), "zone" => r.zone.as_str(),
-                    "revision" => revision, "read_ms" => now.since(sent_at).as_millis() as u64,
+                    "revision" => revision, "read_ms" => read_ms,
                 );
                 emit(&self.log, event, &fields);
             }
         }
-        self.assign_owners(now);
     }
 
     // Updates the age of the copies of the store from the hashes and ages that a peer reports.
