Read the size of adapters and keep to the memory of an engine

Cause: AdapterMb was not read. Only the number of adapters was compared, with the slots; the memory was compared with base models only.

Change: an engine holds as many adapters as there are slots and as fit beside its resident models. Loader, load requests and the choice of an engine use this limit.

--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -123,6 +123,29 @@
     pub name: ArcStr,
     /// Size of the weights in MB.
     pub weights_mb: f64,
+    /// Size of an adapter of it in MB; 0 if it is not known.
+    pub adapter_mb: f64,
+}
+
+impl EngineSpec {
+    /// Adapters that may be resident at once beside these base models: as many as there are slots, and
+    /// as fit into the rest of the memory.
+    pub fn adapter_limit<'a>(&self, residents: impl Iterator<Item = &'a str>) -> usize {
+        let slots = self.adapter_slots as usize;
+        let (mut free_mb, mut adapter_mb) = (self.capacity_mb, 0.0_f64);
+        for name in residents {
+            if let Some(m) = self.models.iter().find(|m| m.name == name) {
+                free_mb -= m.weights_mb;
+                adapter_mb = adapter_mb.max(m.adapter_mb);
+            }
+        }
+        if adapter_mb <= 0.0 {
+            return slots;
+        }
+        // The largest number of adapters that fill the memory exactly is not lost to rounding.
+        let fitting = (free_mb.max(0.0) / adapter_mb + 1e-9).floor();
+        slots.min(fitting as usize)
+    }
 }
 
 /// A client account.
--- a/crates/core/src/fleet/dispatch/cost.rs
+++ b/crates/core/src/fleet/dispatch/cost.rs
@@ -100,7 +100,8 @@
             }
             // An adapter in use cannot be evicted.
             let used = r.used_artifacts();
-            if !in_use && used >= spec.adapter_slots as usize {
+            let limit = spec.adapter_limit(r.residents.keys().map(|a| a.as_str()));
+            if limit == 0 || (!in_use && used >= limit) {
                 return None;
             }
             let warm = r.is_warm(&inference.artifact) && !outdated;
@@ -111,7 +112,7 @@
                 let affinity = hash_fraction(&[&inference.artifact, &r.id]) * engines as f64;
                 preference_ms = (affinity / PREFERRED_ENGINES).min(1.0) * AFFINITY_COST_MS;
                 preference_ms += if warm { WARM_LOAD_COST_MS } else { COLD_LOAD_COST_MS };
-                let taken = (used + 1) as f64 / f64::from(spec.adapter_slots);
+                let taken = (used + 1) as f64 / limit as f64;
                 preference_ms += taken * taken * LAST_SLOT_COST_MS;
             }
             load = Some(Resident {
--- a/crates/core/src/fleet/dispatch/tests.rs
+++ b/crates/core/src/fleet/dispatch/tests.rs
@@ -31,7 +31,7 @@
         kv_tokens: 200_000,
         adapter_slots: 2,
         capacity_mb: 1000.0,
-        models: vec![ModelSpec { name: "m".into(), weights_mb: 900.0 }],
+        models: vec![ModelSpec { name: "m".into(), weights_mb: 900.0, adapter_mb: 10.0 }],
     };
     let service = |name: &str, engine| Service {
         name: name.into(),
--- a/crates/core/src/fleet/loader.rs
+++ b/crates/core/src/fleet/loader.rs
@@ -260,7 +260,8 @@
         if transferring >= transfers && !counted {
             return None;
         }
-        if counted || taken < spec.adapter_slots as usize {
+        let limit = spec.adapter_limit(residents.iter().map(|r| r.artifact.as_str()));
+        if counted || taken < limit {
             self.queue.remove(index);
             return Some(Step { verb: Verb::Load, resident: request });
         }
--- a/crates/core/src/fleet/loader/tests.rs
+++ b/crates/core/src/fleet/loader/tests.rs
@@ -16,7 +16,7 @@
 }
 
 fn spec(slots: u32) -> EngineSpec {
-    let models = vec![ModelSpec { name: "m".into(), weights_mb: 900.0 }];
+    let models = vec![ModelSpec { name: "m".into(), weights_mb: 900.0, adapter_mb: 10.0 }];
     EngineSpec { slots: 64, kv_tokens: 1000, adapter_slots: slots, capacity_mb: 1000.0, models }
 }
 
@@ -81,6 +81,26 @@
         l.record_response(at(1005), &step, Some(OrderResponse::Done));
         assert_eq!(next(&mut l, 1006, 2, &[]).unwrap().verb, Verb::Load);
     }
+    // Pattern: adapters so large that the memory is full before the slots are. Guards against an order
+    // that the memory does not hold, which crashes the engine.
+    a_full_memory_makes_room_first: {
+        // 100 MB are left beside the model, and there are eight slots.
+        let large = |adapter_mb| {
+            let mut out = spec(8);
+            out.models[0].adapter_mb = adapter_mb;
+            out
+        };
+        let models = || ["m", "m/a1"].into_iter();
+        let limits = [0.0, 10.0, 12.5, 40.0, 50.0, 101.0].map(|mb| large(mb).adapter_limit(models()));
+        assert_eq!(limits, [8, 8, 8, 2, 2, 0]);
+        assert_eq!(spec(3).adapter_limit(models()), 3);
+        let mut l = loader(&[1, 2]);
+        request(&mut l, 1000, 3, 2, &[]);
+        let step = l.next_step(at(1000), &large(40.0), MAX_TRANSFERS, |_| false).unwrap();
+        assert_eq!(step.verb, Verb::Unload);
+        let step = l.next_step(at(1000), &large(30.0), MAX_TRANSFERS, |_| false).unwrap();
+        assert_eq!(step.verb, Verb::Load);
+    }
     // Guards against the eviction of an adapter in use, or of one that a peer may just have chosen.
     adapters_in_use_stay: {
         let mut l = loader(&[1, 2]);
--- a/crates/daemon/src/front/control/orders.rs
+++ b/crates/daemon/src/front/control/orders.rs
@@ -119,7 +119,9 @@
             return LoadStatus::Refused;
         };
         let in_use = |a: &str| dispatcher.in_use(k, a);
-        engine.loader.request_load(now, resident.clone(), spec.adapter_slots as usize, in_use)
+        let residents = engine.loader.residents();
+        let limit = spec.adapter_limit(residents.iter().map(|r| r.artifact.as_str()));
+        engine.loader.request_load(now, resident.clone(), limit, in_use)
     }
 
     /// Handles the load request of a peer.
