--- a/crates/daemon/src/edge/tests/streams.rs
+++ b/crates/daemon/src/edge/tests/streams.rs
@@ -1,10 +1,11 @@
 //! Tests of completions on engines whose answers are interrupted, duplicated, mixed up or late.
 
-use std::{net::TcpListener, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use awc::http::StatusCode;
 use futures::StreamExt;
 use serde_json::{Value, json};
+use tokio::net::TcpSocket;
 
 use super::fake::{FakeUpstream, Fault, KEY, TestEdge, completion, expected};
 use crate::control::messages::{NotRunReason, Outcome};
@@ -22,9 +23,21 @@
     (w, text)
 }
 
-/// Returns an address that refuses connections.
-fn closed() -> std::net::SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Address that refuses connections. The socket keeps its port from other tests and does not listen.
+struct Closed {
+    socket: TcpSocket,
+}
+
+impl Closed {
+    fn new() -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        Self { socket }
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.socket.local_addr().unwrap()
+    }
 }
 
 cases! {
@@ -196,7 +209,8 @@
     // Guards against a wrong `unknown`, which keeps callers from retrying.
     no_connection_is_not_run: {
         let up = FakeUpstream::start(0);
-        let w = TestEdge::with(up, vec![closed()], 1000);
+        let closed = Closed::new();
+        let w = TestEdge::with(up, vec![closed.addr()], 1000);
         let a = w.post("/v1/completions", &completion(6, true)).await;
         assert_eq!(a.error(), (503, "no_upstream".into(), "not_run".into()));
         assert_eq!(w.outcomes(1).await, [Outcome::NotRun(NotRunReason::ConnectFailed)]);
@@ -217,7 +231,8 @@
     // run.
     one_uncertain_attempt_makes_the_request_unknown: {
         let up = FakeUpstream::start(0);
-        let addrs = vec![up.addr, closed(), closed()];
+        let closed = [Closed::new(), Closed::new()];
+        let addrs = vec![up.addr, closed[0].addr(), closed[1].addr()];
         let w = TestEdge::with(up, addrs, 1000);
         w.faults(&[Fault::Hangup]);
         let a = w.post("/v1/completions", &completion(6, true)).await;
