--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -24,6 +24,8 @@
 pub mod peers;
 pub mod quarantine;
 pub mod quota;
+#[cfg(test)]
+mod random;
 pub mod replicas;
 pub mod report;
 pub mod request;
--- a/crates/core/src/fleet/loader/tests/network.rs
+++ b/crates/core/src/fleet/loader/tests/network.rs
@@ -10,6 +10,7 @@
     load_time::MAX_TRANSFERS,
     loader::Step,
     order::{OrderResponse, Verb},
+    random::Random,
     report::{Report, Resident},
 };
 
@@ -24,16 +25,6 @@
 /// Time after which all adapters have a newer version, in ms.
 const VERSION_MS: u64 = 5000;
 
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, n: u64) -> u64 {
-        self.0 =
-            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % n
-    }
-}
-
 #[derive(Default)]
 struct Engine {
     count: u64,
--- a/crates/core/src/fleet/order/tests/model.rs
+++ b/crates/core/src/fleet/order/tests/model.rs
@@ -10,6 +10,7 @@
     digest::{Digest, HostState, ReplicaFence},
     order::{Claim, Ownership},
     peers::{CONTEST_AFTER, ORDER_WINDOW, Owner, Peers},
+    random::Random,
     survivor::Survivor,
 };
 
@@ -28,20 +29,6 @@
 const REPLICA: &str = "r";
 const REPLICA_HASH: u32 = 7;
 
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, n: u64) -> u64 {
-        self.0 =
-            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % n
-    }
-
-    fn chance(&mut self, per_mille: u64) -> bool {
-        self.below(1000) < per_mille
-    }
-}
-
 struct Host {
     peers: Peers,
     own: Ownership,
