Give the listing of adapter versions a slice of its own

The reader of the store had grown by a third thing that it reads. State, messages and bounds of the versions stand together now.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Decisions of one host about the fleet: which replica serves a request, what an engine loads, how
 //! much an account may use. Hosts discover each other from seeds and replicas from the store's
-//! entries; no decision needs a majority of hosts.
+//! entries. Serving needs no majority of hosts; without one a host leaves orders to engines to the
+//! hosts that it cannot reach, until it sees that it is alone.
 
 #![cfg_attr(
     not(test),
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -1,6 +1,7 @@
 //! Control actor of a host in platform mode: it owns all state that decisions depend on (peers,
 //! quotas, replicas, engine ownership) and runs on one thread.
 
+mod adapters;
 mod admit;
 mod limits;
 mod loads;
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -8,7 +8,7 @@
 use yuccawing_core::{
     fleet::{
         catalog::Catalog,
-        config::{FleetConfig, NewestVersion, ReplicaEntry},
+        config::{FleetConfig, ReplicaEntry},
         digest::{Digest, ListingDelta, Message as PeerMessage},
         freshness::{Freshness, READS_PER_BOUND, SnapshotMark},
         hash,
@@ -17,13 +17,12 @@
         order::Claim,
         peers::PeerChange,
         replicas::{ReplicaChange, ReplicaKey},
-        versions::VersionReport,
     },
     time::Tick,
 };
 use yuccawing_platform::store::{self as wire, Content, Item};
 
-use super::{Control, STORE_OUTAGE};
+use super::{Control, STORE_OUTAGE, adapters::VersionListing};
 use crate::{
     events::{Event, emit},
     front::{
@@ -32,14 +31,6 @@
     },
 };
 
-/// Interval at which the versions of adapters are listed if the operators' items fill more than one
-/// page. A listing at the design size takes about a third of a second, and a change is to
-/// be known within 5 s.
-const VERSIONS_POLL: Duration = Duration::from_millis(1500);
-
-/// Shortest time between two reports of the versions.
-const VERSION_REPORT_INTERVAL: Duration = Duration::from_millis(1000);
-
 /// Largest rank of a reader that announces its reads to all hosts. If that many in a row cannot reach
 /// the store, the others read it themselves.
 const MAX_ANNOUNCING_RANK: usize = 4;
@@ -64,18 +55,10 @@
 pub(super) struct StoreState {
     pub(super) operator: Freshness,
     pub(super) listing: Freshness,
-    // The versions of adapters have an age of their own: listing them may take long or fail, which
-    // must not hold up the configuration.
-    versions: Freshness,
+    pub(super) versions: VersionListing,
     list: ReplicaList,
     operator_outage: OutageLog,
     listing_outage: OutageLog,
-    versions_outage: OutageLog,
-    // Whether the operators' items fill more than one page, so that the configuration is read by itself.
-    versions_apart: bool,
-    // Key after which the next listing of the versions goes on after a failed one.
-    versions_after: Option<String>,
-    versions_reported: Option<Tick>,
     // Where the configuration in force was last listed.
     config_at: Position,
     pub(super) history: History,
@@ -89,14 +72,10 @@
         Self {
             operator: Freshness::default(),
             listing: Freshness::default(),
-            versions: Freshness::default(),
+            versions: VersionListing::default(),
             list: ReplicaList::default(),
             operator_outage: OutageLog::new("operator"),
             listing_outage: OutageLog::new("replicas"),
-            versions_outage: OutageLog::new("versions"),
-            versions_apart: false,
-            versions_after: None,
-            versions_reported: None,
             config_at: Position::default(),
             history: History::new(now),
             count: 0,
@@ -121,7 +100,7 @@
             freshness.start_read(now);
             let unannounced = !freshness.is_behind();
             let (client, address) = (self.client.clone(), self.settings.store);
-            let apart = self.store.versions_apart;
+            let apart = self.store.versions.apart;
             let operator = if apart { wire::CONFIG_KEY } else { wire::OPERATOR_PREFIX };
             let read = async move {
                 match prefix {
@@ -141,80 +120,6 @@
         self.read_versions(now, rank, ctx);
     }
 
-    // Lists the versions of adapters if the page with the configuration does not show them all.
-    fn read_versions(&mut self, now: Tick, rank: usize, ctx: &mut Context<Self>) {
-        if self.store.operator.read_at().is_none()
-            || !self.store.versions.read_due(now, rank, VERSIONS_POLL)
-        {
-            return;
-        }
-        self.store.versions.start_read(now);
-        let after = self.store.versions_after.take();
-        let whole = after.is_none();
-        let (client, address) = (self.client.clone(), self.settings.store);
-        let read = store::read_from(client, address, wire::VERSION_PREFIX, after);
-        ctx.spawn(read.into_actor(self).map(move |(listing, error), act, _| {
-            act.finish_versions(now, listing, error, whole);
-        }));
-    }
-
-    // Applies a listing of the versions, also one that has failed halfway: versions only rise. The next
-    // one then goes on where it ended, and only after that all are listed anew.
-    fn finish_versions(
-        &mut self,
-        sent_at: Tick,
-        listing: Listing,
-        error: Option<store::Error>,
-        whole: bool,
-    ) {
-        let now = clock::now();
-        let last = listing.items.last().map(|i| i.key.clone());
-        let position = listing.position;
-        let read = error.map_or(Ok(position), Err);
-        self.store.versions_outage.record(&self.log, sent_at, read.as_ref().copied());
-        let current = listing.items.is_empty() || self.observe_era(now, sent_at, position);
-        if current {
-            self.apply_operator(now, sent_at, listing.items, position);
-        }
-        match read {
-            Ok(_) if current && whole => self.note_versions_read(now, sent_at),
-            Ok(_) => self.store.versions.fail_read(),
-            Err(_) => {
-                self.store.versions_after = last.filter(|_| current);
-                self.store.versions.fail_read();
-            }
-        }
-    }
-
-    // Records that all versions were listed, and tells the peers.
-    fn note_versions_read(&mut self, now: Tick, sent_at: Tick) {
-        self.store.versions.finish_read(sent_at, self.dispatcher.versions.hash());
-        let reported = self.store.versions_reported;
-        if reported.is_none_or(|t| now.since(t) >= VERSION_REPORT_INTERVAL) {
-            self.store.versions_reported = Some(now);
-            let report = self.dispatcher.versions.report(now, now.since(sent_at));
-            self.broadcast(&PeerMessage::Versions(report));
-        }
-    }
-
-    /// Applies the versions that a peer has listed. Its age is wrong if it waited while this host was
-    /// paused.
-    pub(super) fn handle_versions(&mut self, now: Tick, r: VersionReport) {
-        self.raise_versions(now, r.changes);
-        if self.stalls.is_current(now) {
-            let hash = self.dispatcher.versions.hash();
-            self.store.versions.set_copy(hash);
-            self.store.versions.observe(now, r.mark);
-        }
-    }
-
-    fn raise_versions(&mut self, now: Tick, versions: Vec<NewestVersion>) {
-        for v in self.dispatcher.versions.raise(now, versions) {
-            let fields = kv!("adapter" => v.artifact.as_str(), "version" => v.version);
-            emit(&self.log, Event::VersionRaised, &fields);
-        }
-    }
-
     // `unannounced` tells that no digest had announced a newer listing when this read began;
     // otherwise the peer that read it sends the change.
     fn finish_read(
@@ -244,7 +149,7 @@
                 let config = items.iter().filter(|i| i.is_config());
                 let texts = config.map(|i| format!("{}@{}.{}", i.key, position.era, i.revision));
                 let listed = hash_all(texts);
-                self.store.versions_apart |= more;
+                self.store.versions.apart |= more;
                 self.apply_operator(now, sent_at, items, position);
                 // A restored store may list an older version than the one in force. Hosts that have
                 // read the same items are up to date alike only with the same version in force.
@@ -258,7 +163,7 @@
                     let paced = history.is_introduced(now);
                     self.store.operator.finish_unproved(sent_at, hash, paced);
                 }
-                if !self.store.versions_apart {
+                if !self.store.versions.apart {
                     self.note_versions_read(now, sent_at);
                 }
                 self.publish(now);
@@ -298,7 +203,7 @@
 
     // Records the era of a read. Returns false if the store has been restored since, so that the
     // read is outdated.
-    fn observe_era(&mut self, now: Tick, sent_at: Tick, position: Position) -> bool {
+    pub(super) fn observe_era(&mut self, now: Tick, sent_at: Tick, position: Position) -> bool {
         let change = self.store.history.observe(now, position.era);
         self.note_era(change);
         if let (EraChange::Restored(_), Some(report)) = (change, self.era_report(now)) {
@@ -374,7 +279,13 @@
         content.ok()
     }
 
-    fn apply_operator(&mut self, now: Tick, sent_at: Tick, items: Vec<Item>, read: Position) {
+    pub(super) fn apply_operator(
+        &mut self,
+        now: Tick,
+        sent_at: Tick,
+        items: Vec<Item>,
+        read: Position,
+    ) {
         let mut versions = Vec::new();
         for item in items {
             let position = Position { revision: item.revision, ..read };
