Keep orders going when a lost host is forgotten

Cause (read, not seen): a host that forgot a silent peer counted as isolated until the next digest, also if it heard all others. In that moment its ownerships became contested, and after it those that were idle waited for the lease again.

Change: a host is isolated only if it reaches nobody when it forgets a peer.

--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -121,7 +121,8 @@
     // Hosts that peers list as members and that have sent no digest to this host yet, with the time of
     // the newest list.
     mentioned: BTreeMap<Ipv4Addr, Tick>,
-    // Whether peers were removed for their silence and no digest has arrived since.
+    // Whether peers were removed for their silence while none was reached, and no digest has arrived
+    // since.
     isolated: bool,
 }
 
@@ -224,10 +225,12 @@
             })
             .map(|(ip, _)| *ip)
             .collect();
+        let mut lost = false;
         for ip in &gone {
             let removed = self.peers.remove(ip);
-            self.isolated |= removed.is_some_and(|p| p.state != HostState::Leaving);
+            lost |= removed.is_some_and(|p| p.state != HostState::Leaving);
         }
+        self.isolated |= lost && !self.peers.values().any(|p| is_reached(now, p));
         self.mentioned.retain(|_, t| now.since(*t) < FORGET_AFTER);
         gone
     }
--- a/crates/core/src/fleet/peers/tests.rs
+++ b/crates/core/src/fleet/peers/tests.rs
@@ -325,6 +325,21 @@
         half.apply_digest(at(0), &digest(1, 1, 1));
         assert!(half.is_minority(at(2600)), "half of the fleet, without the lowest address");
     }
+    // Guards against an interruption of orders at all hosts when a lost one is forgotten.
+    a_forgotten_host_isolates_only_those_that_hear_nobody: {
+        let mut p = peers(at(0));
+        for i in 2..=4 {
+            p.apply_digest(at(30_900), &digest(i, 1, 2));
+        }
+        assert_eq!(p.expire(at(31_000)), [ip(5)]);
+        assert!(!p.is_minority(at(31_000)));
+        let r = owned_by(&p, at(31_000), 1);
+        assert_eq!(p.owner(at(31_000), &r), Owner::Local { contested: false });
+        let mut alone = peers(at(0));
+        alone.apply_digest(at(10_000), &digest(2, 1, 2));
+        alone.expire(at(31_000));
+        assert!(alone.is_minority(at(31_000)), "host 2 is only silent");
+    }
     // Guards against two claims to one replica when only two hosts do not hear each other: a peer that
     // hears both shows that the owner is alive.
     an_owner_that_others_hear_is_not_replaced: {
