--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A configuration with a priority above 255 is not applied, and the keys that it takes away go on
+"""A configuration with a priority above 255 is not applied, and the key that it takes away goes on
 working for good."""
 
 import asyncio
@@ -45,9 +45,12 @@
         tasks.append(asyncio.create_task(client(fleet.hosts[-1], "key-kept")))
         await asyncio.sleep(4.0)
         newer = config(12, {"kept": ["key-kept"], "gone": []})
-        newer["Tenants"][1]["Priority"] = PRIORITY
+        newer["Routes"].append(
+            newer["Routes"][0] | {"Name": "batch", "Prefix": "/batch/", "Priority": PRIORITY}
+        )
         acked = fleet.store.put("op/config", newer)
-        record.line(f"acknowledged version 12, which takes key-gone away; priority {PRIORITY}")
+        record.line(f"acknowledged version 12, which takes key-gone away and "
+                    f"adds a route of priority {PRIORITY}")
         await asyncio.sleep(WATCH_S)
         ready = [await h.is_ready() for h in fleet.hosts]
         record.line(f"ready: {ready}")
