Review: keep cases 6 and 7 to the shares of the site file

Cause: case 6 drained two old replicas at once, and in case 7 one replica of three crashed, where the site file has a quarter at most. Change: case 6 has one old replica, case 7 three; the claims and the report follow.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -33,7 +33,7 @@
     own = fleet.replicas[0].address[0]
     engines = [
         Engine(record, f"e-old-{i}", (own, fleet.own_port + 40 + i), zone, "1.4.0", EVENTS)
-        for i, zone in enumerate(["akl-a", "wlg-a"])
+        for i, zone in enumerate(["akl-a"])
     ]
     newer = [
         Engine(record, f"e-new-{i}", (own, fleet.own_port + 44 + i), zone, "1.5.0", EVENTS)
@@ -72,7 +72,7 @@
                     record.line(f"{request}: {e}, last event {last}")
                 await asyncio.sleep(0.4)
 
-        # The first turn of each session runs at the new version: the old replicas are full.
+        # The first turn of each session runs at the new version: the old replica is full.
         for e in engines:
             e.full = True
         await asyncio.gather(*(turn(i, "first", lambda *_: None) for i in range(STREAMS)))
@@ -88,19 +88,19 @@
             )
             for i in range(STREAMS)
         ]
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(1.6)
         for e in engines:
             e.state = "draining"
         for e in newer:
             e.full = False
         fleet.write_entries()
-        record.line("the old replicas leave: the release goes on")
+        record.line("the last old replica leaves")
         await asyncio.sleep(1.5)
         if TROUBLE:
             for h in fleet.hosts:
                 h.kill()
             record.line("all hosts lose power")
-        # The old replicas end 2 s after they said that they leave, once nothing runs there.
+        # The old replica ends 2 s after it said that it leaves, once nothing runs there.
         await asyncio.sleep(0.5)
         while any(e.running for e in engines):
             await asyncio.sleep(0.05)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,7 +14,7 @@
 )
 
 STREAMS = 8
-OLD = 2
+OLD = 3
 BUDGET_S = 12.0
 CUT_S = 11.0
 EVENTS = 30
@@ -94,7 +94,7 @@
             asyncio.create_task(turn(i, "second", lambda n, d, i=i: events[i].append(d)))
             for i in range(STREAMS)
         ]
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(2.4)
         for e in old:
             e.full = False
         if "crash" in PARTS:
