Let a kept prompt block prove a stream's version only if no engine is missing

Cause: if no host remembers a stream, the engines are asked which of them keep the last block of its prompt. That block may have been read for an earlier turn of the same session, and the engine that began the stream, which had ended, counted as one that keeps nothing.

Change: hosts record which processes were listed and when (served), and extend the record after a start by the store's history, whose age is the longest chain of renewals. An engine of another version that may have begun the stream and has ended, or does not answer, makes the origin unknown: refused at once. An engine of the same version that does not answer no longer hides it. The search waits for a listing that was read after the take-up, and compares the start of the process that answers.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -30,6 +30,7 @@
 pub mod replicas;
 pub mod report;
 pub mod request;
+pub mod served;
 pub mod survivor;
 pub mod versions;
 
--- a/crates/core/src/fleet/freshness.rs
+++ b/crates/core/src/fleet/freshness.rs
@@ -97,6 +97,8 @@
     paced: bool,
     // Whether the last read did not prove that its copy is current.
     unproved: bool,
+    // Whether a decision waits for the next read.
+    wanted: bool,
 }
 
 impl Freshness {
@@ -144,7 +146,12 @@
             n => (BACKUP_AGE + BACKUP_STEP * (n - 1) as f64).min(MAX_AGE),
         };
         let old = self.read_at.is_none_or(|t| now.since(t) >= poll.mul_f64(turn));
-        old || self.stale_since.is_some_and(|t| now.since(t) >= DELTA_GRACE)
+        old || self.wanted || self.stale_since.is_some_and(|t| now.since(t) >= DELTA_GRACE)
+    }
+
+    /// Makes the next read due, since a decision waits for a read that is younger than its request.
+    pub fn want_read(&mut self) {
+        self.wanted = true;
     }
 
     /// Whether a peer has a newer copy that this host has not received yet.
@@ -167,7 +174,7 @@
 
     /// Records the start of a read.
     pub fn start_read(&mut self, now: Tick) {
-        (self.read_started, self.reading) = (Some(now), true);
+        (self.read_started, self.reading, self.wanted) = (Some(now), true, false);
     }
 
     /// Whether a read that was sent at `sent_at` and returned `hash` is outdated, because a later
--- a/crates/core/src/fleet/freshness/tests.rs
+++ b/crates/core/src/fleet/freshness/tests.rs
@@ -55,6 +55,17 @@
         assert!(!f.read_due(at(450), 0, POLL));
         assert!(f.read_due(at(500), 0, POLL));
     }
+    // Guards against a decision that waits for a read for a whole interval, and against reads at
+    // every tick while several wait.
+    a_wanted_read_is_due_once: {
+        let mut f = copy(0, 5);
+        f.want_read();
+        assert!(!f.read_due(at(50), 3, POLL));
+        assert!(f.read_due(at(150), 3, POLL));
+        f.start_read(at(150));
+        f.finish_read(at(150), 5);
+        assert!(!f.read_due(at(300), 3, POLL));
+    }
     // Guards against an age that is lower than that of the read.
     the_age_counts_from_the_read: {
         let mut f = copy(0, 5);
--- a/crates/core/src/fleet/origin.rs
+++ b/crates/core/src/fleet/origin.rs
@@ -7,12 +7,16 @@
 //! if one version alone has been in service for as long as any stream may last, up to a read of the
 //! listing that is younger than the request: what one host lists says nothing about a stream that
 //! another one has begun since.
+//!
+//! If hosts have forgotten it, engines tell which of them keep the last block of its prompt. The
+//! block may have been read for another request of the same session, so it proves where the stream
+//! began only if no engine of another version that may have begun it is missing from the answers.
 
 #[cfg(test)]
 mod tests;
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -37,6 +41,9 @@
 /// through hosts that have not read the listing since.
 pub const UNLISTED_SERVICE: Duration = Duration::from_secs(15);
 
+/// Longest time for which a caller may take up a stream, whatever time it says that it waits.
+pub const MAX_STREAM_AGE: Duration = Duration::from_secs(120);
+
 /// Service and software version at which a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
@@ -121,44 +128,78 @@
     }
 }
 
-/// Software versions that the store has listed, by service.
+/// Times for which the callers of each route wait.
 #[derive(Debug, Default)]
-pub struct SoftwareVersions {
-    // Since when each listing has followed the one before without a gap.
-    since: Option<Tick>,
-    last: Option<Tick>,
-    listed: Vec<Origin>,
-    seen: HashMap<ArcStr, BTreeMap<ArcStr, Tick>>,
+pub struct CallerBudgets {
+    // Longest time that a caller of the route has stated.
+    longest: HashMap<ArcStr, Duration>,
 }
 
-impl SoftwareVersions {
-    /// Applies a listing. After more than `gap` without one, versions may have come and gone unseen.
-    pub fn observe(&mut self, now: Tick, listed: Vec<Origin>, gap: Duration) {
-        self.listed = listed;
-        self.confirm(now, gap);
+impl CallerBudgets {
+    /// Records that a caller of `route` waits for `budget` from its first attempt.
+    pub fn note(&mut self, route: &ArcStr, budget: Duration) {
+        match self.longest.get_mut(route) {
+            Some(longest) => *longest = budget.max(*longest),
+            None => {
+                self.longest.insert(route.clone(), budget);
+            }
+        }
     }
 
-    /// Records that the last listing is still current.
-    pub fn confirm(&mut self, now: Tick, gap: Duration) {
-        if self.last.is_none_or(|t| now.since(t) > gap) {
-            self.since = Some(now);
-        }
-        self.last = Some(now);
-        for o in &self.listed {
-            let versions = self.seen.entry(o.service.clone()).or_default();
-            versions.insert(o.software.clone(), now);
-        }
+    /// Forgets the routes that are not in force any more.
+    pub fn retain(&mut self, is_route: impl Fn(&str) -> bool) {
+        self.longest.retain(|route, _| is_route(route));
     }
 
-    /// The only version of a service within the last `span`, if there was one alone and all listings
-    /// of that time are known.
-    pub fn only(&self, now: Tick, service: &str, span: Duration) -> Option<&ArcStr> {
-        if self.since.is_none_or(|t| now.since(t) < span) {
-            return None;
+    /// Longest time since the begin of a stream whose caller waits for `left` from now on, on a route
+    /// with this timeout.
+    pub fn longest_age(&self, route: &str, timeout: Duration, left: Duration) -> Duration {
+        let known = self.longest.get(route).copied().unwrap_or_default().max(timeout);
+        // The stream has taken some time, so a caller with as much time left has had more of it.
+        if left < known { known - left } else { MAX_STREAM_AGE }
+    }
+}
+
+/// What is known of one engine and the prompt block of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BlockState {
+    /// The engine keeps the block.
+    Kept,
+    /// It does not keep it.
+    Absent,
+    /// It has ended or does not say.
+    Unknown,
+}
+
+/// Why it is unknown where a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unproved {
+    /// No engine keeps the block.
+    NoEngine,
+    /// Engines of several versions keep it.
+    SeveralVersions,
+    /// An engine of another version may have begun the stream, and it is unknown what it kept.
+    EngineUnread,
+}
+
+/// The software version that began a stream, from what the engines that may have begun it keep of its
+/// prompt.
+///
+/// # Errors
+///
+/// Returns an error if several versions may have begun it.
+pub fn infer_software<'a>(
+    engines: impl Iterator<Item = (&'a ArcStr, BlockState)> + Clone,
+) -> Result<&'a ArcStr, Unproved> {
+    let versions = |state| engines.clone().filter(move |(_, s)| *s == state).map(|(v, _)| v);
+    let holders: BTreeSet<_> = versions(BlockState::Kept).collect();
+    let mut holders = holders.into_iter();
+    match (holders.next(), holders.next()) {
+        (None, _) => Err(Unproved::NoEngine),
+        (Some(_), Some(_)) => Err(Unproved::SeveralVersions),
+        (Some(v), None) if versions(BlockState::Unknown).any(|u| u != v) => {
+            Err(Unproved::EngineUnread)
         }
-        let mut recent =
-            self.seen.get(service)?.iter().filter(|(_, t)| now.since(**t) <= span).map(|(v, _)| v);
-        let first = recent.next()?;
-        recent.next().is_none().then_some(first)
+        (Some(v), None) => Ok(v),
     }
 }
--- a/crates/core/src/fleet/origin/tests.rs
+++ b/crates/core/src/fleet/origin/tests.rs
@@ -1,10 +1,13 @@
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
-use super::{BegunStream, MAX_ORIGINS, Origin, Origins, SoftwareVersions, stream_key};
-use crate::time::Tick;
+use arcstr::ArcStr;
+use proptest::prelude::*;
 
-const SPAN: Duration = Duration::from_secs(16);
-const GAP: Duration = Duration::from_secs(2);
+use super::{
+    BegunStream, BlockState, CallerBudgets, MAX_ORIGINS, MAX_STREAM_AGE, Origin, Origins, Unproved,
+    infer_software, stream_key,
+};
+use crate::time::Tick;
 
 fn at(ms: u64) -> Tick {
     Tick(1_000_000_000 + ms * 1000)
@@ -18,13 +21,6 @@
     BegunStream { key, lifetime_ms, origin: origin("v1") }
 }
 
-// Versions that were listed each second from `from_s` to `to_s`.
-fn listed(v: &mut SoftwareVersions, from_s: u64, to_s: u64, versions: &[&str]) {
-    for s in from_s..=to_s {
-        v.observe(at(s * 1000), versions.iter().map(|x| origin(x)).collect(), GAP);
-    }
-}
-
 macro_rules! cases {
     ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
 }
@@ -66,32 +62,107 @@
         assert_ne!(key, stream_key(None, "/a/1", "id"));
         assert_ne!(key, stream_key(Some("one"), "/a/2", "id"));
     }
-    // Guards against a host that has just started and takes the version that it lists for the only
-    // one of the last seconds.
-    one_listing_proves_nothing: {
-        let mut v = SoftwareVersions::default();
-        listed(&mut v, 0, 15, &["v1"]);
-        assert_eq!(v.only(at(15_000), "s", SPAN), None);
-        listed(&mut v, 16, 16, &["v1"]);
-        assert_eq!(v.only(at(16_000), "s", SPAN).map(|x| x.as_str()), Some("v1"));
-        assert_eq!(v.only(at(16_000), "other", SPAN), None);
+    // Pattern: a release, and sessions whose turns share the last block of their prompts. Guards
+    // against a stream that goes on at the version of an earlier turn because the engine that began it
+    // has ended.
+    an_ended_engine_of_another_version_may_have_begun_it: {
+        let (v1, v2) = (ArcStr::from("v1"), ArcStr::from("v2"));
+        let of = |states: &[(&'static str, BlockState)]| {
+            let engines = states.iter().map(|(v, s)| (if *v == "v1" { &v1 } else { &v2 }, *s));
+            infer_software(engines).cloned()
+        };
+        use BlockState::{Absent, Kept, Unknown};
+        assert_eq!(of(&[("v2", Kept), ("v1", Unknown)]), Err(Unproved::EngineUnread));
+        assert_eq!(of(&[("v2", Kept), ("v1", Absent), ("v2", Unknown)]), Ok(v2.clone()));
+        assert_eq!(of(&[("v2", Kept), ("v1", Kept)]), Err(Unproved::SeveralVersions));
+        assert_eq!(of(&[("v2", Absent), ("v1", Unknown)]), Err(Unproved::NoEngine));
     }
-    // Guards against a version that has left and whose streams may still be taken up.
-    a_version_that_left_counts_for_a_while: {
-        let mut v = SoftwareVersions::default();
-        listed(&mut v, 0, 20, &["v1", "v2"]);
-        listed(&mut v, 21, 36, &["v2"]);
-        assert_eq!(v.only(at(36_000), "s", SPAN), None);
-        listed(&mut v, 37, 37, &["v2"]);
-        assert_eq!(v.only(at(37_000), "s", SPAN).map(|x| x.as_str()), Some("v2"));
+    // Guards against a window that is too short for the stream of a caller that waits for longer than
+    // the timeout of its route, and against one that covers the longest of all routes.
+    the_age_of_a_stream_follows_from_the_time_left: {
+        let (route, s) = (ArcStr::from("r"), Duration::from_secs);
+        let mut b = CallerBudgets::default();
+        assert_eq!(b.longest_age("r", s(6), s(2)), s(4));
+        b.note(&route, s(12));
+        b.note(&route, s(6));
+        assert_eq!(b.longest_age("r", s(6), s(2)), s(10));
+        assert_eq!(b.longest_age("other", s(6), s(2)), s(4));
+        // Nothing tells how long this caller has waited.
+        assert_eq!(b.longest_age("r", s(6), s(12)), MAX_STREAM_AGE);
+        b.retain(|name| name != "r");
+        assert_eq!(b.longest_age("r", s(6), s(2)), s(4));
     }
-    // Guards against versions that come and go while the store cannot be read.
-    a_gap_starts_the_time_again: {
-        let mut v = SoftwareVersions::default();
-        listed(&mut v, 0, 20, &["v1"]);
-        listed(&mut v, 24, 30, &["v1"]);
-        assert_eq!(v.only(at(30_000), "s", SPAN), None);
-        listed(&mut v, 31, 40, &["v1"]);
-        assert!(v.only(at(40_000), "s", SPAN).is_some());
+}
+
+// One step of a service with engines of two versions.
+#[derive(Clone, Debug)]
+enum Step {
+    // A turn of a session runs at an engine.
+    Turn { session: u8, engine: usize },
+    // An engine ends, or starts again without anything kept.
+    End(usize),
+    Restart(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0_u8..3, 0_usize..4).prop_map(|(session, engine)| Step::Turn { session, engine }),
+        1 => (0_usize..4).prop_map(Step::End),
+        1 => (0_usize..4).prop_map(Step::Restart),
+    ];
+    proptest::collection::vec(step, 1..24)
+}
+
+proptest! {
+    // Pattern: engines of two versions end and start again while sessions of several turns run, and no
+    // host remembers where a stream began. Guards against a stream that goes on at a version which
+    // did not begin it, and against refusals although all engines that served still answer.
+    #[test]
+    fn the_inferred_version_began_the_stream(steps in steps()) {
+        let versions = [ArcStr::from("v1"), ArcStr::from("v2")];
+        // Each process of each engine: whether it runs, and the sessions whose block it keeps.
+        let mut processes: Vec<Vec<(bool, Vec<u8>)>> = vec![vec![(true, Vec::new())]; 4];
+        let mut begun: HashMap<u8, usize> = HashMap::new();
+        let mut has_ended = false;
+        for step in steps {
+            match step {
+                Step::Turn { session, engine } => {
+                    let Some((true, kept)) = processes[engine].last_mut() else { continue };
+                    kept.push(session);
+                    begun.insert(session, engine % 2);
+                }
+                Step::End(engine) => {
+                    if let Some((runs, _)) = processes[engine].last_mut() {
+                        *runs = false;
+                    }
+                    has_ended = true;
+                }
+                Step::Restart(engine) => {
+                    if let Some((runs, _)) = processes[engine].last_mut() {
+                        *runs = false;
+                    }
+                    processes[engine].push((true, Vec::new()));
+                    has_ended = true;
+                }
+            }
+        }
+        for (session, version) in begun {
+            let states: Vec<_> = processes
+                .iter()
+                .enumerate()
+                .flat_map(|(i, lives)| lives.iter().map(move |life| (i % 2, life)))
+                .map(|(v, (runs, kept))| match (runs, kept.contains(&session)) {
+                    (false, _) => (&versions[v], BlockState::Unknown),
+                    (true, true) => (&versions[v], BlockState::Kept),
+                    (true, false) => (&versions[v], BlockState::Absent),
+                })
+                .collect();
+            let holders = states.iter().filter(|(_, s)| *s == BlockState::Kept);
+            let mixed = holders.clone().any(|(v, _)| **v != versions[version]);
+            match infer_software(states.iter().copied()) {
+                Ok(v) => prop_assert_eq!(v, &versions[version]),
+                Err(_) => prop_assert!(has_ended || mixed),
+            }
+        }
     }
 }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -95,6 +95,8 @@
     319 PauseInvalid Warning "A refusal asks for a pause that is no number of at least 0; nothing changes.";
     320 StreamTakenUp Info "A caller takes up a stream; without a known origin it is refused.";
     321 BlocksUnread Warning "An engine did not say which prompt blocks it keeps.";
+    322 HistoryRead Info "The store's history was read to find the replicas that have ended.";
+    323 HistoryUnread Warning "The store's history could not be read; streams that no host knows are refused.";
     400 LeaseAdmitted Info "The host holds the lease of its ordinal.";
     401 LeaseLost Warning "The host's lease expired without a renewal.";
     402 LeaseReplaced Warning "Another process holds the ordinal; this one applies again with a new identity.";
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -8,6 +8,7 @@
 mod losses;
 mod orders;
 mod origins;
+mod search;
 pub mod signals;
 mod sync;
 
--- a/crates/daemon/src/front/control/origins.rs
+++ b/crates/daemon/src/front/control/origins.rs
@@ -3,38 +3,28 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    io::ErrorKind,
     net::{Ipv4Addr, SocketAddr},
     time::Duration,
 };
 
-use actix::{ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
+use actix::{Handler, Message};
 use arcstr::ArcStr;
-use bytes::Bytes;
-use futures::future::join_all;
-use http_body_util::Full;
-use hyper::Request;
 use slog::kv;
 use tokio::sync::oneshot;
 use yuccawing_core::{
     fleet::{
         config::{FleetConfig, ReplicaEntry, RouteKind},
         digest::Message as PeerMessage,
-        origin::{
-            ASKED, BegunStream, KEEPERS, Origin, Origins, SoftwareVersions, UNLISTED_SERVICE,
-        },
+        origin::{ASKED, BegunStream, CallerBudgets, KEEPERS, Origin, Origins, UNLISTED_SERVICE},
+        served::{Process, ServedProcesses},
     },
     time::Tick,
 };
-use yuccawing_platform::replica as wire;
 
-use super::{Control, STORE_OUTAGE};
+use super::{Control, STORE_OUTAGE, search::Search};
 use crate::{
     events::{Event, emit},
-    front::{
-        client::{CallError, Client},
-        clock,
-    },
+    front::clock,
 };
 
 /// Streams in one message, so that it fits into a datagram.
@@ -47,28 +37,26 @@
 const QUERY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Largest number of take-ups that wait for peers. Further ones count as unknown.
-const MAX_QUERIES: usize = 1024;
-
-/// Largest number of engines that are asked which blocks they keep.
-const MAX_SEARCHED: usize = 128;
-
-/// Timeout of that question, which does not wait for a slot of the engine.
-const SEARCH_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Largest response to it, in bytes: some ten thousand blocks.
-const MAX_KEPT_BYTES: usize = 1024 * 1024;
+pub(super) const MAX_QUERIES: usize = 1024;
 
 /// Margin on the longest lifetime of a stream, for the time on the way.
 const STREAM_MARGIN: Duration = Duration::from_secs(1);
 
 /// Time for which a take-up waits for a read of the listing: the age at which all hosts read it by
 /// themselves, and a slow response of the store.
-const LISTING_TIMEOUT: Duration = Duration::from_millis(1500);
+pub(super) const LISTING_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Reports the first event of a stream that may be taken up.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct StreamBegan(pub BegunStream);
+pub struct StreamBegan {
+    /// The stream.
+    pub stream: BegunStream,
+    /// Name of its route.
+    pub route: ArcStr,
+    /// Time for which its caller waits.
+    pub budget: Duration,
+}
 
 /// Asks where a stream began.
 #[derive(Message)]
@@ -82,6 +70,12 @@
     pub service: Option<ArcStr>,
     /// Prompt block that belongs to the request or to its session, with its base model.
     pub block: Option<(u64, ArcStr)>,
+    /// Name of the route.
+    pub route: ArcStr,
+    /// Timeout of the route.
+    pub timeout: Duration,
+    /// Time for which the caller waited on when the request arrived.
+    pub left: Duration,
     /// Receives the origin; `None` if it is unknown.
     pub reply: oneshot::Sender<Option<Origin>>,
 }
@@ -97,36 +91,15 @@
 #[derive(Default)]
 pub(super) struct StreamOrigins {
     known: Origins,
-    versions: SoftwareVersions,
+    pub(super) served: ServedProcesses,
+    pub(super) budgets: CallerBudgets,
     // Streams that the keepers have not been told of.
     unsent: BTreeMap<Ipv4Addr, Vec<BegunStream>>,
     queries: Vec<Query>,
     // Streams that no host knows, of a service with one version, with the time of the take-up.
     unlisted: Vec<(FindOrigin, Tick)>,
-    // Streams that no host knows. Engines are asked which blocks they keep, for all at once.
-    searches: Vec<FindOrigin>,
-    searching: bool,
-}
-
-// A replica that was asked which blocks it keeps, and its response.
-type KeptBlocks = (Origin, Result<Vec<(u64, ArcStr)>, SearchError>);
-
-/// Why it is unknown which blocks an engine keeps. The texts are log values.
-#[derive(Debug, thiserror::Error)]
-enum SearchError {
-    #[error("{0}")]
-    Call(#[from] CallError),
-    #[error("status {0}")]
-    Status(u16),
-    #[error("{0}")]
-    Decode(#[from] serde_json::Error),
-}
-
-impl SearchError {
-    // Whether nothing listens at the engine's address, so that it has ended and keeps nothing.
-    fn has_ended(&self) -> bool {
-        matches!(self, Self::Call(CallError::Connect(e)) if e.kind() == ErrorKind::ConnectionRefused)
-    }
+    // Streams that no host knows, which the engines are asked about.
+    pub(super) search: Search,
 }
 
 impl Handler<StreamBegan> for Control {
@@ -135,11 +108,12 @@
     fn handle(&mut self, msg: StreamBegan, _: &mut Self::Context) {
         let now = clock::now();
         let own = self.settings.ip;
-        let keepers = self.peers.keepers(now, msg.0.key, KEEPERS + 1);
+        let keepers = self.peers.keepers(now, msg.stream.key, KEEPERS + 1);
         for ip in keepers.into_iter().filter(|ip| *ip != own).take(KEEPERS) {
-            self.origins.unsent.entry(ip).or_default().push(msg.0.clone());
+            self.origins.unsent.entry(ip).or_default().push(msg.stream.clone());
         }
-        self.origins.known.record(now, msg.0);
+        self.origins.known.record(now, msg.stream);
+        self.origins.budgets.note(&msg.route, msg.budget);
     }
 }
 
@@ -175,7 +149,7 @@
     }
 
     // Longest time from the begin of a stream until its caller takes it up.
-    fn longest_stream(&self) -> Duration {
+    pub(super) fn longest_stream(&self) -> Duration {
         self.origins.known.longest_lifetime() + STREAM_MARGIN
     }
 
@@ -187,7 +161,7 @@
         }
         let service = find.service.as_ref()?;
         let span = self.longest_stream() + UNLISTED_SERVICE;
-        let software = self.origins.versions.only(now, service, span)?.clone();
+        let software = self.origins.served.only_software(now, service, span)?.clone();
         Some(Origin { service: service.clone(), software })
     }
 
@@ -197,7 +171,7 @@
         if room && self.only_origin(now, &find).is_some() {
             self.origins.unlisted.push((find, since));
         } else {
-            self.search_origin(now, find, source);
+            self.search_origin(now, since, find, source);
         }
     }
 
@@ -207,22 +181,31 @@
             if self.store.listing.read_at().is_some_and(|t| t > since) {
                 match self.only_origin(now, &find) {
                     Some(origin) => self.answer_origin(now, find, Some(origin), "only_version"),
-                    None => self.search_origin(now, find, "several_versions"),
+                    None => self.search_origin(now, since, find, "several_versions"),
                 }
             } else if now.since(since) >= LISTING_TIMEOUT {
-                self.search_origin(now, find, "listing_unread");
+                self.search_origin(now, since, find, "listing_unread");
             } else {
                 self.origins.unlisted.push((find, since));
             }
         }
     }
 
-    fn answer_origin(&mut self, now: Tick, find: FindOrigin, origin: Option<Origin>, source: &str) {
+    pub(super) fn answer_origin(
+        &mut self,
+        now: Tick,
+        find: FindOrigin,
+        origin: Option<Origin>,
+        source: &str,
+    ) {
         let age = self.store.listing.read_at().map(|t| now.since(t).as_millis() as u64);
+        self.metrics.take_up(source, origin.is_some());
         let fields = kv!(
             "id" => find.id.as_str(), "source" => source,
             "service" => origin.as_ref().map(|o| o.service.to_string()),
             "software" => origin.as_ref().map(|o| o.software.to_string()), "listing_age_ms" => age,
+            "known_ms" => self.origins.served.covered(now).as_millis() as u64,
+            "left_ms" => find.left.as_millis() as u64, "route" => find.route.as_str(),
         );
         emit(&self.log, Event::StreamTakenUp, &fields);
         // Sending fails only if the caller has left.
@@ -243,7 +226,7 @@
             }
             // A host that does not respond may know the stream.
             if now.since(q.since) >= QUERY_TIMEOUT {
-                self.search_origin(now, q.find, "no_response");
+                self.search_origin(now, q.since, q.find, "no_response");
                 continue;
             }
             if now.since(q.asked_at) >= QUERY_INTERVAL {
@@ -255,85 +238,6 @@
         self.check_unlisted(now);
     }
 
-    // Searches the engines for the prompt of a stream that no host knows, unless the hosts would know
-    // it: the prompt may have been read for another request.
-    fn search_origin(&mut self, now: Tick, find: FindOrigin, source: &str) {
-        let lost = !self.peers.all_alive_for(now, self.longest_stream());
-        let searchable = lost && find.service.is_some() && find.block.is_some();
-        if searchable && self.origins.searches.len() < MAX_QUERIES {
-            self.origins.searches.push(find);
-        } else {
-            self.answer_origin(now, find, None, source);
-        }
-    }
-
-    /// Asks the engines which blocks they keep, if there are streams to search for.
-    pub(super) fn start_search(&mut self, now: Tick, ctx: &mut Context<Self>) {
-        if self.origins.searching || self.origins.searches.is_empty() {
-            return;
-        }
-        let finds = std::mem::take(&mut self.origins.searches);
-        let asked = self.dispatcher.replicas.iter().filter(|(_, r)| {
-            r.missing_since.is_none()
-                && finds.iter().any(|f| f.service.as_ref() == Some(&r.service))
-        });
-        let asked: Vec<_> = asked
-            .map(|(_, r)| {
-                let origin = Origin { service: r.service.clone(), software: r.software.clone() };
-                (origin, r.address)
-            })
-            .collect();
-        if asked.len() > MAX_SEARCHED {
-            for find in finds {
-                self.answer_origin(now, find, None, "too_many_engines");
-            }
-            return;
-        }
-        self.origins.searching = true;
-        let reads = asked.into_iter().map(|(origin, address)| {
-            let client = self.client.clone();
-            async move { (origin, read_kept_blocks(&client, address).await) }
-        });
-        ctx.spawn(join_all(reads).into_actor(self).map(move |kept, act, _| {
-            act.origins.searching = false;
-            act.finish_search(finds, &kept);
-        }));
-    }
-
-    // A stream began at the version of the engines that keep its prompt, if all engines have said
-    // what they keep and these are of one version.
-    fn finish_search(&mut self, finds: Vec<FindOrigin>, kept: &[KeptBlocks]) {
-        let now = clock::now();
-        for find in finds {
-            let relevant = kept.iter().filter(|(o, _)| Some(&o.service) == find.service.as_ref());
-            let unread = relevant
-                .clone()
-                .filter_map(|(_, blocks)| blocks.as_ref().err())
-                .find(|e| !e.has_ended());
-            let holders: BTreeSet<_> = relevant
-                .filter(|(_, blocks)| {
-                    find.block.as_ref().is_some_and(|b| blocks.iter().flatten().any(|k| k == b))
-                })
-                .map(|(o, _)| &o.software)
-                .collect();
-            let (origin, source) = match (unread, holders.len()) {
-                (Some(error), _) => {
-                    let fields = kv!("id" => find.id.as_str(), "error" => error.to_string());
-                    emit(&self.log, Event::BlocksUnread, &fields);
-                    (None, "engine_unread")
-                }
-                (None, 0) => (None, "no_engine"),
-                (None, 1) => {
-                    let software = holders.first().copied().cloned();
-                    let origin = find.service.clone().zip(software);
-                    (origin.map(|(service, software)| Origin { service, software }), "engine")
-                }
-                (None, _) => (None, "several_versions"),
-            };
-            self.answer_origin(now, find, origin, source);
-        }
-    }
-
     pub(super) fn expire_origins(&mut self, now: Tick) {
         self.origins.known.expire(now);
     }
@@ -386,31 +290,15 @@
         if let Some(longest) = streams.map(|r| r.timeout).max() {
             self.origins.known.note_lifetime(longest);
         }
+        self.origins.budgets.retain(|name| config.routes.iter().any(|r| r.name == name));
     }
 
-    pub(super) fn note_versions(&mut self, now: Tick, entries: &[ReplicaEntry]) {
-        let listed = entries
-            .iter()
-            .map(|e| Origin { service: e.service.clone(), software: e.software.clone() });
-        self.origins.versions.observe(now, listed.collect(), STORE_OUTAGE);
-    }
-
-    pub(super) fn confirm_versions(&mut self, now: Tick) {
-        self.origins.versions.confirm(now, STORE_OUTAGE);
+    pub(super) fn note_processes(&mut self, now: Tick, entries: &[ReplicaEntry]) {
+        let listed = entries.iter().map(Process::from).collect();
+        self.origins.served.observe(now, listed, STORE_OUTAGE);
     }
-}
 
-async fn read_kept_blocks(
-    client: &Client,
-    address: SocketAddr,
-) -> Result<Vec<(u64, ArcStr)>, SearchError> {
-    let request = Request::get(wire::KEPT_BLOCKS_PATH)
-        .header("host", address.to_string())
-        .body(Full::new(Bytes::new()))
-        .map_err(CallError::Invalid)?;
-    let response = client.call(address, request, SEARCH_TIMEOUT, MAX_KEPT_BYTES).await?;
-    match response.status().as_u16() {
-        200 => Ok(wire::decode_kept_blocks(response.body())?),
-        status => Err(SearchError::Status(status)),
+    pub(super) fn confirm_processes(&mut self, now: Tick) {
+        self.origins.served.confirm(now, STORE_OUTAGE);
     }
 }
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -201,6 +201,13 @@
         self.catalog.as_ref().map_or(0, |c| c.config.version)
     }
 
+    /// The newest known position of the store.
+    pub(super) fn store_position(&self) -> Position {
+        let era = self.store.history.era().unwrap_or_default();
+        let begin = Position { era, revision: 0 }.count();
+        Position { era, revision: self.store.count.saturating_sub(begin) }
+    }
+
     // Records the era of a read. Returns false if the store has been restored since, so that the
     // read is outdated.
     pub(super) fn observe_era(&mut self, now: Tick, sent_at: Tick, position: Position) -> bool {
@@ -342,7 +349,7 @@
         entries: Vec<ReplicaEntry>,
         revision: u64,
     ) {
-        self.note_versions(now, &entries);
+        self.note_processes(now, &entries);
         let changes = self.dispatcher.replicas.sync(now, sent_at, entries, STORE_OUTAGE);
         let read_ms = now.since(sent_at).as_millis() as u64;
         self.log_changes(&changes, revision, read_ms);
@@ -393,7 +400,7 @@
             && self.store.listing.observe(now, mark)
         {
             self.dispatcher.replicas.confirm_listing(now, STORE_OUTAGE);
-            self.confirm_versions(now);
+            self.confirm_processes(now);
         }
     }
 
--- a/crates/daemon/src/front/forward/origin.rs
+++ b/crates/daemon/src/front/forward/origin.rs
@@ -1,12 +1,10 @@
 //! Keeps a stream at the software version that began it.
 
-use std::time::Duration;
-
 use arcstr::ArcStr;
 use tokio::{sync::oneshot, time::timeout};
 use yuccawing_core::fleet::{
     config::RouteKind,
-    origin::{BegunStream, Origin, stream_key},
+    origin::{BegunStream, MAX_STREAM_AGE, Origin, stream_key},
 };
 
 use crate::front::{
@@ -15,9 +13,6 @@
     edge::{CallerRequest, Worker},
 };
 
-/// Longest time for which a caller may take up a stream, whatever time it says that it waits.
-const MAX_LIFETIME: Duration = Duration::from_secs(120);
-
 /// Why a stream that its caller takes up cannot go on. The texts are log values and metric labels.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TakeUpError {
@@ -46,7 +41,16 @@
     let (reply, origin) = oneshot::channel();
     let inference = r.request.inference.as_ref();
     let block = inference.and_then(|i| Some((i.prefix.last()?.id, base_model(&i.artifact))));
-    w.shared.control.do_send(FindOrigin { id: r.id.clone(), key, service, block, reply });
+    w.shared.control.do_send(FindOrigin {
+        id: r.id.clone(),
+        key,
+        service,
+        block,
+        route: r.route.name.clone(),
+        timeout: r.route.timeout,
+        left: r.budget,
+        reply,
+    });
     let left = r.request.remaining(clock::now());
     let Ok(Ok(Some(Origin { service, software }))) = timeout(left, origin).await else {
         return Err(TakeUpError::UnknownOrigin);
@@ -66,13 +70,14 @@
     let software = placed.assignment.software.clone();
     r.request.software = Some(software.clone());
     if r.request.kind == (RouteKind::Stream { resumable: true }) {
-        let lifetime = r.budget.min(MAX_LIFETIME);
-        let begun = BegunStream {
+        let lifetime = r.budget.min(MAX_STREAM_AGE);
+        let stream = BegunStream {
             key: key(r, &r.id),
             lifetime_ms: u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX),
             origin: Origin { service: r.request.service.clone(), software },
         };
-        w.shared.control.do_send(StreamBegan(begun));
+        let (route, budget) = (r.route.name.clone(), lifetime);
+        w.shared.control.do_send(StreamBegan { stream, route, budget });
     }
 }
 
--- a/crates/daemon/src/front/metrics.rs
+++ b/crates/daemon/src/front/metrics.rs
@@ -16,6 +16,8 @@
     refusals: IntCounterVec,
     /// Attempts by service and outcome.
     attempts: IntCounterVec,
+    /// Streams that callers take up, by what told their origin and whether it did.
+    take_ups: IntCounterVec,
     /// Time to the first event, or to the whole response of a plain service.
     first_event: HistogramVec,
     /// Time that requests wait for a load.
@@ -54,6 +56,12 @@
                 "Requests sent to replicas by service and outcome.",
                 &["service", "outcome"],
             ),
+            take_ups: counter(
+                &r,
+                "front_take_ups_total",
+                "Streams that callers take up, by source and whether their origin is known.",
+                &["source", "known"],
+            ),
             first_event: histogram(
                 &r,
                 "front_first_seconds",
@@ -101,6 +109,11 @@
         self.attempts.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts a stream that its caller takes up.
+    pub fn take_up(&self, source: &str, known: bool) {
+        self.take_ups.with_label_values(&[source, if known { "yes" } else { "no" }]).inc();
+    }
+
     /// Records the time to the first event or to the whole response.
     pub fn first_event(&self, route: &str, d: Duration) {
         self.first_event.with_label_values(&[route]).observe(d.as_secs_f64());
--- a/crates/daemon/src/front/settings.rs
+++ b/crates/daemon/src/front/settings.rs
@@ -37,6 +37,10 @@
     pub relay_above: usize,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Interval at which replicas renew their entries in the store, in milliseconds. 0 if it is not
+    /// known; the store's history then does not tell how long ago a replica was listed.
+    #[serde(default)]
+    pub heartbeat_ms: f64,
     /// Prompt blocks, as callers write them (hexadecimal), that are never held back.
     #[serde(default)]
     pub released_blocks: Vec<String>,
@@ -196,6 +200,12 @@
                 ));
             }
         }
+        if !self.heartbeat_ms.is_finite() || self.heartbeat_ms < 0.0 {
+            out.push(format!(
+                "heartbeat_ms: {} must be a finite number of at least 0",
+                self.heartbeat_ms
+            ));
+        }
         for (key, value) in [
             ("grace_s", self.bounds.grace_s),
             ("ttl_s", self.bounds.ttl_s),
@@ -225,6 +235,12 @@
         ids.filter_map(|b| u64::from_str_radix(b, 16).ok()).collect()
     }
 
+    /// Interval at which replicas renew their entries, if it is known.
+    pub fn renewal_interval(&self) -> Option<Duration> {
+        let interval = Duration::try_from_secs_f64(self.heartbeat_ms / 1000.0);
+        interval.ok().filter(|d| !d.is_zero())
+    }
+
     /// UDP port for messages between hosts.
     pub fn peer_port(&self) -> u16 {
         self.ports.0
--- a/crates/daemon/src/front/settings/tests.rs
+++ b/crates/daemon/src/front/settings/tests.rs
@@ -31,6 +31,17 @@
 }
 
 cases! {
+    // Guards against a history of the store whose age is unknown although the platform states the
+    // interval, whole or not, and against one that is dated by no interval at all.
+    the_interval_of_renewals_may_be_any_number: {
+        use std::time::Duration;
+        let with = |line: &str| load(&GOOD.replace("later =", &format!("{line}\nlater =")));
+        let interval = |line: &str| with(line).unwrap().renewal_interval();
+        assert_eq!(interval("heartbeat_ms = 1200"), Some(Duration::from_millis(1200)));
+        assert_eq!(interval("heartbeat_ms = 1200.0"), Some(Duration::from_millis(1200)));
+        assert_eq!((interval(""), interval("heartbeat_ms = 0")), (None, None));
+        assert!(with("heartbeat_ms = -1").is_err());
+    }
     // Guards against a release that does not start because the platform added a field or left out
     // the bounds.
     unknown_fields_and_missing_bounds_are_accepted: {
--- a/crates/daemon/src/front/store.rs
+++ b/crates/daemon/src/front/store.rs
@@ -1,6 +1,6 @@
 //! Polls the platform's store with linearizable reads. A watch would not do: one that delivers
 //! nothing does not prove that nothing changed, and keys are accepted only while the last read is
-//! recent.
+//! recent. The watch is used for the history of changes only.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -11,7 +11,7 @@
 use yuccawing_core::{fleet::history::Position, time::Tick};
 use yuccawing_platform::{
     headers::{self, EraHeader},
-    store::{self, Item, Page},
+    store::{self, Change, Changes, Item, Page},
 };
 
 use super::{
@@ -31,6 +31,10 @@
 /// their number says nothing.
 const MAX_ITEMS: usize = 50_000;
 
+/// Number of changes in a response up to which it has reached the newest one: the store may send many
+/// changes in parts, and further ones come while they are read.
+const LAST_CHANGES: usize = 16;
+
 /// Why a read of the store failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -49,6 +53,9 @@
     /// The store was restored between two pages.
     #[error("the pages are of eras {0} and {1}")]
     MixedEras(u64, u64),
+    /// A response with changes ends where the read began.
+    #[error("no changes after revision {0}")]
+    NoProgress(u64),
     /// The listing has more items than a host keeps.
     #[error("more than {MAX_ITEMS} items")]
     TooManyItems,
@@ -77,7 +84,15 @@
     prefix: &str,
     after: Option<&str>,
 ) -> Result<Listing, Error> {
-    let request = Request::get(store::range_path(prefix, after))
+    let (body, era) = get(client, address, store::range_path(prefix, after)).await?;
+    let page = Page::decode(&body)?;
+    let more = page.more && !page.items.is_empty();
+    Ok(Listing { items: page.items, position: Position { era, revision: page.revision }, more })
+}
+
+// Body of the response to a read of `path`, with the era of the store.
+async fn get(client: &Client, address: SocketAddr, path: String) -> Result<(Bytes, u64), Error> {
+    let request = Request::get(path)
         .header("host", address.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(CallError::Invalid)?;
@@ -91,9 +106,41 @@
         EraHeader::Era(era) => era,
         EraHeader::Invalid => return Err(Error::Era),
     };
-    let page = Page::decode(response.body())?;
-    let more = page.more && !page.items.is_empty();
-    Ok(Listing { items: page.items, position: Position { era, revision: page.revision }, more })
+    Ok((response.into_body(), era))
+}
+
+/// Reads the changes of the items under `prefix` after a position, up to now.
+///
+/// # Errors
+///
+/// As [`read`]. The status is 410 if the store's history does not go back that far.
+pub async fn read_changes(
+    client: &Client,
+    address: SocketAddr,
+    prefix: &str,
+    after: Position,
+) -> Result<Vec<Change>, Error> {
+    let mut out = Vec::new();
+    let mut from = after.revision;
+    loop {
+        let (body, era) = get(client, address, store::changes_path(prefix, from)).await?;
+        if era != after.era {
+            return Err(Error::MixedEras(after.era, era));
+        }
+        let page = Changes::decode(&body)?;
+        if out.len() + page.changes.len() > MAX_ITEMS {
+            return Err(Error::TooManyItems);
+        }
+        let is_last = page.changes.len() <= LAST_CHANGES;
+        out.extend(page.changes);
+        if is_last {
+            return Ok(out);
+        }
+        if page.revision <= from {
+            return Err(Error::NoProgress(from));
+        }
+        from = page.revision;
+    }
 }
 
 /// Reads all items under `prefix`.
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -27,6 +27,19 @@
 /// Timeout for one response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Interval at which replicas renew their entries, if [`Fleet::renew_entries`] makes them.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time after which the store's history covers the life of a stream that is taken up, and the time
+/// in which an engine that leaves may still begin it.
+const HISTORY_TIME: Duration = Duration::from_secs(8);
+
+/// Time for which callers wait for a request, in ms, as long as the timeouts of routes.
+const BUDGET_MS: u64 = 4000;
+
+/// Time that is left to a caller that takes up a stream, in ms.
+const TAKE_UP_MS: u64 = 2500;
+
 /// Key of the account in [`accounts`].
 pub const KEY: &str = "key-of-one";
 
@@ -52,7 +65,7 @@
     pub plain: Vec<Replica>,
     pub engines: Vec<Replica>,
     // Keeps the stand-ins running.
-    _runtime: Runtime,
+    runtime: Runtime,
     network: (u8, u8),
     dir: TempDir,
 }
@@ -99,8 +112,7 @@
             r.register(&store, r.address);
         }
         let dir = TempDir::new().unwrap();
-        let mut out =
-            Self { hosts: Vec::new(), store, plain, engines, _runtime: runtime, network, dir };
+        let mut out = Self { hosts: Vec::new(), store, plain, engines, runtime, network, dir };
         for i in 0..hosts {
             let host = out.spawn_host(i, hosts);
             out.hosts.push(host);
@@ -118,12 +130,13 @@
         let seeds: Vec<_> = (0..hosts.min(3)).map(|s| format!("\"{}:8229\"", self.ip(s))).collect();
         let text = format!(
             "name = \"h{i}\"\nip = \"{ip}\"\nzone = \"a\"\nports = [7600, 7615]\n\
-             seeds = [{}]\nstore = \"{}\"\n\
+             seeds = [{}]\nstore = \"{}\"\nheartbeat_ms = {}\n\
              [listen]\nfront = \"{ip}:8221\"\nready = \"{ip}:8224\"\ndirectory = \"{ip}:8220\"\n\
              [bounds]\nrevoke_ms = 2000\nlease_ms = 500\ngrace_s = 8.0\n\
              retry_ratio = 0.2\nretry_slack = 58\nquota_slack = 1000\n",
             seeds.join(", "),
             self.store.address,
+            RENEWAL_INTERVAL.as_millis(),
         );
         let path = self.dir.path().join(format!("h{i}.toml"));
         fs::write(&path, text).unwrap();
@@ -219,13 +232,26 @@
 
     /// Takes up a stream whose first event came with the attempt `first`, after event `last`.
     pub fn take_up(&self, i: usize, path: &str, id: &str, first: &str, last: u64) -> Response {
-        let (method, mut headers) = request(path, id, Some(KEY));
+        let (method, mut headers) = request_with_budget(path, id, Some(KEY), TAKE_UP_MS);
         headers.push(("Resumes".into(), first.into()));
         headers.push(("Last-Event-Id".into(), last.to_string()));
         let mut c = connect(self.ip(i), 8221).unwrap();
         exchange(&mut c, method, path, &headers, b"body").unwrap()
     }
 
+    /// Makes the engines renew their entries in the store from now on, and waits until the store's
+    /// history is longer than any stream.
+    pub fn renew_entries(&self) {
+        let engines = self.engines.clone();
+        self.runtime.spawn(async move {
+            loop {
+                tokio::time::sleep(RENEWAL_INTERVAL).await;
+                engines.iter().for_each(Replica::renew);
+            }
+        });
+        thread::sleep(HISTORY_TIME);
+    }
+
     /// Kills all hosts at once and starts them again.
     pub fn restart_all(&mut self) {
         for h in &mut self.hosts {
@@ -244,7 +270,16 @@
 
 /// Method and headers of a request. Streams ask for the adapter in the last segment of the path.
 pub fn request(path: &str, id: &str, key: Option<&str>) -> (&'static str, Vec<(String, String)>) {
-    let mut headers = config::caller_headers(id, key, 4000);
+    request_with_budget(path, id, key, BUDGET_MS)
+}
+
+fn request_with_budget(
+    path: &str,
+    id: &str,
+    key: Option<&str>,
+    budget_ms: u64,
+) -> (&'static str, Vec<(String, String)>) {
+    let mut headers = config::caller_headers(id, key, budget_ms);
     let stream = path.starts_with("/stream/") || path.starts_with("/once/");
     if stream {
         headers.extend(config::engine_headers(path.rsplit('/').next().unwrap()));
--- a/crates/daemon/tests/platform/versions.rs
+++ b/crates/daemon/tests/platform/versions.rs
@@ -44,6 +44,61 @@
     f.engines.iter().for_each(|e| e.set_fault(fault));
 }
 
+// As [`fleet`], with two hosts and a history of the store that covers the life of a stream.
+fn fleet_with_history(versions: &[&str]) -> Fleet {
+    let f = fleet(2, versions);
+    f.renew_entries();
+    f.engines.iter().for_each(Replica::forget_blocks);
+    f
+}
+
+// A request that only the engine `at` runs; the others are full.
+fn at_engine<T>(f: &Fleet, at: usize, fault: Fault, send: impl FnOnce() -> T) -> T {
+    f.engines.iter().for_each(|e| e.set_fault(Fault::NotRun));
+    f.engines[at].set_fault(fault);
+    let out = send();
+    set_faults(f, Fault::None);
+    out
+}
+
+// A stream that is cut after at least one event at the engine `at`, with the number of its last one.
+fn cut_stream_at(f: &Fleet, at: usize, path: &str, id: &str) -> u64 {
+    let r = at_engine(f, at, Fault::Reset(2), || {
+        // An engine that has failed is avoided for a moment.
+        let mut r = f.call(0, path, id, Some(KEY));
+        wait_until(Duration::from_secs(10), "the engine gets no stream", || {
+            if r.status == 503 {
+                r = f.call(0, path, id, Some(KEY));
+            }
+            r.status != 503
+        });
+        r
+    });
+    assert_eq!((r.status, r.complete), (200, false), "{r:?}");
+    let last = (1..5).rev().find(|n| r.body == event_texts(id, *n));
+    last.expect("whole events in order")
+}
+
+// A complete stream at the engine `at`, which keeps its prompt.
+fn run_stream_at(f: &Fleet, at: usize, path: &str, id: &str) {
+    at_engine(f, at, Fault::None, || {
+        wait_until(Duration::from_secs(10), "the engine gets no stream", || {
+            call_stream(f, 0, path, id).status == 200
+        });
+    });
+}
+
+// How host `i` found where the stream of a take-up began.
+fn take_up_source(f: &Fleet, i: usize, id: &str) -> String {
+    let find = || {
+        let lines = f.log_lines(i);
+        let line = lines.into_iter().find(|l| l["name"] == "StreamTakenUp" && l["id"] == id)?;
+        Some(line["source"].as_str().unwrap_or_default().to_owned())
+    };
+    wait_until(Duration::from_secs(5), "the take-up is not logged", || find().is_some());
+    find().unwrap()
+}
+
 // Versions of the engines that ran the request.
 fn versions_run<'a>(f: &Fleet, versions: &[&'a str], id: &str) -> Vec<&'a str> {
     let ran =
@@ -195,9 +250,8 @@
     // stream still keeps its prompt.
     an_engine_that_keeps_the_prompt_shows_the_version: {
         let versions = ["v1", "v2"];
-        let mut f = fleet(2, &versions);
+        let mut f = fleet_with_history(&versions);
         let mut begun = Vec::new();
-        f.engines.iter().for_each(Replica::forget_blocks);
         for a in ADAPTERS {
             let id = format!("lost-{a}");
             let (_, last) = cut_stream(&f, 0, &format!("/stream/{a}"), &id);
@@ -212,34 +266,75 @@
             assert_eq!(versions_run(&f, &versions, &again), versions_begun, "{a}");
         }
     }
-    // Guards against take-ups that are refused because an engine that has ended does not say what it
-    // keeps.
-    an_ended_engine_does_not_hide_the_version: {
+    // Guards against take-ups that are refused because an engine of the same version has ended and
+    // does not say what it kept.
+    an_ended_engine_of_the_same_version_does_not_hide_it: {
         let versions = ["v1", "v2", "v2"];
-        let mut f = fleet(2, &versions);
-        f.engines.iter().for_each(Replica::forget_blocks);
-        let (_, last) = cut_stream(&f, 0, "/stream/a1", "lost");
-        let begun = versions_run(&f, &versions, "lost");
+        let mut f = fleet_with_history(&versions);
+        let last = cut_stream_at(&f, 2, "/stream/a1", "lost");
         f.restart_all();
-        let other = f.engines.iter().find(|e| run_count(std::slice::from_ref(*e), "lost") == 0);
-        other.unwrap().end();
+        f.engines[1].end();
         let r = f.take_up(1, "/stream/a1", "again", "lost", last);
         assert_eq!((r.status, r.complete), (200, true), "{r:?}");
-        assert_eq!(versions_run(&f, &versions, "again")[0], begun[0]);
+        assert_eq!(versions_run(&f, &versions, "again"), ["v2"]);
+    }
+    // Pattern: a session has had a turn at one version, its next turn begins at another one, and the
+    // engine ends as all hosts are lost. Guards against a stream that goes on at the version of the
+    // earlier turn, which still keeps the prompt of the session.
+    an_engine_that_has_left_may_have_begun_the_stream: {
+        let versions = ["v1", "v2"];
+        let mut f = fleet_with_history(&versions);
+        run_stream_at(&f, 1, "/stream/a1", "turn");
+        let last = cut_stream_at(&f, 0, "/stream/a1", "lost");
+        f.engines[0].withdraw();
+        f.store.remove("servers/e0");
+        f.restart_all();
+        let r = f.take_up(1, "/stream/a1", "again", "lost", last);
+        let ran = versions_run(&f, &versions, "again");
+        assert!((r.status, ran.len()) == (503, 0), "went on at {ran:?}: {r:?}");
+        assert_eq!(take_up_source(&f, 1, "again"), "engine_ended");
+    }
+    // Pattern: an engine of a new version joins, begins streams and crashes, while a host does not
+    // know of them. Guards against a listed engine that has ended and counts as one that keeps
+    // nothing, so that its streams go on at the old version.
+    a_crashed_engine_may_have_begun_the_stream: {
+        let versions = ["v1", "v2"];
+        let mut f = fleet_with_history(&versions);
+        run_stream_at(&f, 0, "/stream/a1", "turn");
+        let last = cut_stream_at(&f, 1, "/stream/a1", "lost");
+        f.restart_all();
+        f.engines[1].withdraw();
+        let r = f.take_up(1, "/stream/a1", "again", "lost", last);
+        let ran = versions_run(&f, &versions, "again");
+        assert!((r.status, ran.len()) == (503, 0), "went on at {ran:?}: {r:?}");
+        assert_eq!(take_up_source(&f, 1, "again"), "engine_ended");
+    }
+    // Guards against streams that go on after the loss of all hosts although nothing shows which
+    // engines have ended, since the store has discarded its history.
+    a_discarded_history_proves_nothing: {
+        let versions = ["v1", "v2"];
+        let mut f = fleet_with_history(&versions);
+        run_stream_at(&f, 1, "/stream/a1", "turn");
+        let last = cut_stream_at(&f, 0, "/stream/a1", "lost");
+        f.engines[0].withdraw();
+        f.store.remove("servers/e0");
+        f.store.compact();
+        f.restart_all();
+        let r = f.take_up(1, "/stream/a1", "again", "lost", last);
+        assert_eq!((r.status, run_count(&f.engines, "again")), (503, 0), "{r:?}");
+        assert_eq!(take_up_source(&f, 1, "again"), "history_unknown");
     }
     // Guards against a stream that is joined because engines of two versions keep its prompt.
     a_prompt_at_two_versions_proves_nothing: {
-        let mut f = fleet(2, &["v1", "v2"]);
+        let mut f = fleet_with_history(&["v1", "v2"]);
         let (_, last) = cut_stream(&f, 0, "/stream/a1", "lost");
-        for e in &f.engines {
-            f.engines.iter().for_each(|o| o.set_fault(Fault::NotRun));
-            e.set_fault(Fault::None);
-            call_stream(&f, 0, "/stream/a1", &format!("at-{}", e.spec.id));
+        for i in 0..f.engines.len() {
+            run_stream_at(&f, i, "/stream/a1", &format!("at-{i}"));
         }
-        set_faults(&f, Fault::None);
         f.restart_all();
         let r = f.take_up(1, "/stream/a1", "again", "lost", last);
         assert_eq!((r.status, run_count(&f.engines, "again")), (503, 0));
+        assert_eq!(take_up_source(&f, 1, "again"), "several_versions");
     }
     // Guards against a take-up by another account, which would learn at which version a stream runs.
     a_stream_of_another_path_is_unknown: {
