Renew the age of the configuration only by reads of the one in force

Cause: a configuration that cannot be decoded is logged and not applied, but the read of it counted as successful, so the age of the configuration in force, which bounds the use of keys, started anew with each read.

Change: while the newest listed configuration is unread, or the listing has none, a read proves nothing: the age grows, it is not announced to peers, and keys are refused with 503 after RevokeMs. An unknown key or route is then refused with 503 as well, not with a final 401 or 404, since the unread configuration may have it.

Evidence: the test an_unread_configuration_renews_nothing got status 200 for the withdrawn key on, 2.1 s after the write at a bound of 2 s, at the first host asked. It passes now: all keys get 503 at both hosts, whose logs have ItemInvalid. The cause was found by reading finish_read.

--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -61,6 +61,9 @@
     listing_outage: OutageLog,
     // Where the configuration in force was last listed.
     config_at: Position,
+    // Whether the newest configuration that was listed could not be decoded, so that the one in force
+    // is an earlier one.
+    config_unread: bool,
     pub(super) history: History,
     // [`Position::count`] of the newest known position of the store.
     pub(super) count: u64,
@@ -77,6 +80,7 @@
             operator_outage: OutageLog::new("operator"),
             listing_outage: OutageLog::new("replicas"),
             config_at: Position::default(),
+            config_unread: false,
             history: History::new(now),
             count: 0,
         }
@@ -146,6 +150,7 @@
         }
         match (prefix, read) {
             (Prefix::Operator, Ok(Listing { items, position, more })) => {
+                let has_config = items.iter().any(Item::is_config);
                 let config = items.iter().filter(|i| i.is_config());
                 let texts = config.map(|i| format!("{}@{}.{}", i.key, position.era, i.revision));
                 let listed = hash_all(texts);
@@ -157,7 +162,9 @@
                 let hash = listed ^ hash(&["in force", &version.to_string()]);
                 let is_alive = |ip| self.peers.is_alive(now, ip);
                 let history = &self.store.history;
-                if history.proves_current(now, version, is_alive) {
+                // The age is that of the configuration in force: a read of another one does not renew it.
+                let in_force = has_config && !self.store.config_unread;
+                if in_force && history.proves_current(now, version, is_alive) {
                     self.store.operator.finish_read(sent_at, hash);
                 } else {
                     let paced = history.is_introduced(now);
@@ -308,7 +315,12 @@
                     continue;
                 }
             }
-            match self.decode_item(&item) {
+            let content = self.decode_item(&item);
+            if item.is_config() {
+                self.store.config_unread = content.is_none();
+                self.metrics.config_unread.set(i64::from(content.is_none()));
+            }
+            match content {
                 Some(Content::Inventory(i)) => self.apply_config(now, sent_at, *i, position),
                 Some(Content::Version(v)) => versions.push(v),
                 _ => {}
--- a/crates/daemon/src/front/edge.rs
+++ b/crates/daemon/src/front/edge.rs
@@ -303,16 +303,20 @@
     if !path.starts_with('/') {
         return Err(Refusal::new(StatusCode::BAD_REQUEST, "bad_target"));
     }
-    let route = catalog
-        .route(host, req.uri().path())
-        .ok_or(Refusal::new(StatusCode::NOT_FOUND, "no_route"))?
-        .clone();
-    let account = authenticate(head, catalog, &route)?.cloned();
     let bounds = &worker.shared.settings.bounds;
     let limit = Duration::from_millis(bounds.revoke_ms).saturating_sub(STALE_MARGIN);
     let age = arrived.since(snapshot.config_read);
-    if account.is_some() && bounds.fail_closed && age >= limit {
-        return Err(Refusal { reason: "config_old", ..unready() });
+    let is_old = bounds.fail_closed && age >= limit;
+    let config_old = || Refusal { reason: "config_old", ..unready() };
+    // A newer configuration, which this host does not know, may have the route or the key.
+    let or_old = |refusal| if is_old { config_old() } else { refusal };
+    let route = catalog
+        .route(host, req.uri().path())
+        .ok_or_else(|| or_old(Refusal::new(StatusCode::NOT_FOUND, "no_route")))?
+        .clone();
+    let account = authenticate(head, catalog, &route).map_err(or_old)?.cloned();
+    if account.is_some() && is_old {
+        return Err(config_old());
     }
     let body = read_body(payload, catalog.config.limits.body_bytes).await?;
     let requested_ms = header_str(head, headers::DEADLINE_MS).and_then(|v| v.trim().parse().ok());
--- a/crates/daemon/src/front/metrics.rs
+++ b/crates/daemon/src/front/metrics.rs
@@ -26,6 +26,8 @@
     orders: IntCounterVec,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Whether the newest configuration could not be decoded.
+    pub config_unread: IntGauge,
     /// Peers whose digests arrived recently.
     pub peers: IntGauge,
     /// Replicas that may receive requests.
@@ -81,6 +83,11 @@
                 &["verb", "answer"],
             ),
             config_version: gauge(&r, "front_config_version", "Configuration version in force."),
+            config_unread: gauge(
+                &r,
+                "front_config_unread",
+                "Whether the newest configuration could not be decoded.",
+            ),
             peers: gauge(&r, "front_peers", "Peers that were heard lately."),
             replicas: gauge(&r, "front_replicas", "Replicas that may get work."),
             held_blocks: gauge(&r, "front_held_blocks", "Prompt blocks that are held back."),
--- /dev/null
+++ b/crates/daemon/tests/platform/configs.rs
@@ -0,0 +1,69 @@
+//! Tests of configurations that a host cannot understand, as a whole or in part.
+
+use std::{thread, time::Duration};
+
+use serde_json::{Value, json};
+use yuccawing_platform_standin::config::{self, Account};
+
+use crate::{
+    fleet::{Fleet, KEY, accounts, wait_until},
+    run_count,
+};
+
+/// Key that the newer configurations take away.
+const GONE: &str = "key-gone";
+
+/// Time after which a withdrawn key must not work, as the settings of the fleet state it, with a
+/// margin for a request on the way.
+const REVOKE_TIME: Duration = Duration::from_millis(2100);
+
+fn two_accounts() -> Vec<Account> {
+    let gone = Account { name: "two".into(), keys: vec![GONE.into()], rate: 0 };
+    accounts().into_iter().chain([gone]).collect()
+}
+
+// Fleet in which both keys are in use.
+fn fleet() -> Fleet {
+    let f = Fleet::start(2, 2, 0);
+    f.store.put("op/config", &config::config(2, &two_accounts()));
+    wait_until(Duration::from_secs(5), "the configuration is not applied", || {
+        (0..2).all(|i| f.call(i, "/safe/1", "first", Some(GONE)).status == 200)
+    });
+    f
+}
+
+// A newer configuration without [`GONE`], and with one more route below `/safe/`.
+fn newer(change: impl FnOnce(&mut Value)) -> Value {
+    let mut c = config::config(3, &accounts());
+    let mut route = c["Routes"][0].clone();
+    (route["Name"], route["Prefix"]) = (json!("batch"), json!("/safe/batch/"));
+    change(&mut route);
+    c["Routes"].as_array_mut().unwrap().push(route);
+    c
+}
+
+cases! {
+    // Guards against withdrawn keys that stay in use for good because the configuration that takes
+    // them away cannot be decoded, while the reads of it renew the age of the one in force.
+    an_unread_configuration_renews_nothing: {
+        let f = fleet();
+        let mut odd = newer(|_| ());
+        odd["Version"] = json!("three");
+        f.store.put("op/config", &odd);
+        thread::sleep(REVOKE_TIME);
+        for i in 0..2 {
+            for key in [GONE, KEY, "key-of-the-unread-version"] {
+                let id = format!("late-{i}-{key}");
+                let r = f.call(i, "/safe/1", &id, Some(key));
+                assert_eq!((r.status, run_count(&f.plain, &id)), (503, 0), "{id}: {r:?}");
+            }
+            assert!(f.log_lines(i).iter().any(|l| l["name"] == "ItemInvalid"));
+        }
+        // A later configuration that can be read ends it.
+        f.store.put("op/config", &config::config(4, &accounts()));
+        wait_until(Duration::from_secs(5), "keys are refused for good", || {
+            (0..2).all(|i| f.call(i, "/safe/1", "again", Some(KEY)).status == 200)
+        });
+        assert_eq!(f.call(0, "/safe/1", "gone", Some(GONE)).status, 401);
+    }
+}
