Decode the configuration part by part, with numbers of any size

A route, service or account that cannot be understood is closed: its requests get 503, no other route runs them, and each finding is logged with its place (ConfigPartClosed) and counted.

--- a/crates/core/src/fleet/catalog.rs
+++ b/crates/core/src/fleet/catalog.rs
@@ -3,7 +3,10 @@
 #[cfg(test)]
 mod tests;
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use arcstr::ArcStr;
 
@@ -17,6 +20,7 @@
     // Routes by Host header, longest prefix first.
     hosts: HashMap<ArcStr, Vec<Arc<Route>>>,
     keys: HashMap<ArcStr, usize>,
+    closed: HashSet<ArcStr>,
 }
 
 impl Catalog {
@@ -31,7 +35,8 @@
         }
         let accounts = config.accounts.iter().enumerate();
         let keys = accounts.flat_map(|(i, a)| a.keys.iter().map(move |k| (k.clone(), i))).collect();
-        Self { config, hosts, keys }
+        let closed = config.closed_keys.iter().cloned().collect();
+        Self { config, hosts, keys, closed }
     }
 
     /// Route of a request. `host` is its Host header and may include a port.
@@ -44,6 +49,11 @@
         routes.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
+    /// Whether `key` belongs to an account that could not be understood.
+    pub fn is_closed(&self, key: &str) -> bool {
+        self.closed.contains(key)
+    }
+
     /// Account that `key` belongs to.
     pub fn account(&self, key: &str) -> Option<&Account> {
         self.keys.get(key).and_then(|i| self.config.accounts.get(*i))
--- a/crates/core/src/fleet/catalog/tests.rs
+++ b/crates/core/src/fleet/catalog/tests.rs
@@ -39,6 +39,7 @@
             route("b.example", "/x/", &[("s", 90_000), ("t", 10_000)]),
         ],
         keys_required: true,
+        closed_keys: Vec::new(),
         accounts: vec![account],
         ..FleetConfig::default()
     })
--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -20,6 +20,8 @@
     pub keys_required: bool,
     /// Client accounts with their keys and limits.
     pub accounts: Vec<Account>,
+    /// API keys of accounts that could not be understood. Their requests are refused.
+    pub closed_keys: Vec<ArcStr>,
     /// Size limits of requests.
     pub limits: RequestLimits,
 }
@@ -71,7 +73,8 @@
     pub slo: Duration,
     /// Priority, 0 first.
     pub priority: u8,
-    /// Services that share the requests.
+    /// Services that share the requests. None if the route could not be understood: it then refuses
+    /// its requests.
     pub targets: Vec<Target>,
     /// Number of replicas that one request may be sent to.
     pub max_attempts: u32,
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -114,6 +114,7 @@
     510 ReadOvertaken Info "The result of a store read was discarded because a later change was already applied.";
     511 StoreRestored Warning "The store came back from an older copy of itself.";
     512 ItemOutdated Info "The store returned an item with an earlier revision than the one that was applied.";
+    513 ConfigPartClosed Error "A part of a configuration could not be understood; its requests are refused.";
     600 PeerAlive Info "A peer responds.";
     601 PeerLost Warning "A peer does not respond.";
     602 PeerLeaving Info "A peer is shutting down.";
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -20,7 +20,10 @@
     },
     time::Tick,
 };
-use yuccawing_platform::store::{self as wire, Content, Item};
+use yuccawing_platform::{
+    inventory::Inventory,
+    store::{self as wire, Content, Item},
+};
 
 use super::{Control, STORE_OUTAGE, adapters::VersionListing};
 use crate::{
@@ -35,6 +38,9 @@
 /// the store, the others read it themselves.
 const MAX_ANNOUNCING_RANK: usize = 4;
 
+/// Largest number of parts of one configuration whose errors are logged.
+const MAX_LOGGED_FINDINGS: usize = 20;
+
 /// How a digest reached this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Route {
@@ -321,7 +327,10 @@
                 self.metrics.config_unread.set(i64::from(content.is_none()));
             }
             match content {
-                Some(Content::Inventory(i)) => self.apply_config(now, sent_at, *i, position),
+                Some(Content::Inventory(i)) => {
+                    self.log_findings(&i);
+                    self.apply_config(now, sent_at, i.config, position);
+                }
                 Some(Content::Version(v)) => versions.push(v),
                 _ => {}
             }
@@ -329,6 +338,18 @@
         self.raise_versions(now, versions);
     }
 
+    // Logs the parts of a configuration that are closed.
+    fn log_findings(&self, i: &Inventory) {
+        self.metrics.closed_parts.set(i.findings.len() as i64);
+        for finding in i.findings.iter().take(MAX_LOGGED_FINDINGS) {
+            let fields = kv!(
+                "version" => i.config.version, "error" => finding.to_string(),
+                "findings" => i.findings.len(),
+            );
+            emit(&self.log, Event::ConfigPartClosed, &fields);
+        }
+    }
+
     fn apply_config(&mut self, now: Tick, sent_at: Tick, config: FleetConfig, at: Position) {
         let old = self.version();
         if config.version == old {
--- a/crates/daemon/src/front/edge.rs
+++ b/crates/daemon/src/front/edge.rs
@@ -318,6 +318,9 @@
     if account.is_some() && is_old {
         return Err(config_old());
     }
+    if route.targets.is_empty() {
+        return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "route_closed"));
+    }
     let body = read_body(payload, catalog.config.limits.body_bytes).await?;
     let requested_ms = header_str(head, headers::DEADLINE_MS).and_then(|v| v.trim().parse().ok());
     let timeout =
@@ -386,6 +389,9 @@
         return Ok(None);
     }
     let key = header_str(head, "authorization").and_then(bearer);
+    if key.is_some_and(|k| catalog.is_closed(k)) {
+        return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "account_closed"));
+    }
     let account = key.and_then(|k| catalog.account(k));
     if account.is_none() && !route.public {
         return Err(Refusal::new(StatusCode::UNAUTHORIZED, "bad_key"));
--- a/crates/daemon/src/front/metrics.rs
+++ b/crates/daemon/src/front/metrics.rs
@@ -28,6 +28,8 @@
     pub config_version: IntGauge,
     /// Whether the newest configuration could not be decoded.
     pub config_unread: IntGauge,
+    /// Parts of the configuration in force that could not be understood and are closed.
+    pub closed_parts: IntGauge,
     /// Peers whose digests arrived recently.
     pub peers: IntGauge,
     /// Replicas that may receive requests.
@@ -88,6 +90,11 @@
                 "front_config_unread",
                 "Whether the newest configuration could not be decoded.",
             ),
+            closed_parts: gauge(
+                &r,
+                "front_config_closed_parts",
+                "Parts of the configuration that could not be understood and are closed.",
+            ),
             peers: gauge(&r, "front_peers", "Peers that were heard lately."),
             replicas: gauge(&r, "front_replicas", "Replicas that may get work."),
             held_blocks: gauge(&r, "front_held_blocks", "Prompt blocks that are held back."),
--- a/crates/daemon/tests/platform/configs.rs
+++ b/crates/daemon/tests/platform/configs.rs
@@ -66,4 +66,46 @@
         });
         assert_eq!(f.call(0, "/safe/1", "gone", Some(GONE)).status, 401);
     }
+    // Guards against a configuration that the platform allows and that is not applied, since a rank
+    // does not fit into the number that holds it.
+    a_rank_of_any_size_is_applied: {
+        let f = fleet();
+        f.store.put("op/config", &newer(|r| r["Priority"] = json!(1000)));
+        thread::sleep(REVOKE_TIME);
+        for i in 0..2 {
+            assert_eq!(f.call(i, "/safe/1", "gone", Some(GONE)).status, 401);
+            assert_eq!(f.call(i, "/safe/batch/1", "batch", Some(KEY)).status, 200);
+        }
+    }
+    // Guards against a withdrawn key that stays in use, and routes that are not served, because
+    // another part of the configuration cannot be understood; and against requests of that part
+    // that are run by another route.
+    an_odd_part_does_not_hold_up_the_rest: {
+        let f = fleet();
+        f.store.put("op/config", &newer(|r| r["Kind"] = json!("odd")));
+        thread::sleep(REVOKE_TIME);
+        for i in 0..2 {
+            assert_eq!(f.call(i, "/safe/1", "gone", Some(GONE)).status, 401);
+            assert_eq!(f.call(i, "/safe/1", "kept", Some(KEY)).status, 200);
+            let id = format!("batch-{i}");
+            let r = f.call(i, "/safe/batch/1", &id, Some(KEY));
+            assert_eq!((r.status, run_count(&f.plain, &id)), (503, 0), "{r:?}");
+            assert!(f.log_lines(i).iter().any(|l| l["name"] == "ConfigPartClosed"));
+        }
+    }
+    // Guards against an account that is served without its limit, or whose callers get a final refusal,
+    // because its limit cannot be understood.
+    an_odd_account_is_refused_for_now: {
+        let f = fleet();
+        let mut c = newer(|_| ());
+        c["Tenants"].as_array_mut().unwrap().push(json!({
+            "Name": "odd", "ApiKeys": ["key-odd"], "RatePerS": "much",
+        }));
+        f.store.put("op/config", &c);
+        thread::sleep(REVOKE_TIME);
+        let r = f.call(0, "/safe/1", "odd", Some("key-odd"));
+        assert_eq!((r.status, run_count(&f.plain, "odd")), (503, 0), "{r:?}");
+        assert_eq!(f.call(0, "/safe/1", "gone", Some(GONE)).status, 401);
+        assert_eq!(f.call(0, "/safe/1", "kept", Some(KEY)).status, 200);
+    }
 }
