Take no status outside HTTP for an answer

Cause: the HTTP client accepts any three digits from 100 on, and nothing checked the range. 000 and 099 were rejected by the client before.

Change: a final response outside 200 to 599 is a failed attempt that may have run, on the platform path and on the product's own plain calls.

Evidence: a_status_outside_http_is_no_response, a_stream_with_a_status_outside_http_is_no_response and a_status_outside_http_is_no_answer failed before (101, 600 and 600 reached the caller) and pass now.

--- a/crates/daemon/src/edge/tests/fake.rs
+++ b/crates/daemon/src/edge/tests/fake.rs
@@ -153,7 +153,7 @@
                 Fault::Status(status, code) => {
                     let body = json!({"code": code}).to_string();
                     let head =
-                        format!("HTTP/1.1 {status} x\r\ncontent-length: {}\r\n\r\n", body.len());
+                        format!("HTTP/1.1 {status:03} x\r\ncontent-length: {}\r\n\r\n", body.len());
                     socket.write_all((head + &body).as_bytes()).await?;
                 }
                 _ => self.answer(&mut socket, &seen, fault).await?,
--- a/crates/daemon/src/edge/tests/plain.rs
+++ b/crates/daemon/src/edge/tests/plain.rs
@@ -66,6 +66,17 @@
             assert_eq!(w.outcomes(1).await, [Outcome::Failed]);
         }
     }
+    // Guards against a status that HTTP does not have and that reaches the caller as an answer, and
+    // against a call that may have run and is sent again.
+    a_status_outside_http_is_no_answer: {
+        for status in [0, 99, 600, 999] {
+            let w = TestEdge::start();
+            w.faults(&[Fault::Status(status, "odd")]);
+            let a = order(&w).await;
+            assert_eq!((a.error().0, a.error().1), (502, "upstream_failed".into()), "{status}");
+            assert_eq!(w.up.count("POST /orders"), 1, "{status}");
+        }
+    }
     // Guards against sending a call that cannot be retried on a reused connection, which may be
     // dead.
     a_non_idempotent_call_uses_a_new_connection: {
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -56,6 +56,9 @@
     /// The response carries the id of another request.
     #[error("answer of another request")]
     WrongId,
+    /// The status is none of a final response.
+    #[error("invalid status {0}")]
+    InvalidStatus(u16),
     /// A successful response without the signature of the replica, or with a content encoding.
     #[error("unsigned answer")]
     Unsigned,
@@ -469,6 +472,10 @@
     if id.is_none() {
         return Err(Failure::WrongId);
     }
+    // HTTP has no such status for a final response, so nothing tells what it says.
+    if !(200..600).contains(&status) {
+        return Err(Failure::InvalidStatus(status));
+    }
     let signed = head.contains_key(headers::SEAL) && !head.contains_key("content-encoding");
     if (200..300).contains(&status) && !signed {
         return Err(Failure::Unsigned);
--- a/crates/daemon/src/upstream/plain.rs
+++ b/crates/daemon/src/upstream/plain.rs
@@ -134,6 +134,9 @@
     let content = headers.get(CONTENT_TYPE).cloned();
     let length = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
     let broken = |text: &str| Failure { cause: Cause::Unknown, began: true, text: text.to_owned() };
+    if !(200..600).contains(&status.as_u16()) {
+        return Err(broken("the status is none of a final answer"));
+    }
     let body = match tokio::time::timeout_at(end.into(), read(r)).await {
         Ok(Ok(body)) => body,
         Ok(Err(text)) => return Err(broken(text)),
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -7,6 +7,7 @@
     ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
 }
 
+mod broken;
 mod configs;
 mod crashes;
 mod entries;
