Pass on only the age of own reads of the store

Cause: a host counts the age that a digest states from when it reads the digest. One that has waited makes the age lower by the wait, and the receiver passed the lower age on, so two hosts renewed each other's age without end.

Change: a digest states the age of the sender's own newest read. A wait then counts once. Hosts that hear no reader any more read the store themselves, as they did if they heard nobody.

--- a/crates/core/src/fleet/freshness.rs
+++ b/crates/core/src/fleet/freshness.rs
@@ -87,6 +87,8 @@
     copy_hash: Option<u64>,
     // When the newest read that confirmed the copy was sent, here or at a peer.
     read_at: Option<Tick>,
+    // When the newest own read that confirmed the copy was sent.
+    own_read: Option<Tick>,
     // When this host last started a read.
     read_started: Option<Tick>,
     // Since when a peer has had a newer copy.
@@ -107,10 +109,13 @@
         self.read_at
     }
 
-    /// Hash and age of the copy for this host's digest, none before the first read and while it is
-    /// unproved, since its age is that of an earlier copy then.
+    /// Hash of the copy and age of the newest own read for this host's digest, none before the first
+    /// read and while the copy is unproved, since its age is that of an earlier copy then.
+    ///
+    /// An age that came from a peer is not passed on. A digest that waits makes the age lower by the
+    /// wait, so two hosts that cannot read the store would renew each other's age without end.
     pub fn mark(&self, now: Tick) -> Option<SnapshotMark> {
-        let (hash, read) = (self.copy_hash.filter(|_| !self.unproved)?, self.read_at?);
+        let (hash, read) = (self.copy_hash.filter(|_| !self.unproved)?, self.own_read?);
         Some(SnapshotMark { hash, age_ms: now.since(read).as_millis() as u64 })
     }
 
@@ -189,6 +194,7 @@
         let old = self.finish_unproved(sent_at, hash, false);
         (self.paced, self.unproved) = (false, false);
         self.read_at = self.read_at.max(Some(sent_at));
+        self.own_read = self.own_read.max(Some(sent_at));
         old
     }
 
