Date the store's history from a revision whose age is known

Cause: the history, which began with a restore 11.6 s earlier, was dated by renewals alone, 8.6 s, less than the streams may have been old.

Change: a host knows when it first read the listing, and at which revision. The age of what came before counts from there.

--- a/crates/core/src/fleet/served.rs
+++ b/crates/core/src/fleet/served.rs
@@ -61,29 +61,40 @@
     // Since when all listed processes are known, and when the last listing was confirmed.
     since: Option<Tick>,
     confirmed: Option<Tick>,
+    // Revision of the store that was known by `since` of this host's own record.
+    anchor: Option<(u64, Tick)>,
     listed: HashSet<Process>,
     // Processes that have left the listing, with the last time at which they may have been in it.
     ended: HashMap<Process, Tick>,
 }
 
 impl ServedProcesses {
-    /// Applies a listing. After more than `gap` without one, processes may have come and gone unseen.
-    pub fn observe(&mut self, now: Tick, listed: HashSet<Process>, gap: Duration) {
+    /// Applies the listing at `revision`. After more than `gap` without one, processes may have come and
+    /// gone unseen.
+    pub fn observe(&mut self, now: Tick, revision: u64, listed: HashSet<Process>, gap: Duration) {
         let before = std::mem::replace(&mut self.listed, listed);
         self.ended.extend(before.into_iter().map(|p| (p, now)));
         let listed = &self.listed;
         self.ended.retain(|p, t| !listed.contains(p) && now.since(*t) <= RETENTION);
         self.confirm(now, gap);
+        if self.since == Some(now) {
+            self.anchor = Some((revision, now));
+        }
     }
 
     /// Records that the last listing is still current.
     pub fn confirm(&mut self, now: Tick, gap: Duration) {
         if self.confirmed.is_none_or(|t| now.since(t) > gap) {
-            self.since = Some(now);
+            (self.since, self.anchor) = (Some(now), None);
         }
         self.confirmed = Some(now);
     }
 
+    /// Revision whose time is known, with its age.
+    pub fn anchor(&self, now: Tick) -> Option<Anchor> {
+        self.anchor.map(|(revision, at)| Anchor { revision, age: now.since(at) })
+    }
+
     /// Adds what the store's history shows of the time before this record, as of a read that ended at
     /// `now`.
     pub fn extend(&mut self, now: Tick, past: Past) {
@@ -140,9 +151,20 @@
     }
 }
 
+/// A revision of the store and the time for which it has existed, at least.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Anchor {
+    /// The revision.
+    pub revision: u64,
+    /// Time since then.
+    pub age: Duration,
+}
+
 /// A change of an entry in the store's history.
 #[derive(Clone, Debug)]
 pub struct EntryChange {
+    /// Revision of the change.
+    pub revision: u64,
     /// Key of the entry.
     pub key: String,
     /// Process that it names from then on; `None` if it was removed or names no replica.
@@ -164,8 +186,8 @@
     /// Reads a history of changes in the order of their revisions, up to the time of the read.
     /// Replicas renew their entries every `interval` at most. Times are lower bounds: renewals that are
     /// missing make them shorter, so that more processes count as recent.
-    pub fn read(changes: &[EntryChange], interval: Duration) -> Self {
-        let ages = ages(changes, interval.mul_f64(MIN_INTERVAL));
+    pub fn read(changes: &[EntryChange], interval: Duration, anchor: Option<Anchor>) -> Self {
+        let ages = ages(changes, interval.mul_f64(MIN_INTERVAL), anchor);
         let mut current: HashMap<&str, &Process> = HashMap::new();
         let mut ends: HashMap<&Process, Duration> = HashMap::new();
         for (c, age) in changes.iter().zip(&ages) {
@@ -186,14 +208,17 @@
 }
 
 // Shortest time from each change to the read: the longest chain of renewals since then, each a replica's
-// next one after `interval` or more.
-fn ages(changes: &[EntryChange], interval: Duration) -> Vec<Duration> {
+// next one after `interval` or more, on top of the age of the anchor for what is older than that.
+fn ages(changes: &[EntryChange], interval: Duration, anchor: Option<Anchor>) -> Vec<Duration> {
     let mut next: HashMap<&str, (&Process, bool, Duration)> = HashMap::new();
     let mut age = Duration::ZERO;
     let mut out: Vec<_> = changes
         .iter()
         .rev()
         .map(|c| {
+            if let Some(a) = anchor.filter(|a| c.revision <= a.revision) {
+                age = age.max(a.age);
+            }
             match &c.process {
                 Some(p) => {
                     if let Some((_, _, later)) =
--- a/crates/core/src/fleet/served/tests.rs
+++ b/crates/core/src/fleet/served/tests.rs
@@ -3,7 +3,7 @@
 use arcstr::ArcStr;
 use proptest::prelude::*;
 
-use super::{EntryChange, MIN_INTERVAL, Past, Process, ServedProcesses};
+use super::{Anchor, EntryChange, MIN_INTERVAL, Past, Process, ServedProcesses};
 use crate::time::Tick;
 
 const SPAN: Duration = Duration::from_secs(16);
@@ -32,16 +32,21 @@
 // One process of each version, listed each second from `from_s` to `to_s`.
 fn listed(v: &mut ServedProcesses, from_s: u64, to_s: u64, versions: &[&str]) {
     for s in from_s..=to_s {
-        v.observe(at(s * 1000), versions.iter().map(|x| process(x, 1, x)).collect(), GAP);
+        v.observe(at(s * 1000), s, versions.iter().map(|x| process(x, 1, x)).collect(), GAP);
     }
 }
 
 fn write(p: &Process) -> EntryChange {
-    EntryChange { key: format!("servers/{}", p.id), process: Some(p.clone()), leaving: false }
+    EntryChange {
+        revision: 0,
+        key: format!("servers/{}", p.id),
+        process: Some(p.clone()),
+        leaving: false,
+    }
 }
 
 fn removal(p: &Process) -> EntryChange {
-    EntryChange { key: format!("servers/{}", p.id), process: None, leaving: false }
+    EntryChange { revision: 0, key: format!("servers/{}", p.id), process: None, leaving: false }
 }
 
 // `rounds` intervals in which each process renews its entry once.
@@ -91,8 +96,8 @@
     an_ended_process_counts_for_a_while: {
         let mut v = ServedProcesses::default();
         let (old, new) = (process("e1", 1, "v1"), process("e1", 2, "v2"));
-        v.observe(at(0), HashSet::from([old.clone(), process("e2", 1, "v2")]), GAP);
-        v.observe(at(1000), HashSet::from([new.clone(), process("e2", 1, "v2")]), GAP);
+        v.observe(at(0), 1, HashSet::from([old.clone(), process("e2", 1, "v2")]), GAP);
+        v.observe(at(1000), 2, HashSet::from([new.clone(), process("e2", 1, "v2")]), GAP);
         v.confirm(at(2000), GAP);
         let found: HashSet<_> = v.within(at(2000), "s", Duration::from_secs(1)).cloned().collect();
         assert!(found.contains(&old) && found.contains(&new), "{found:?}");
@@ -106,11 +111,11 @@
         let mut changes = renewals(&[&old, &new, &other], 10);
         changes.push(removal(&old));
         changes.extend(renewals(&[&new, &other], 4));
-        let past = Past::read(&changes, INTERVAL);
+        let past = Past::read(&changes, INTERVAL, None);
         assert_eq!(past, Past { covered: age(14), ended: vec![(old, age(4))] });
         let mut v = ServedProcesses::default();
         listed(&mut v, 100, 100, &[]);
-        v.observe(at(100_000), HashSet::from([new, other]), GAP);
+        v.observe(at(100_000), 9, HashSet::from([new, other]), GAP);
         v.extend(at(100_000), past);
         let now = at(100_500);
         assert!(v.is_complete(now, Duration::from_secs(14)));
@@ -128,7 +133,7 @@
         let other = process("e2", 1, "v2");
         let mut changes = renewals(&[&old, &other], 3);
         changes.extend(renewals(&[&new, &other], 3));
-        let past = Past::read(&changes, INTERVAL);
+        let past = Past::read(&changes, INTERVAL, None);
         assert_eq!(past.ended, [(old, age(3))]);
     }
     // Guards against an age that is too great because a replica has written at other times than those
@@ -137,7 +142,7 @@
         let (one, again) = (process("e1", 1, "v1"), process("e1", 2, "v1"));
         let leaving = EntryChange { leaving: true, ..write(&one) };
         let changes = [write(&one), leaving, write(&again)];
-        assert_eq!(Past::read(&changes, INTERVAL).covered, Duration::ZERO);
+        assert_eq!(Past::read(&changes, INTERVAL, None).covered, Duration::ZERO);
     }
     // Pattern: replicas leave renewals out that change nothing, each at other times. Guards against a
     // history that counts as much shorter than it is, so that streams are refused.
@@ -145,7 +150,31 @@
         let (one, two) = (process("e1", 1, "v1"), process("e2", 1, "v1"));
         let mut changes = renewals(&[&one], 6);
         changes.extend(renewals(&[&two], 5));
-        assert_eq!(Past::read(&changes, INTERVAL).covered, INTERVAL.mul_f64(MIN_INTERVAL * 9.0));
+        assert_eq!(Past::read(&changes, INTERVAL, None).covered, INTERVAL.mul_f64(MIN_INTERVAL * 9.0));
+    }
+    // Pattern: a host reads the history some seconds after its start. Guards against an age that is
+    // too low, so that streams are refused, although the host knows when it first read the listing.
+    the_age_of_a_known_revision_counts: {
+        let (one, two) = (process("e1", 1, "v1"), process("e2", 1, "v1"));
+        let mut changes = renewals(&[&one, &two], 3);
+        changes.push(removal(&two));
+        changes.extend(renewals(&[&one], 2));
+        for (i, c) in changes.iter_mut().enumerate() {
+            c.revision = 50 + i as u64;
+        }
+        let known = |revision| Some(Anchor { revision, age: Duration::from_secs(9) });
+        let past = Past::read(&changes, INTERVAL, known(56));
+        assert_eq!(past.ended, [(two.clone(), Duration::from_secs(9))]);
+        assert_eq!(past.covered, Duration::from_secs(9) + age(3));
+        // What came after it may be younger.
+        assert_eq!(Past::read(&changes, INTERVAL, known(55)).ended, [(two, age(2))]);
+        let mut v = ServedProcesses::default();
+        v.observe(at(1000), 7, HashSet::new(), GAP);
+        v.observe(at(2000), 8, HashSet::new(), GAP);
+        assert_eq!(v.anchor(at(3000)), Some(Anchor { revision: 7, age: Duration::from_secs(2) }));
+        // After a gap nothing tells the revision until the next listing begins a record.
+        v.confirm(at(9000), GAP);
+        assert_eq!(v.anchor(at(9000)), None);
     }
     // Guards against a process that counts as ended because its entry lapsed for a while.
     a_returned_process_has_not_ended: {
@@ -153,13 +182,13 @@
         let mut changes = renewals(&[&one, &two], 2);
         changes.push(removal(&one));
         changes.extend(renewals(&[&one, &two], 2));
-        assert_eq!(Past::read(&changes, INTERVAL).ended, []);
+        assert_eq!(Past::read(&changes, INTERVAL, None).ended, []);
     }
     // Guards against a history that is empty, or of which nothing tells the age, and counts as long.
     a_history_without_renewals_covers_nothing: {
-        assert_eq!(Past::read(&[], INTERVAL), Past::default());
+        assert_eq!(Past::read(&[], INTERVAL, None), Past::default());
         let one = process("e1", 1, "v1");
-        let past = Past::read(&[write(&one), removal(&one)], INTERVAL);
+        let past = Past::read(&[write(&one), removal(&one)], INTERVAL, None);
         assert_eq!(past, Past { covered: Duration::ZERO, ended: vec![(one, Duration::ZERO)] });
     }
     // Guards against a record that is taken for complete across an outage of the store, since the
@@ -189,6 +218,7 @@
         lives in replicas(),
         silent in 0_usize..12,
         begin in 0_u64..15_000,
+        anchor in 15_000_u64..30_000,
         jitter in proptest::collection::vec(1_090_u64..1_310, 40),
         written in proptest::collection::vec(proptest::bool::weighted(0.8), 40),
     ) {
@@ -215,9 +245,17 @@
             }
         }
         history.sort_by_key(|(t, _)| *t);
+        for (i, (_, c)) in history.iter_mut().enumerate() {
+            c.revision = i as u64;
+        }
+        let known = history.iter().filter(|(t, _)| *t <= anchor).count().checked_sub(1);
+        let known = known.map(|i| Anchor {
+            revision: i as u64,
+            age: Duration::from_millis(END - anchor),
+        });
         let seen: Vec<_> = history.iter().filter(|(t, _)| *t >= begin).collect();
         let changes: Vec<_> = seen.iter().map(|(_, c)| c.clone()).collect();
-        let past = Past::read(&changes, INTERVAL);
+        let past = Past::read(&changes, INTERVAL, known);
         prop_assert!(past.covered <= Duration::from_millis(END - begin), "{past:?}");
         for (i, p) in processes.iter().enumerate() {
             let (start, length, _) = lives[i];
--- a/crates/daemon/src/front/control/origins.rs
+++ b/crates/daemon/src/front/control/origins.rs
@@ -295,7 +295,8 @@
 
     pub(super) fn note_processes(&mut self, now: Tick, entries: &[ReplicaEntry]) {
         let listed = entries.iter().map(Process::from).collect();
-        self.origins.served.observe(now, listed, STORE_OUTAGE);
+        let revision = self.store_position().revision;
+        self.origins.served.observe(now, revision, listed, STORE_OUTAGE);
     }
 
     pub(super) fn confirm_processes(&mut self, now: Tick) {
--- a/crates/daemon/src/front/control/search.rs
+++ b/crates/daemon/src/front/control/search.rs
@@ -212,11 +212,11 @@
                 let e = entry(c);
                 let leaving = e.as_ref().is_some_and(|e| e.leaving);
                 let process = e.as_ref().map(Process::from);
-                EntryChange { key: c.key.clone(), process, leaving }
+                EntryChange { revision: c.revision, key: c.key.clone(), process, leaving }
             })
             .collect();
         let interval = self.settings.renewal_interval().unwrap_or_default();
-        let past = Past::read(&changes, interval);
+        let past = Past::read(&changes, interval, self.origins.served.anchor(now));
         let fields = kv!(
             "changes" => changes.len(), "listed" => self.origins.served.listed(),
             "covered_ms" => past.covered.as_millis() as u64,
