Date the store's history by the renewals of one replica

Replicas renew at intervals that vary, and the chain of renewals over several replicas adds up the shortest ones. An age that is too great leaves out an engine that may have begun a stream (ORDER).

Change: the age is the largest number of renewals of one replica.

--- a/crates/core/src/fleet/served.rs
+++ b/crates/core/src/fleet/served.rs
@@ -25,7 +25,7 @@
 /// which a caller may take up a stream.
 const RETENTION: Duration = Duration::from_secs(150);
 
-/// Shortest time between two renewals of an entry, as a part of the interval.
+/// Shortest mean time between renewals of an entry, as a part of the interval.
 const MIN_INTERVAL: f64 = 0.9;
 
 /// One start of a replica.
@@ -184,8 +184,9 @@
 
 impl Past {
     /// Reads a history of changes in the order of their revisions, up to the time of the read.
-    /// Replicas renew their entries every `interval` at most. Times are lower bounds: renewals that are
-    /// missing make them shorter, so that more processes count as recent.
+    /// Replicas renew their entries every `interval` on average, or less often. Times are lower bounds
+    /// but for a part of an interval: renewals that are missing make them shorter, so that more
+    /// processes count as recent.
     pub fn read(changes: &[EntryChange], interval: Duration, anchor: Option<Anchor>) -> Self {
         let ages = ages(changes, interval.mul_f64(MIN_INTERVAL), anchor);
         let mut current: HashMap<&str, &Process> = HashMap::new();
@@ -207,8 +208,9 @@
     }
 }
 
-// Shortest time from each change to the read: the longest chain of renewals since then, each a replica's
-// next one after `interval` or more, on top of the age of the anchor for what is older than that.
+// Shortest time from each change to the read: the largest number of intervals in which one replica has
+// renewed its entry since then, on top of the age of the anchor for what is older than that. Renewals of
+// different replicas are not added up, since the shortest of many intervals are shorter than stated.
 fn ages(changes: &[EntryChange], interval: Duration, anchor: Option<Anchor>) -> Vec<Duration> {
     let mut next: HashMap<&str, (&Process, bool, Duration)> = HashMap::new();
     let mut age = Duration::ZERO;
@@ -216,22 +218,24 @@
         .iter()
         .rev()
         .map(|c| {
-            if let Some(a) = anchor.filter(|a| c.revision <= a.revision) {
-                age = age.max(a.age);
-            }
+            let known = anchor.filter(|a| c.revision <= a.revision);
+            let base = known.map_or(Duration::ZERO, |a| a.age);
+            let mut own = base;
             match &c.process {
                 Some(p) => {
+                    let renewal = next.get(c.key.as_str());
                     if let Some((_, _, later)) =
-                        next.get(c.key.as_str()).filter(|(q, l, _)| (*q, *l) == (p, c.leaving))
+                        renewal.filter(|(q, l, _)| (*q, *l) == (p, c.leaving))
                     {
-                        age = age.max(*later + interval);
+                        own = base.max(*later + interval);
                     }
-                    next.insert(&c.key, (p, c.leaving, age));
+                    next.insert(&c.key, (p, c.leaving, own));
                 }
                 None => {
                     next.remove(c.key.as_str());
                 }
             }
+            age = age.max(own);
             age
         })
         .collect();
