Apply no change of the listing that is older than the copy

What callers see: after a listing that goes back to an earlier state, a change of the listing that has waited takes a host's copy back once more, while its age stays that of the later read. A host then sends requests to replicas of an outdated list, and judges streams that are taken up by it, in the belief that the listing is current.

Cause: a change was applied if its base was the copy here, whatever the time of its read.

Change: a change is applied only if its read was sent after the newest read of the copy, as far as its receipt proves that. Otherwise the host reads the store. The parts of a large change have no age, so the time of their stamp counts.

Found by the model, not seen at a host.

--- a/crates/core/src/fleet/freshness.rs
+++ b/crates/core/src/fleet/freshness.rs
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::listing::UNREAD_AGE_MS;
 use crate::time::{Tick, plus_drift};
 
 /// Poll intervals in the longest time that a change may need to take effect: one for a read that
@@ -180,8 +181,8 @@
         self.stale_since.is_some()
     }
 
-    /// Applies a change that a peer read, if it is based on the copy here. `to` was stamped after
-    /// `stamped_after`. Returns the time after which the peer's read was sent.
+    /// Applies a change that a peer read, if it is based on the copy here and not older than it. `to`
+    /// was stamped after `stamped_after`. Returns the time after which the peer's read was sent.
     pub fn apply_delta(
         &mut self,
         now: Tick,
@@ -193,6 +194,11 @@
             return None;
         }
         let read = to.read_after(stamped_after);
+        // The store may show the base again, so a change that has waited may be older than the copy.
+        let newest = if to.age_ms == UNREAD_AGE_MS { stamped_after } else { read };
+        if self.read_at.is_some_and(|r| newest < r) {
+            return None;
+        }
         self.delta_by = self.delta_by.max(Some(now - Duration::from_millis(to.age_ms)));
         self.copy_hash = Some(to.hash);
         self.read_at = self.read_at.max(Some(read));
--- a/crates/core/src/fleet/freshness/tests.rs
+++ b/crates/core/src/fleet/freshness/tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Freshness, SnapshotMark, StallDetector};
-use crate::time::Tick;
+use crate::{fleet::listing::UNREAD_AGE_MS, time::Tick};
 
 const POLL: Duration = Duration::from_millis(500);
 
@@ -149,6 +149,26 @@
         // The age came from a peer, so it is not passed on.
         assert_eq!(f.mark(at(460), POLL), Some(SnapshotMark { hash: 6, age_ms: 460 }));
     }
+    // Guards against a change that has waited and takes the copy back to an earlier state, while the age
+    // stays that of the later read: the store shows the base of the change again.
+    a_change_that_is_older_than_the_copy_is_not_applied: {
+        let mut f = copy(1000, 5);
+        let late = SnapshotMark { hash: 6, age_ms: 20 };
+        assert_eq!(f.apply_delta(at(1500), 5, late, at(600)), None);
+        let part = SnapshotMark { hash: 6, age_ms: UNREAD_AGE_MS };
+        assert_eq!(f.apply_delta(at(1500), 5, part, at(600)), None);
+        assert!(f.apply_delta(at(1500), 5, late, at(1450)).is_some());
+    }
+    // Guards against an own read that reverts a peer's change because the time of the peer's read is
+    // known as a lower bound only.
+    a_read_that_may_be_overtaken_is_not_applied: {
+        let mut f = copy(0, 5);
+        f.start_read(at(500));
+        // Stamped after 300 ms, and at 890 ms at the latest.
+        f.apply_delta(at(900), 5, SnapshotMark { hash: 6, age_ms: 10 }, at(300));
+        assert!(f.is_overtaken(at(500), 5));
+        assert!(!f.is_overtaken(at(900), 5));
+    }
     // Guards against a slow read that reverts a peer's later change, so that a leaving replica gets
     // requests again.
     an_overtaken_read_is_detected: {
--- a/crates/core/src/fleet/freshness/tests/model.rs
+++ b/crates/core/src/fleet/freshness/tests/model.rs
@@ -7,7 +7,10 @@
 
 use proptest::prelude::*;
 
-use super::{super::Freshness, POLL};
+use super::{
+    super::{Freshness, SnapshotMark},
+    POLL,
+};
 use crate::{
     fleet::{
         digest::{Digest, HostState},
@@ -107,6 +110,8 @@
     to: usize,
     receipt: Option<Receipt>,
     digest: Digest,
+    // A change of the copy: the hash before it, and the copy after it.
+    delta: Option<(u64, SnapshotMark)>,
 }
 
 fn ip(i: usize) -> Ipv4Addr {
@@ -157,7 +162,7 @@
                 self.hosts[i] = Host::new(i, h.incarnation + 1, h.offset, h.fast, self.now);
             }
             3..30 => self.read(),
-            30..60 => self.state(),
+            30..60 => self.state(None),
             _ => self.deliver(),
         }
     }
@@ -185,14 +190,17 @@
                     h.freshness.fail_read();
                     return;
                 }
-                h.freshness.finish_read(sent_at, hash);
+                let old = h.freshness.finish_read(sent_at, hash);
+                let age_ms = clock.since(sent_at).as_millis() as u64;
+                let change = old.filter(|o| *o != hash);
+                self.state(change.map(|o| (i, o, SnapshotMark { hash, age_ms })));
             }
         }
     }
 
-    // Lets a host state its copy to the others.
-    fn state(&mut self) {
-        let i = self.host();
+    // Lets a host state its copy to the others, or the change that it has read.
+    fn state(&mut self, change: Option<(usize, u64, SnapshotMark)>) {
+        let i = change.map_or_else(|| self.host(), |(i, ..)| i);
         let h = &mut self.hosts[i];
         let clock = h.clock(self.now);
         h.sequence += 1;
@@ -218,7 +226,8 @@
         for to in (0..self.hosts.len()).filter(|to| *to != i) {
             if self.in_flight.len() < MAX_IN_FLIGHT {
                 let receipt = self.hosts[i].peers.receipt(clock, ip(to));
-                self.in_flight.push(Sent { to, receipt, digest: digest.clone() });
+                let delta = change.map(|(_, base, mark)| (base, mark));
+                self.in_flight.push(Sent { to, receipt, digest: digest.clone(), delta });
             }
         }
     }
@@ -234,7 +243,11 @@
         let clock = h.clock(self.now);
         let stamped_after = m.receipt.and_then(|r| h.sent.stamped_after(&r));
         h.peers.apply_digest(clock, &m.digest);
-        if let Some(mark) = m.digest.listing {
+        if let Some((base, mark)) = m.delta {
+            if let Some(stamped_after) = stamped_after {
+                h.freshness.apply_delta(clock, base, mark, stamped_after);
+            }
+        } else if let Some(mark) = m.digest.listing {
             h.freshness.observe(clock, mark, stamped_after);
         }
     }
--- a/crates/core/src/fleet/listing.rs
+++ b/crates/core/src/fleet/listing.rs
@@ -21,7 +21,7 @@
 
 /// Age of the copy after a delta that is followed by others: as the copy is not complete, it does not
 /// count as read.
-const UNREAD_AGE_MS: u64 = u32::MAX as u64;
+pub(super) const UNREAD_AGE_MS: u64 = u32::MAX as u64;
 
 /// All entries by id.
 #[derive(Debug, Default)]
