Date a peer's confirmation of the listing by its read

The outage was not seen afterwards, so running replicas whose entries had lapsed were dropped at once (requests refused), and the record of processes, by which streams are taken up, stayed complete over a time that no host had read.

Cause: confirm_listing and ServedProcesses::confirm took the time at which the digest was handled, not that of the read that it states; the same cause as that of the withdrawn keys.

Change: both take the time after which the peer's read was sent, as its receipt bounds it.

Evidence: an_old_read_of_a_peer_hides_no_outage and a_gap_is_seen_beside_old_reads_of_peers fail with the former times (run on this commit with `read` replaced by `now`) and pass. Calls in other tests state the time of the read, which is that of the call there.

--- a/crates/core/src/fleet/freshness.rs
+++ b/crates/core/src/fleet/freshness.rs
@@ -137,23 +137,28 @@
         self.copy_hash = Some(hash);
     }
 
-    /// Applies a peer's mark, which was stamped after `stamped_after`. Returns whether it confirms the
-    /// copy here.
+    /// Applies a peer's mark, which was stamped after `stamped_after`. If it confirms the copy here,
+    /// returns the time after which the peer's read was sent.
     ///
     /// A mark without such a bound may have waited for any time, so it confirms nothing.
-    pub fn observe(&mut self, now: Tick, mark: SnapshotMark, stamped_after: Option<Tick>) -> bool {
+    pub fn observe(
+        &mut self,
+        now: Tick,
+        mark: SnapshotMark,
+        stamped_after: Option<Tick>,
+    ) -> Option<Tick> {
         if self.copy_hash == Some(mark.hash) {
-            let Some(stamped_after) = stamped_after else { return false };
-            self.read_at = self.read_at.max(Some(mark.read_after(stamped_after)));
+            let read = mark.read_after(stamped_after?);
+            self.read_at = self.read_at.max(Some(read));
             self.unproved = false;
-            return true;
+            return Some(read);
         }
         // An older read may show an earlier state. A wrong guess costs a read.
         let read = now - Duration::from_millis(mark.age_ms) - DIGEST_TRANSIT;
         if self.read_at.is_none_or(|r| read > r) {
             self.stale_since = self.stale_since.or(Some(now));
         }
-        false
+        None
     }
 
     /// Whether this host, with `rank` among the readers that poll at interval `poll`, must read
--- a/crates/core/src/fleet/freshness/tests.rs
+++ b/crates/core/src/fleet/freshness/tests.rs
@@ -35,7 +35,7 @@
     // age of the copy.
     another_copy_does_not_renew_the_age: {
         let mut f = copy(0, 5);
-        assert!(!f.observe(at(1000), SnapshotMark { hash: 6, age_ms: 10 }, Some(at(1000))));
+        assert_eq!(f.observe(at(1000), SnapshotMark { hash: 6, age_ms: 10 }, Some(at(1000))), None);
         assert_eq!(f.read_at(), Some(at(0)));
         assert!(f.read_due(at(1200), 1, POLL));
     }
@@ -71,8 +71,10 @@
     // Guards against an age that is lower than that of the read.
     the_age_counts_from_the_read: {
         let mut f = copy(0, 5);
-        assert!(f.observe(at(1000), SnapshotMark { hash: 5, age_ms: 400 }, Some(at(1000))));
-        assert!(f.read_at().unwrap() <= at(600) && f.read_at().unwrap() >= at(590));
+        let mark = SnapshotMark { hash: 5, age_ms: 400 };
+        let read = f.observe(at(1000), mark, Some(at(1000))).unwrap();
+        assert!(read <= at(600) && read >= at(590));
+        assert_eq!(f.read_at(), Some(read));
     }
     // Pattern: the store rejects a host whose digests arrive late, over a busy link or at a busy
     // process. Guards against withdrawn keys that stay in use because the wait of a digest lowers the
@@ -80,13 +82,14 @@
     a_wait_does_not_lower_the_age: {
         let mut f = copy(0, 5);
         // Stamped at 300 ms and handled at 2300 ms.
-        assert!(f.observe(at(2300), SnapshotMark { hash: 5, age_ms: 100 }, Some(at(300))));
+        let mark = SnapshotMark { hash: 5, age_ms: 100 };
+        assert!(f.observe(at(2300), mark, Some(at(300))).unwrap() <= at(200));
         assert!(f.read_at().unwrap() <= at(200));
     }
     // Guards against a copy that is confirmed by a digest of unknown age.
     a_mark_without_a_bound_confirms_nothing: {
         let mut f = copy(0, 5);
-        assert!(!f.observe(at(1000), SnapshotMark { hash: 5, age_ms: 10 }, None));
+        assert_eq!(f.observe(at(1000), SnapshotMark { hash: 5, age_ms: 10 }, None), None);
         assert_eq!(f.read_at(), Some(at(0)));
         // It still tells of a newer copy.
         f.observe(at(1000), SnapshotMark { hash: 6, age_ms: 10 }, None);
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -337,12 +337,12 @@
         self.map.iter_mut()
     }
 
-    /// Records that a peer's read found the same entries as the last listing here.
-    pub fn confirm_listing(&mut self, now: Tick, gap: Duration) {
-        if self.last_listed.is_some_and(|t| now.since(t) > gap) {
+    /// Records that a peer's read, sent after `read`, found the same entries as the last listing here.
+    pub fn confirm_listing(&mut self, now: Tick, read: Tick, gap: Duration) {
+        if self.last_listed.is_some_and(|t| read.since(t) > gap) {
             self.listed_since = Some(now);
         }
-        self.last_listed = Some(now);
+        self.last_listed = self.last_listed.max(Some(read));
     }
 
     /// Records that this process was paused for `pause`, in which it would have read no listing. That
--- a/crates/core/src/fleet/replicas/tests.rs
+++ b/crates/core/src/fleet/replicas/tests.rs
@@ -76,13 +76,23 @@
     the_grace_period_ends_without_a_new_listing: {
         let mut r = two();
         r.sync(at(9000), at(9000), vec![entry("a", 1)], GAP);
-        r.confirm_listing(at(10_000), GAP);
+        r.confirm_listing(at(10_000), at(10_000), GAP);
         assert!(r.expire_unlisted(at(11_000)).is_empty());
-        r.confirm_listing(at(11_400), GAP);
+        r.confirm_listing(at(11_400), at(11_400), GAP);
         assert!(matches!(r.expire_unlisted(at(11_600))[..], [ReplicaChange::Missing(_)]));
         assert_eq!(usable_ids(&r), ["a"]);
         assert!(r.expire_unlisted(at(12_000)).is_empty(), "once");
     }
+    // Pattern: the store fails, and hosts go on stating the listing that they read before. Guards against
+    // an outage that goes unseen, so that running replicas whose entries have expired are dropped.
+    an_old_read_of_a_peer_hides_no_outage: {
+        let mut r = two();
+        for ms in (200..9000).step_by(200) {
+            r.confirm_listing(at(ms), at(0), GAP);
+        }
+        r.sync(at(9000), at(9000), vec![entry("a", 1)], GAP);
+        assert_eq!(usable_ids(&r), ["a", "b"]);
+    }
     // Guards against a host that was frozen, takes that for an outage of the store, and goes on using
     // a replica that has left meanwhile.
     a_pause_is_no_outage_of_the_store: {
--- a/crates/core/src/fleet/served.rs
+++ b/crates/core/src/fleet/served.rs
@@ -58,7 +58,8 @@
 /// Processes that were listed, with the time for which all of them are known.
 #[derive(Debug, Default)]
 pub struct ServedProcesses {
-    // Since when all listed processes are known, and when the last listing was confirmed.
+    // Since when all listed processes are known, and after which time the newest read of the last
+    // listing was sent.
     since: Option<Tick>,
     confirmed: Option<Tick>,
     // Revision of the store that was known by `since` of this host's own record.
@@ -69,25 +70,32 @@
 }
 
 impl ServedProcesses {
-    /// Applies the listing at `revision`. After more than `gap` without one, processes may have come and
-    /// gone unseen.
-    pub fn observe(&mut self, now: Tick, revision: u64, listed: HashSet<Process>, gap: Duration) {
+    /// Applies the listing at `revision`, whose read was sent after `read`. After more than `gap` without
+    /// one, processes may have come and gone unseen.
+    pub fn observe(
+        &mut self,
+        now: Tick,
+        read: Tick,
+        revision: u64,
+        listed: HashSet<Process>,
+        gap: Duration,
+    ) {
         let before = std::mem::replace(&mut self.listed, listed);
         self.ended.extend(before.into_iter().map(|p| (p, now)));
         let listed = &self.listed;
         self.ended.retain(|p, t| !listed.contains(p) && now.since(*t) <= RETENTION);
-        self.confirm(now, gap);
+        self.confirm(now, read, gap);
         if self.since == Some(now) {
             self.anchor = Some((revision, now));
         }
     }
 
-    /// Records that the last listing is still current.
-    pub fn confirm(&mut self, now: Tick, gap: Duration) {
-        if self.confirmed.is_none_or(|t| now.since(t) > gap) {
+    /// Records that a read that was sent after `read` has shown the last listing again.
+    pub fn confirm(&mut self, now: Tick, read: Tick, gap: Duration) {
+        if self.confirmed.is_none_or(|t| read.since(t) > gap) {
             (self.since, self.anchor) = (Some(now), None);
         }
-        self.confirmed = Some(now);
+        self.confirmed = self.confirmed.max(Some(read));
     }
 
     /// Revision whose time is known, with its age.
--- a/crates/core/src/fleet/served/tests.rs
+++ b/crates/core/src/fleet/served/tests.rs
@@ -32,7 +32,13 @@
 // One process of each version, listed each second from `from_s` to `to_s`.
 fn listed(v: &mut ServedProcesses, from_s: u64, to_s: u64, versions: &[&str]) {
     for s in from_s..=to_s {
-        v.observe(at(s * 1000), s, versions.iter().map(|x| process(x, 1, x)).collect(), GAP);
+        v.observe(
+            at(s * 1000),
+            at(s * 1000),
+            s,
+            versions.iter().map(|x| process(x, 1, x)).collect(),
+            GAP,
+        );
     }
 }
 
@@ -91,14 +97,25 @@
         listed(&mut v, 31, 40, &["v1"]);
         assert!(v.only_software(at(40_000), "s", SPAN).is_some());
     }
+    // Guards against versions that come and go unseen while peers only repeat a listing that they read
+    // before.
+    a_gap_is_seen_beside_old_reads_of_peers: {
+        let mut v = ServedProcesses::default();
+        listed(&mut v, 0, 20, &["v1"]);
+        for s in 21..30 {
+            v.confirm(at(s * 1000), at(20_000), GAP);
+        }
+        listed(&mut v, 30, 31, &["v1"]);
+        assert_eq!(v.only_software(at(31_000), "s", SPAN), None);
+    }
     // Guards against a stream that counts as begun at a running process because the one that began it
     // has ended, or has started again under its id.
     an_ended_process_counts_for_a_while: {
         let mut v = ServedProcesses::default();
         let (old, new) = (process("e1", 1, "v1"), process("e1", 2, "v2"));
-        v.observe(at(0), 1, HashSet::from([old.clone(), process("e2", 1, "v2")]), GAP);
-        v.observe(at(1000), 2, HashSet::from([new.clone(), process("e2", 1, "v2")]), GAP);
-        v.confirm(at(2000), GAP);
+        v.observe(at(0), at(0), 1, HashSet::from([old.clone(), process("e2", 1, "v2")]), GAP);
+        v.observe(at(1000), at(1000), 2, HashSet::from([new.clone(), process("e2", 1, "v2")]), GAP);
+        v.confirm(at(2000), at(2000), GAP);
         let found: HashSet<_> = v.within(at(2000), "s", Duration::from_secs(1)).cloned().collect();
         assert!(found.contains(&old) && found.contains(&new), "{found:?}");
         assert_eq!(v.within(at(2001), "s", Duration::from_secs(1)).count(), 2);
@@ -115,7 +132,7 @@
         assert_eq!(past, Past { covered: age(14), ended: vec![(old, age(4))] });
         let mut v = ServedProcesses::default();
         listed(&mut v, 100, 100, &[]);
-        v.observe(at(100_000), 9, HashSet::from([new, other]), GAP);
+        v.observe(at(100_000), at(100_000), 9, HashSet::from([new, other]), GAP);
         v.extend(at(100_000), past);
         let now = at(100_500);
         assert!(v.is_complete(now, Duration::from_secs(14)));
@@ -169,11 +186,11 @@
         // What came after it may be younger.
         assert_eq!(Past::read(&changes, INTERVAL, known(55)).ended, [(two, age(2))]);
         let mut v = ServedProcesses::default();
-        v.observe(at(1000), 7, HashSet::new(), GAP);
-        v.observe(at(2000), 8, HashSet::new(), GAP);
+        v.observe(at(1000), at(1000), 7, HashSet::new(), GAP);
+        v.observe(at(2000), at(2000), 8, HashSet::new(), GAP);
         assert_eq!(v.anchor(at(3000)), Some(Anchor { revision: 7, age: Duration::from_secs(2) }));
         // After a gap nothing tells the revision until the next listing begins a record.
-        v.confirm(at(9000), GAP);
+        v.confirm(at(9000), at(9000), GAP);
         assert_eq!(v.anchor(at(9000)), None);
     }
     // Guards against a process that counts as ended because its entry lapsed for a while.
--- a/crates/daemon/src/front/control/origins.rs
+++ b/crates/daemon/src/front/control/origins.rs
@@ -293,13 +293,13 @@
         self.origins.budgets.retain(|name| config.routes.iter().any(|r| r.name == name));
     }
 
-    pub(super) fn note_processes(&mut self, now: Tick, entries: &[ReplicaEntry]) {
+    pub(super) fn note_processes(&mut self, now: Tick, read: Tick, entries: &[ReplicaEntry]) {
         let listed = entries.iter().map(Process::from).collect();
         let revision = self.store_position().revision;
-        self.origins.served.observe(now, revision, listed, STORE_OUTAGE);
+        self.origins.served.observe(now, read, revision, listed, STORE_OUTAGE);
     }
 
-    pub(super) fn confirm_processes(&mut self, now: Tick) {
-        self.origins.served.confirm(now, STORE_OUTAGE);
+    pub(super) fn confirm_processes(&mut self, now: Tick, read: Tick) {
+        self.origins.served.confirm(now, read, STORE_OUTAGE);
     }
 }
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -385,7 +385,7 @@
         entries: Vec<ReplicaEntry>,
         revision: u64,
     ) {
-        self.note_processes(now, &entries);
+        self.note_processes(now, sent_at, &entries);
         let changes = self.dispatcher.replicas.sync(now, sent_at, entries, STORE_OUTAGE);
         let read_ms = now.since(sent_at).as_millis() as u64;
         self.log_changes(&changes, revision, read_ms);
@@ -425,16 +425,16 @@
     // digest that it stamped after `stamped_after`.
     fn confirm_reads(&mut self, now: Tick, d: &Digest, stamped_after: Option<Tick>) {
         if let Some(mark) = d.operator
-            && self.store.operator.observe(now, mark, stamped_after)
+            && self.store.operator.observe(now, mark, stamped_after).is_some()
             && !self.serving
         {
             self.publish(now);
         }
         if let Some(mark) = d.listing
-            && self.store.listing.observe(now, mark, stamped_after)
+            && let Some(read) = self.store.listing.observe(now, mark, stamped_after)
         {
-            self.dispatcher.replicas.confirm_listing(now, STORE_OUTAGE);
-            self.confirm_processes(now);
+            self.dispatcher.replicas.confirm_listing(now, read, STORE_OUTAGE);
+            self.confirm_processes(now, read);
         }
     }
 
