Let a late report lift no limit that was named since

What a replica sees: a report of a peer that its limit has ended waits on the way, the replica names a limit again meanwhile, and the report lifts it, since its age counted from when it was handled. The replica then gets more requests than it takes until its next answer.

Change: reports of limits carry a receipt. The end of a limit counts from the earliest time at which the peer may have seen it, a limit from the latest one.

Evidence: a_late_report_lifts_no_newer_limit got Lifted with the former time and passes.

--- a/crates/core/src/fleet/digest.rs
+++ b/crates/core/src/fleet/digest.rs
@@ -71,17 +71,18 @@
             Self::Digest(_) | Self::Relay(_) => "digest",
             Self::ListingDelta(_) => "listing",
             Self::Versions(_) => "versions",
+            Self::Limits(_) => "limits",
             _ => "other",
         }
     }
 
-    /// Whether its receiver has to know how long it has waited, since it states the age of a copy. It is
-    /// sent with a [`super::receipt::Receipt`] then. A digest that another host passes on is not: the
-    /// receipt would be that of the relay.
+    /// Whether its receiver has to know how long it has waited, since it states an age. It is sent with
+    /// a [`super::receipt::Receipt`] then. A digest that another host passes on is not: the receipt
+    /// would be that of the relay.
     pub fn states_age(&self) -> bool {
         match self {
             Self::Digest(d) | Self::Relay(d) => d.operator.is_some() || d.listing.is_some(),
-            Self::ListingDelta(_) | Self::Versions(_) => true,
+            Self::ListingDelta(_) | Self::Versions(_) | Self::Limits(_) => true,
             _ => false,
         }
     }
--- a/crates/core/src/fleet/dispatch/limits.rs
+++ b/crates/core/src/fleet/dispatch/limits.rs
@@ -26,13 +26,18 @@
         change
     }
 
-    /// Applies the report of a peer. Returns what changed.
-    pub fn apply_limits(&mut self, now: Tick, r: &LimitReport) -> Vec<(ReplicaKey, LimitChange)> {
+    /// Applies the report of a peer, which it stamped after `stamped_after`. Returns what changed.
+    pub fn apply_limits(
+        &mut self,
+        now: Tick,
+        r: &LimitReport,
+        stamped_after: Option<Tick>,
+    ) -> Vec<(ReplicaKey, LimitChange)> {
         let mut out = Vec::new();
         for l in &r.limits {
             let Some(k) = self.replicas.find_hash(l.replica) else { continue };
             let Some(replica) = self.replicas.get_mut(k) else { continue };
-            let change = replica.limit.apply(now, r.ip, r.incarnation, l);
+            let change = replica.limit.apply(now, r.ip, r.incarnation, l, stamped_after);
             out.extend(change.map(|c| (k, c)));
         }
         out
--- a/crates/core/src/fleet/limit.rs
+++ b/crates/core/src/fleet/limit.rs
@@ -11,7 +11,7 @@
 use std::{collections::BTreeMap, net::Ipv4Addr, time::Duration};
 
 use super::digest::NamedLimit;
-use crate::time::Tick;
+use crate::time::{Tick, plus_drift};
 
 /// Hosts that send to a replica that names a limit.
 pub const MAX_SENDERS: usize = 5;
@@ -164,15 +164,22 @@
         }
     }
 
-    /// Applies what a peer reports.
+    /// Applies what a peer reports in a message that it stamped after `stamped_after`, if there is a
+    /// bound. A report that has waited must not lift a limit that was named since, so an end counts from
+    /// the earliest time, and a limit from the latest one.
     pub fn apply(
         &mut self,
         now: Tick,
         ip: Ipv4Addr,
         incarnation: u64,
         l: &NamedLimit,
+        stamped_after: Option<Tick>,
     ) -> Option<LimitChange> {
-        let named_at = now - Duration::from_millis(u64::from(l.age_ms));
+        let age = Duration::from_millis(u64::from(l.age_ms));
+        let named_at = match (l.limit_milli, stamped_after) {
+            (None, Some(t)) => t - plus_drift(age),
+            _ => now - age,
+        };
         let mut change = None;
         if self.named_at.is_none_or(|t| named_at > t) {
             self.named_at = Some(named_at);
--- a/crates/core/src/fleet/limit/tests.rs
+++ b/crates/core/src/fleet/limit/tests.rs
@@ -58,15 +58,15 @@
     requests_of_peers_count_once: {
         let mut l = limited(1.0);
         let report = |sent| NamedLimit { replica: 1, limit_milli: Some(1000), age_ms: 0, sent };
-        l.apply(at(1000), ip(1), 1, &report(7));
-        l.apply(at(1000), ip(1), 1, &report(8));
-        l.apply(at(1001), ip(1), 1, &report(7));
-        l.apply(at(1002), ip(1), 1, &report(8));
+        l.apply(at(1000), ip(1), 1, &report(7), None);
+        l.apply(at(1000), ip(1), 1, &report(8), None);
+        l.apply(at(1001), ip(1), 1, &report(7), None);
+        l.apply(at(1002), ip(1), 1, &report(8), None);
         assert_eq!(l.state(at(2500)), SendState::Free);
-        l.apply(at(2500), ip(1), 1, &report(10));
+        l.apply(at(2500), ip(1), 1, &report(10), None);
         assert_ne!(l.state(at(2500)), SendState::Free);
         // A restarted peer counts from zero.
-        l.apply(at(5000), ip(1), 2, &report(1));
+        l.apply(at(5000), ip(1), 2, &report(1), None);
         assert_eq!(l.state(at(5000)), SendState::Free);
     }
     // Guards against a host that does not learn of a limit, or of its end, from its peers.
@@ -74,11 +74,21 @@
         let mut a = limited(2.0);
         let mut b = SendLimit::default();
         b.set_sender(true);
-        assert_eq!(b.apply(at(10), ip(0), 1, &a.entry(at(10), 1).unwrap()), Some(LimitChange::Named(2.0)));
+        assert_eq!(b.apply(at(10), ip(0), 1, &a.entry(at(10), 1).unwrap(), Some(at(8))), Some(LimitChange::Named(2.0)));
         a.observe(at(500), at(400), None);
-        assert_eq!(b.apply(at(510), ip(0), 1, &a.entry(at(510), 1).unwrap()), Some(LimitChange::Lifted));
+        assert_eq!(b.apply(at(510), ip(0), 1, &a.entry(at(510), 1).unwrap(), Some(at(508))), Some(LimitChange::Lifted));
         assert!(a.entry(at(6000), 1).is_none());
     }
+    // Guards against a replica that gets more than it takes because a report of the end of its limit has
+    // waited, and lifts the limit that it has named again since.
+    a_late_report_lifts_no_newer_limit: {
+        let mut l = limited(2.0);
+        l.observe(at(3000), at(2900), Some(2.0));
+        let ended = NamedLimit { replica: 1, limit_milli: None, age_ms: 10, sent: 0 };
+        assert_eq!(l.apply(at(4000), ip(1), 1, &ended, Some(at(1000))), None);
+        assert!(l.entry(at(4000), 1).unwrap().limit_milli.is_some());
+        assert_eq!(l.apply(at(4000), ip(1), 1, &ended, Some(at(3900))), Some(LimitChange::Lifted));
+    }
 }
 
 proptest! {
@@ -105,7 +115,7 @@
             let (due, rest): (Vec<_>, Vec<_>) = reports.into_iter().partition(|r| r.0 <= ms);
             reports = rest;
             for (_, from, to, l) in due {
-                hosts[to].apply(at(ms), ip(from), 1, &l);
+                hosts[to].apply(at(ms), ip(from), 1, &l, None);
             }
             for (from, host) in hosts.iter_mut().enumerate() {
                 let repeats = ms % 1000 == 5 * from as u64;
--- a/crates/daemon/src/front/control.rs
+++ b/crates/daemon/src/front/control.rs
@@ -524,7 +524,7 @@
             PeerMessage::Relayed(d) => self.handle_digest(now, &d, Route::Relayed, ctx),
             PeerMessage::LoadRequest(w) => self.handle_load_request(now, msg.from, w, ctx),
             PeerMessage::LoadResult(r) => self.handle_load_result(&r),
-            PeerMessage::Limits(r) => self.handle_limits(now, &r),
+            PeerMessage::Limits(r) => self.handle_limits(now, &r, stamped_after),
             PeerMessage::Losses(r) => self.handle_losses(now, &r),
             PeerMessage::ListingDelta(l) => self.handle_listing(now, &l, stamped_after),
             PeerMessage::Era(r) => self.handle_era(now, &r),
--- a/crates/daemon/src/front/control/limits.rs
+++ b/crates/daemon/src/front/control/limits.rs
@@ -117,11 +117,16 @@
     }
 
     /// Applies the report of a peer. Its ages are wrong if it waited while this host was paused.
-    pub(super) fn handle_limits(&mut self, now: Tick, r: &LimitReport) {
+    pub(super) fn handle_limits(
+        &mut self,
+        now: Tick,
+        r: &LimitReport,
+        stamped_after: Option<Tick>,
+    ) {
         if !self.stalls.is_current(now) || self.peers.get(r.ip).is_none() {
             return;
         }
-        for (k, change) in self.dispatcher.apply_limits(now, r) {
+        for (k, change) in self.dispatcher.apply_limits(now, r, stamped_after) {
             self.note_limit(now, k, change, Some(r.ip));
         }
     }
