Wait for the end of a killed host before a test starts it again

a_started_host_learns_the_block_from_its_peers failed now and then beside load with "a host is not ready". Cause, in the test: it sent SIGKILL and started the next process at once. The old one still held its addresses, and the new one ended with StartFailed, "Address already in use".

--- a/crates/daemon/tests/platform/crashes.rs
+++ b/crates/daemon/tests/platform/crashes.rs
@@ -195,10 +195,7 @@
             call(&f, n % 2, &format!("sound{n}"), "5c:40,900:20");
             (0..2).all(|i| f.log_lines(i).iter().any(|l| l["name"] == "BlockHeld"))
         });
-        f.signal(2, "KILL");
-        let restarted = f.spawn_host(2, 3);
-        f.hosts[2] = restarted;
-        f.wait_ready();
+        f.restart(2);
         thread::sleep(CONTACT);
         let before = arrivals(&f.engines).len();
         for n in 0..10 {
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -56,6 +56,14 @@
     pub child: Child,
 }
 
+impl Host {
+    // Returns when the process has ended.
+    fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+}
+
 impl Drop for Host {
     fn drop(&mut self) {
         // The process may have exited by itself.
@@ -287,12 +295,16 @@
         thread::sleep(HISTORY_TIME);
     }
 
+    /// Kills host `i` and starts it again once its process has gone, which holds its addresses until then.
+    pub fn restart(&mut self, i: usize) {
+        self.hosts[i].kill();
+        self.hosts[i] = self.spawn_host(i, self.hosts.len());
+        self.wait_ready();
+    }
+
     /// Kills all hosts at once and starts them again.
     pub fn restart_all(&mut self) {
-        for h in &mut self.hosts {
-            h.child.kill().unwrap();
-            h.child.wait().unwrap();
-        }
+        self.hosts.iter_mut().for_each(Host::kill);
         let n = self.hosts.len();
         self.hosts = (0..n).map(|i| self.spawn_host(i, n)).collect();
         self.wait_ready();
