Keep a stopping host running while callers read large answers

Cause: a request counted as open until its complete answer was handed to the HTTP server, which copied all of it into its buffer at once.

Change: a body of more than 32 KB is handed over in parts. The server takes the next one when it has written most of the one before, and the request stays open until it has taken the last, at most until the grace ends. The buffer of a connection also holds some 64 KB now, not the whole body.

Evidence: a_large_answer_is_read_to_its_end_in_a_stop failed before (the body was incomplete) and passes. What remains: the last parts, up to 64 KB, have 150 ms to leave the process, so a caller that reads less than some 0.4 MB a second may still lose them.

--- a/crates/daemon/src/front/edge.rs
+++ b/crates/daemon/src/front/edge.rs
@@ -82,7 +82,8 @@
     pub closing: CancellationToken,
 }
 
-/// Number of requests of callers from their head to their response, or to its first event.
+/// Number of requests of callers from their head to their response, to the first event of a stream, or
+/// until the caller has read most of a large body.
 #[derive(Clone, Debug, Default)]
 pub struct OpenCalls(Arc<AtomicUsize>);
 
@@ -92,13 +93,16 @@
         self.0.load(Ordering::Relaxed)
     }
 
-    fn enter(&self) -> OpenCall {
+    /// Counts a call until the guard is dropped.
+    pub fn enter(&self) -> OpenCall {
         self.0.fetch_add(1, Ordering::Relaxed);
         OpenCall(self.clone())
     }
 }
 
-struct OpenCall(OpenCalls);
+/// Guard of an open call.
+#[derive(Debug)]
+pub struct OpenCall(OpenCalls);
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
--- a/crates/daemon/src/front/forward.rs
+++ b/crates/daemon/src/front/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards an accepted request to a replica, retries it at others, and relays the response.
 
+mod body;
 mod limit;
 mod loss;
 mod origin;
@@ -529,7 +530,7 @@
         ReplicaResponse::Full { status, headers, body } => {
             w.shared.metrics.first_event(&r.route.name, clock::now().since(r.arrived));
             log_end(w, &r, status.as_u16(), "answered", None);
-            response_builder(status, headers, leaving).body(body)
+            body::finish(response_builder(status, headers, leaving), body, &w.shared.open)
         }
         ReplicaResponse::Stream { status, headers, upstream } => {
             let events = EventBody::new(w.clone(), r, *upstream);
