Keep hosts from the store in the soak while digests reach them late

Drawn apart, so the other faults of a seed stay as they were. The links of the daemon's tests move to the stand-ins, where both use them.

--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -36,6 +36,9 @@
     /// callers
     #[argh(option, default = "16")]
     callers: usize,
+    /// also keep hosts from the store while digests reach them late
+    #[argh(switch)]
+    starve: bool,
 }
 
 /// Runs all seeds and prints a line for each, with its violations.
@@ -53,6 +56,7 @@
             engines: args.engines,
             plain: args.plain,
             callers: args.callers,
+            starve: args.starve,
         })
         .await?;
         let faults: Vec<_> = v.faults.iter().map(|(k, n)| format!("{k} {n}")).collect();
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod history;
 pub mod limits;
+mod starve;
 #[cfg(test)]
 mod tests;
 
@@ -32,6 +33,8 @@
     pub plain: usize,
     /// Number of concurrent callers.
     pub callers: usize,
+    /// Whether hosts are also kept from the store while digests reach them late.
+    pub starve: bool,
 }
 
 /// Result of one seed.
--- a/crates/bench/src/soak/caller.rs
+++ b/crates/bench/src/soak/caller.rs
@@ -54,6 +54,7 @@
             ips: ips.clone(),
             stop: stop.clone(),
             key: fleet.key.clone(),
+            stale_key: fleet.stale_key.clone(),
             connection: None,
         };
         tokio::spawn(c.run())
@@ -79,6 +80,7 @@
     ips: Vec<Ipv4Addr>,
     stop: Arc<AtomicBool>,
     key: Arc<Mutex<String>>,
+    stale_key: Arc<Mutex<String>>,
     connection: Option<BufReader<TcpStream>>,
 }
 
@@ -105,13 +107,14 @@
             3 => (format!("/once/{adapter}"), Idempotency::Once, true),
             _ => (format!("/stream/{adapter}"), Idempotency::Safe, true),
         };
-        // Every third caller uses the account with a rate limit. The others sometimes send key-0,
-        // which may have been revoked.
+        // Every third caller uses the account with a rate limit. The others sometimes send a key that
+        // may have been revoked.
         let limited = self.name.ends_with(['2', '5', '8']);
+        let read = |key: &Mutex<String>| key.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let (key, account) = match (limited, self.rng.below(8)) {
             (true, _) => ("key-two".to_owned(), LIMITED_ACCOUNT.0),
-            (false, 0) => ("key-0".to_owned(), "one"),
-            (false, _) => (self.key.lock().unwrap_or_else(PoisonError::into_inner).clone(), "one"),
+            (false, 0) => (read(&self.stale_key), "one"),
+            (false, _) => (read(&self.key), "one"),
         };
         let expected = match stream {
             true => (1..=STREAM_EVENTS).map(|i| Replica::event_text(&id, i)).collect(),
--- a/crates/bench/src/soak/chaos.rs
+++ b/crates/bench/src/soak/chaos.rs
@@ -3,14 +3,13 @@
 
 use std::{
     collections::BTreeMap,
-    sync::PoisonError,
     time::{Duration, Instant},
 };
 
 use rustix::process::Signal;
 use yuccawing_platform_standin::{config, replica::Fault, store::Mode};
 
-use super::{SoakPlan, Xorshift, fleet::SoakFleet, limits};
+use super::{SoakPlan, Xorshift, fleet::SoakFleet, limits, starve::Starvation};
 use crate::{
     Result,
     proxy::{Direction, Link},
@@ -51,6 +50,7 @@
     let end = Instant::now() + plan.duration;
     let mut next = Instant::now();
     let named = limits::start(fleet, plan.seed);
+    let mut starvation = Starvation::start(plan);
     while Instant::now() < end {
         let now = Instant::now();
         if now >= next {
@@ -60,8 +60,15 @@
             next = now + rng.duration_ms(FAULT_GAP_MS.0, FAULT_GAP_MS.1);
         }
         revert_due(fleet, &mut reverts, now)?;
+        if let Some(s) = &mut starvation {
+            s.step(fleet, now);
+        }
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
+    if let Some(s) = &mut starvation {
+        s.end(fleet);
+        counts.insert("starve", s.count);
+    }
     while !reverts.is_empty() {
         revert_due(fleet, &mut reverts, Instant::now())?;
         tokio::time::sleep(STOP_POLL).await;
@@ -164,11 +171,7 @@
             "leave"
         }
         11 => {
-            let old = fleet.key();
-            let next = format!("key-{}", fleet.faults.revoked.len() + 1);
-            *fleet.key.lock().unwrap_or_else(PoisonError::into_inner) = next;
-            fleet.publish_config();
-            fleet.faults.revoked.insert(old, Instant::now());
+            fleet.withdraw_key();
             "revoke"
         }
         12 => {
--- a/crates/bench/src/soak/fleet.rs
+++ b/crates/bench/src/soak/fleet.rs
@@ -15,6 +15,7 @@
 use yuccawing_platform::headers;
 use yuccawing_platform_standin::{
     config::{self, Account},
+    links::Links,
     replica::{Replica, ReplicaSpec},
     store::Store,
 };
@@ -36,9 +37,18 @@
 /// machine.
 const STOP_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// First internal port of a host, and the number of these ports.
+const INTERNAL_PORT: u16 = 7600;
+const INTERNAL_PORTS: u16 = 16;
+
 /// Name of the account with a rate limit, and its limit in tokens per second.
 pub const LIMITED_ACCOUNT: (&str, u64) = ("two", 4000);
 
+// First internal port of host `i` in a fleet with links.
+fn linked_port(i: usize) -> u16 {
+    INTERNAL_PORT + INTERNAL_PORTS * i as u16
+}
+
 /// A host of the soak, across the restarts of its process.
 pub struct SoakHost {
     /// The running process; none while the host is down.
@@ -59,10 +69,14 @@
     pub replicas: Vec<Replica>,
     /// Proxy between the hosts and the store and replicas.
     pub proxy: Proxy,
+    /// Links between the hosts, if they are to be slow at times.
+    pub links: Option<Links>,
     /// Version of the newest published configuration.
     pub version: u64,
     /// Valid key of account `one`, shared with its callers so that they use a new key at once.
     pub key: Arc<Mutex<String>>,
+    /// Key that callers send now and then, which may have been withdrawn.
+    pub stale_key: Arc<Mutex<String>>,
     /// Host processes started so far.
     pub process_count: usize,
     /// The part of the history that is known from injected faults; requests are added at the end.
@@ -114,6 +128,8 @@
             proxy,
             version: 0,
             key: Arc::new(Mutex::new("key-0".to_owned())),
+            stale_key: Arc::new(Mutex::new("key-0".to_owned())),
+            links: None,
             process_count: 0,
             faults: History::default(),
             proxied_addrs,
@@ -123,6 +139,11 @@
         };
         out.faults.limits.insert(LIMITED_ACCOUNT.0.to_owned(), LIMITED_ACCOUNT.1 as f64);
         out.publish_config();
+        if plan.starve {
+            let ends: Vec<_> =
+                out.hosts.iter().enumerate().map(|(i, h)| (h.ip, linked_port(i))).collect();
+            out.links = Some(Links::start(&ends).await?);
+        }
         for i in 0..plan.hosts {
             out.start_host(i)?;
         }
@@ -135,6 +156,16 @@
         self.key.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Replaces the key of account `one` by a new one. Returns the old one.
+    pub fn withdraw_key(&mut self) -> String {
+        let next = format!("key-{}", self.faults.revoked.len() + 1);
+        let old =
+            std::mem::replace(&mut *self.key.lock().unwrap_or_else(PoisonError::into_inner), next);
+        self.publish_config();
+        self.faults.revoked.insert(old.clone(), Instant::now());
+        old
+    }
+
     /// Publishes the accounts and their keys as the next version of the configuration.
     pub fn publish_config(&mut self) {
         self.version += 1;
@@ -162,14 +193,16 @@
     pub fn start_host(&mut self, i: usize) -> Result<()> {
         let seeds: Vec<_> =
             self.hosts.iter().take(3).map(|h| format!("\"{}:8229\"", h.ip)).collect();
+        let port = if self.links.is_some() { linked_port(i) } else { INTERNAL_PORT };
         let h = &mut self.hosts[i];
         let ip = h.ip;
         let text = format!(
-            "name = \"{}\"\nip = \"{ip}\"\nzone = \"a\"\nports = [7600, 7615]\nseeds = [{}]\n\
+            "name = \"{}\"\nip = \"{ip}\"\nzone = \"a\"\nports = [{port}, {}]\nseeds = [{}]\n\
              store = \"{}\"\n[listen]\nfront = \"{ip}:8221\"\nready = \"{ip}:8224\"\n\
              directory = \"{ip}:8220\"\n[bounds]\nrevoke_ms = 2000\nlease_ms = 500\n\
              grace_s = 8.0\nretry_ratio = 0.2\nretry_slack = 58\nquota_slack = 1000\n",
             h.name,
+            port + INTERNAL_PORTS - 1,
             seeds.join(", "),
             self.store_address,
         );
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -4,7 +4,7 @@
 
 use yuccabench::soak::{SoakPlan, run_seed};
 
-fn soak(seed: u64) {
+fn soak(seed: u64, starve: bool) {
     let plan = SoakPlan {
         seed,
         duration: Duration::from_secs(5),
@@ -12,6 +12,7 @@
         engines: 4,
         plain: 4,
         callers: 9,
+        starve,
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
     let verdict = runtime.block_on(run_seed(plan)).unwrap();
@@ -19,7 +20,9 @@
 }
 
 macro_rules! seeds {
-    ($($name:ident: $seed:literal)*) => { $(#[test] fn $name() { soak($seed); })* };
+    ($($name:ident: $seed:literal $(, $starve:literal)?)*) => {
+        $(#[test] fn $name() { soak($seed, false $(|| $starve)?); })*
+    };
 }
 
 seeds! {
@@ -33,4 +36,7 @@
     // resumes. This happened because digests received during the pause made its configuration
     // look current.
     seed_two_hundred_and_seven: 207
+    // Guards against a withdrawn key that stays in use at hosts that cannot read the store, while the
+    // digests of others reach them late.
+    starved_seed_thirty_five: 35, true
 }
--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -17,12 +17,11 @@
 use tokio::runtime::Runtime;
 use yuccawing_platform_standin::{
     config::{self, Account},
+    links::Links,
     replica::{Replica, ReplicaSpec},
     store::{Listener, Store},
 };
 
-use crate::links::Links;
-
 /// Timeout for the start of a fleet, also on a busy machine.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -115,7 +114,7 @@
     pub fn start_linked(hosts: usize, plain: usize) -> Self {
         let mut f = Self::stand_ins(hosts, plain, 0);
         let ends: Vec<_> = (0..hosts).map(|i| (f.ip(i), linked_port(i))).collect();
-        f.links = Some(Links::start(&f.runtime, &ends));
+        f.links = Some(f.runtime.block_on(Links::start(&ends)).unwrap());
         f.spawn_hosts(hosts);
         f.store.put("op/config", &config::config(1, &accounts()));
         f.wait_ready();
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -12,7 +12,6 @@
 mod crashes;
 mod entries;
 mod limits;
-mod links;
 mod listings;
 mod orders;
 mod restores;
