Let no two test processes use one network

Each fleet of the daemon's tests took its loopback network from its process id modulo 100, so two test processes at the same time could start hosts at the same addresses and reach each other's. Seen twelve at a time: 8 of 60 runs of an_ended_engine_of_the_same_version_does_not_hide_it failed with "unknown_origin", each pair of them in one network by the logs.

--- a/crates/daemon/tests/platform/fleet.rs
+++ b/crates/daemon/tests/platform/fleet.rs
@@ -5,7 +5,7 @@
     collections::BTreeMap,
     fs,
     io::{self, BufRead, BufReader, Read, Write},
-    net::{Ipv4Addr, SocketAddr, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     thread,
@@ -48,6 +48,12 @@
 /// Key of the account in [`accounts`].
 pub const KEY: &str = "key-of-one";
 
+/// Last byte of the address by which a test claims its network; hosts have lower ones.
+const CLAIM_HOST: u8 = 254;
+
+/// Networks that are tried.
+const MAX_CLAIMS: u32 = 256;
+
 static NETWORKS: AtomicU32 = AtomicU32::new(0);
 
 /// A daemon process, killed when dropped.
@@ -84,6 +90,8 @@
     // Keeps the stand-ins running.
     runtime: Runtime,
     network: (u8, u8),
+    // Keeps other tests from the network.
+    _claim: TcpListener,
     dir: TempDir,
 }
 
@@ -130,9 +138,7 @@
 
     // Starts the stand-ins for a fleet of `hosts`.
     fn stand_ins(hosts: usize, plain: usize, engines: usize) -> Self {
-        let n = NETWORKS.fetch_add(1, Ordering::Relaxed);
-        // Each test of this process, and each concurrent process, gets a network of its own.
-        let network = (100 + (std::process::id() % 100) as u8, n as u8);
+        let (network, claim) = claim_network();
         let runtime = Runtime::new().unwrap();
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
         let start = |spec: ReplicaSpec| runtime.block_on(Replica::start(spec, any, 1)).unwrap();
@@ -150,7 +156,18 @@
         }
         let dir = TempDir::new().unwrap();
         let (hosts, links) = (Vec::new(), None);
-        Self { hosts, store, listeners, links, plain, engines, runtime, network, dir }
+        Self {
+            hosts,
+            store,
+            listeners,
+            links,
+            plain,
+            engines,
+            runtime,
+            network,
+            _claim: claim,
+            dir,
+        }
     }
 
     fn spawn_hosts(&mut self, hosts: usize) {
@@ -314,6 +331,20 @@
     }
 }
 
+// Chooses second and third byte of loopback addresses that no other test uses, of this process or of
+// one beside it, whose process id may end in the same digits.
+fn claim_network() -> ((u8, u8), TcpListener) {
+    for _ in 0..MAX_CLAIMS {
+        let n = NETWORKS.fetch_add(1, Ordering::Relaxed);
+        let network = (100 + (std::process::id() % 100) as u8, n as u8);
+        let ip = Ipv4Addr::new(127, network.0, network.1, CLAIM_HOST);
+        if let Ok(claim) = TcpListener::bind((ip, INTERNAL_PORT)) {
+            return (network, claim);
+        }
+    }
+    panic!("no network is free after {MAX_CLAIMS} attempts");
+}
+
 fn linked_port(i: usize) -> u16 {
     INTERNAL_PORT + INTERNAL_PORTS * i as u16
 }
