Log changes of the listing that are not applied

A change that a peer sends without a receipt, or that may be older than the list here, was dropped without a line. ListingChangeIgnored names its revision, its age and for how long it may have waited. A receipt counts only digests that had arrived when the message was stamped, which all callers keep today.

--- a/crates/core/src/fleet/peers.rs
+++ b/crates/core/src/fleet/peers.rs
@@ -248,9 +248,10 @@
         self.peers.iter().map(|(ip, p)| (*ip, p))
     }
 
-    /// Receipt for a message to the peer that is stamped at `now`, none before its first digest.
+    /// Receipt for a message to the peer that is stamped at `now`, none before its first digest. A digest
+    /// that has arrived since does not count.
     pub fn receipt(&self, now: Tick, ip: Ipv4Addr) -> Option<Receipt> {
-        let p = self.peers.get(&ip)?;
+        let p = self.peers.get(&ip).filter(|p| p.last_heard <= now)?;
         let held_ms = now.since(p.last_heard).as_millis();
         let held_ms = u32::try_from(held_ms).unwrap_or(u32::MAX);
         Some(Receipt { incarnation: p.incarnation, sequence: p.sequence, held_ms })
--- a/crates/core/src/fleet/receipt/tests.rs
+++ b/crates/core/src/fleet/receipt/tests.rs
@@ -87,6 +87,8 @@
         peers.apply_digest(at(150), &digest(INCARNATION, 4));
         let wanted = Receipt { incarnation: INCARNATION, sequence: 5, held_ms: 300 };
         assert_eq!(peers.receipt(at(400), ip(1)), Some(wanted));
+        // A message that was stamped before the digest arrived.
+        assert_eq!(peers.receipt(at(99), ip(1)), None);
     }
     // Guards against an age that is bounded by a digest of this host's former process, at peers that
     // have not heard of the new one.
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -115,6 +115,7 @@
     511 StoreRestored Warning "The store came back from an older copy of itself.";
     512 ItemOutdated Info "The store returned an item with an earlier revision than the one that was applied.";
     513 ConfigPartClosed Error "A part of a configuration could not be understood; its requests are refused.";
+    514 ListingChangeIgnored Info "A peer's change of the replicas was not applied because it may be older than the list here.";
     600 PeerAlive Info "A peer responds.";
     601 PeerLost Warning "A peer does not respond.";
     602 PeerLeaving Info "A peer is shutting down.";
--- a/crates/daemon/src/front/control/sync.rs
+++ b/crates/daemon/src/front/control/sync.rs
@@ -284,11 +284,18 @@
     ) {
         // If the difference does not apply to the list here, or may be older than it, the list stays
         // outdated until this host reads the store.
-        let Some(stamped_after) = stamped_after else { return };
         let Some(entries) = self.store.list.apply(change) else { return };
         let listing = &mut self.store.listing;
-        let applied = listing.apply_delta(now, change.base_hash, change.to, stamped_after);
-        let Some(sent_at) = applied else { return };
+        let applied =
+            stamped_after.and_then(|t| listing.apply_delta(now, change.base_hash, change.to, t));
+        let Some(sent_at) = applied else {
+            let wait = stamped_after.map(|t| now.since(t).as_millis() as u64);
+            let fields = kv!(
+                "revision" => change.revision, "age_ms" => change.to.age_ms, "wait_ms" => wait,
+            );
+            emit(&self.log, Event::ListingChangeIgnored, &fields);
+            return;
+        };
         self.store.count = self.store.count.max(change.revision);
         self.store.list.replace(&entries);
         self.apply_listing(now, sent_at, entries, change.revision);
