--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -31,6 +31,8 @@
 pub mod replicas;
 pub mod report;
 pub mod request;
+#[cfg(test)]
+mod sample;
 pub mod served;
 pub mod survivor;
 pub mod versions;
--- a/crates/core/src/fleet/freshness/tests/model.rs
+++ b/crates/core/src/fleet/freshness/tests/model.rs
@@ -1,4 +1,4 @@
-//! Model of a few hosts that read a store and state to each other how old their copies are. Any
+//! Model of a few hosts that read a store and tell each other how old their copies are. Any
 //! message may wait for any time at its sender, on the way and at its receiver, hosts pause and start
 //! again, clocks differ in rate, and the store rejects hosts, changes and is restored. Checks that no
 //! host takes its copy for younger than it is.
@@ -13,10 +13,11 @@
 };
 use crate::{
     fleet::{
-        digest::{Digest, HostState},
+        digest::Digest,
         peers::Peers,
         random::Random,
         receipt::{Receipt, SentDigests},
+        sample,
     },
     time::{MAX_DRIFT_PER_MILLE, Tick},
 };
@@ -105,7 +106,7 @@
     }
 }
 
-/// What a host states, on its way to another one.
+/// Announcement of a host on its way to another one.
 struct Sent {
     to: usize,
     receipt: Option<Receipt>,
@@ -162,7 +163,7 @@
                 self.hosts[i] = Host::new(i, h.incarnation + 1, h.offset, h.fast, self.now);
             }
             3..30 => self.read(),
-            30..60 => self.state(None),
+            30..60 => self.announce(None),
             _ => self.deliver(),
         }
     }
@@ -193,35 +194,21 @@
                 let old = h.freshness.finish_read(sent_at, hash);
                 let age_ms = clock.since(sent_at).as_millis() as u64;
                 let change = old.filter(|o| *o != hash);
-                self.state(change.map(|o| (i, o, SnapshotMark { hash, age_ms })));
+                self.announce(change.map(|o| (i, o, SnapshotMark { hash, age_ms })));
             }
         }
     }
 
-    // Lets a host state its copy to the others, or the change that it has read.
-    fn state(&mut self, change: Option<(usize, u64, SnapshotMark)>) {
+    // Lets a host announce its copy to the others, or the change that it has read.
+    fn announce(&mut self, change: Option<(usize, u64, SnapshotMark)>) {
         let i = change.map_or_else(|| self.host(), |(i, ..)| i);
         let h = &mut self.hosts[i];
         let clock = h.clock(self.now);
         h.sequence += 1;
         h.sent.record(h.sequence, clock);
         let digest = Digest {
-            ip: ip(i),
-            front: (ip(i), 80).into(),
-            zone: "a".into(),
-            incarnation: h.incarnation,
-            sequence: h.sequence,
-            state: HostState::Serving,
-            members: Vec::new(),
-            age_ms: 0,
-            revision: 0,
-            fences: Vec::new(),
-            operator: None,
             listing: h.freshness.mark(clock, POLL),
-            accounts: Vec::new(),
-            loads: Vec::new(),
-            cached: Vec::new(),
-            engines: Vec::new(),
+            ..sample::digest(ip(i), h.incarnation, h.sequence)
         };
         for to in (0..self.hosts.len()).filter(|to| *to != i) {
             if self.in_flight.len() < MAX_IN_FLIGHT {
--- a/crates/core/src/fleet/order/tests/model.rs
+++ b/crates/core/src/fleet/order/tests/model.rs
@@ -7,10 +7,11 @@
 
 use super::{LEASE, at};
 use crate::fleet::{
-    digest::{Digest, HostState, ReplicaFence},
+    digest::{Digest, ReplicaFence},
     order::{Claim, Ownership},
     peers::{CONTEST_AFTER, ORDER_WINDOW, Owner, Peers},
     random::Random,
+    sample,
     survivor::Survivor,
 };
 
@@ -76,22 +77,11 @@
         let own = self.own.fence_since(at(now) - ORDER_WINDOW);
         let fence = own.or(reported).map(|fence| ReplicaFence { replica: REPLICA_HASH, fence });
         Digest {
-            ip: ip(i),
-            front: (ip(i), 80).into(),
-            zone: "a".into(),
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-            state: HostState::Serving,
             members: if members { self.peers.members(at(now)) } else { Vec::new() },
             age_ms: now - self.started,
             revision: self.position,
             fences: fence.into_iter().collect(),
-            operator: None,
-            listing: None,
-            accounts: Vec::new(),
-            loads: Vec::new(),
-            cached: Vec::new(),
-            engines: Vec::new(),
+            ..sample::digest(ip(i), self.incarnation, self.sequence)
         }
     }
 
--- a/crates/core/src/fleet/peers/tests.rs
+++ b/crates/core/src/fleet/peers/tests.rs
@@ -1,12 +1,11 @@
-use std::{
-    collections::BTreeSet,
-    net::{Ipv4Addr, SocketAddr},
-    time::Duration,
-};
+use std::{collections::BTreeSet, net::Ipv4Addr, time::Duration};
 
 use super::{Owner, PeerChange, Peers};
 use crate::{
-    fleet::digest::{Digest, HostState, Member, ReplicaFence},
+    fleet::{
+        digest::{Digest, HostState, Member, ReplicaFence},
+        sample,
+    },
     time::Tick,
 };
 
@@ -20,22 +19,9 @@
 
 fn digest(i: u8, incarnation: u64, sequence: u64) -> Digest {
     Digest {
-        ip: ip(i),
-        front: SocketAddr::from((ip(i), 80)),
-        zone: "a".into(),
-        incarnation,
-        sequence,
-        state: HostState::Serving,
         members: vec![Member { ip: ip(1), alive: true }],
         age_ms: 60_000,
-        revision: 0,
-        fences: Vec::new(),
-        operator: None,
-        listing: None,
-        accounts: Vec::new(),
-        loads: Vec::new(),
-        cached: Vec::new(),
-        engines: Vec::new(),
+        ..sample::digest(ip(i), incarnation, sequence)
     }
 }
 
--- a/crates/core/src/fleet/receipt/tests.rs
+++ b/crates/core/src/fleet/receipt/tests.rs
@@ -2,10 +2,7 @@
 
 use super::{MAX_SENT, Receipt, SentDigests};
 use crate::{
-    fleet::{
-        digest::{Digest, HostState},
-        peers::Peers,
-    },
+    fleet::{peers::Peers, sample},
     time::Tick,
 };
 
@@ -19,27 +16,6 @@
     Ipv4Addr::new(10, 0, 0, n)
 }
 
-fn digest(incarnation: u64, sequence: u64) -> Digest {
-    Digest {
-        ip: ip(1),
-        front: (ip(1), 80).into(),
-        zone: "a".into(),
-        incarnation,
-        sequence,
-        state: HostState::Serving,
-        members: Vec::new(),
-        age_ms: 0,
-        revision: 0,
-        fences: Vec::new(),
-        operator: None,
-        listing: None,
-        accounts: Vec::new(),
-        loads: Vec::new(),
-        cached: Vec::new(),
-        engines: Vec::new(),
-    }
-}
-
 macro_rules! cases {
     ($($name:ident: $body:block)*) => { $(#[test] fn $name() $body)* };
 }
@@ -83,8 +59,8 @@
     a_peer_confirms_the_newest_digest: {
         let mut peers = Peers::new(ip(2), Vec::new(), at(0));
         assert_eq!(peers.receipt(at(0), ip(1)), None);
-        peers.apply_digest(at(100), &digest(INCARNATION, 5));
-        peers.apply_digest(at(150), &digest(INCARNATION, 4));
+        peers.apply_digest(at(100), &sample::digest(ip(1), INCARNATION, 5));
+        peers.apply_digest(at(150), &sample::digest(ip(1), INCARNATION, 4));
         let wanted = Receipt { incarnation: INCARNATION, sequence: 5, held_ms: 300 };
         assert_eq!(peers.receipt(at(400), ip(1)), Some(wanted));
         // A message that was stamped before the digest arrived.
@@ -94,12 +70,12 @@
     // have not heard of the new one.
     a_restarted_host_is_not_confirmed_by_its_former_digests: {
         let mut peers = Peers::new(ip(2), Vec::new(), at(0));
-        peers.apply_digest(at(100), &digest(INCARNATION, 1));
+        peers.apply_digest(at(100), &sample::digest(ip(1), INCARNATION, 1));
         let mut sent = SentDigests::new(INCARNATION + 1);
         sent.record(1, at(5000));
         let receipt = peers.receipt(at(5100), ip(1)).unwrap();
         assert_eq!(sent.stamped_after(&receipt), None);
-        peers.apply_digest(at(5200), &digest(INCARNATION + 1, 1));
+        peers.apply_digest(at(5200), &sample::digest(ip(1), INCARNATION + 1, 1));
         let receipt = peers.receipt(at(5300), ip(1)).unwrap();
         assert!(sent.stamped_after(&receipt).is_some());
     }
