--- a/crates/daemon/src/front/datagrams.rs
+++ b/crates/daemon/src/front/datagrams.rs
@@ -1,6 +1,9 @@
 //! UDP messages between hosts. A digest replaces the one before it, so nothing is retransmitted on
 //! loss, and there is no connection that could go silent. This is why `tarpc` is not used here.
 
+#[cfg(test)]
+mod tests;
+
 use std::{net::SocketAddr, sync::Arc};
 
 use actix::{Addr, Message as ActixMessage};
