review: a host that is cut off gives orders beside the others

A host that reaches a minority takes itself for the only survivor if its own callers keep it busy and it sees nothing of other hosts at the engines whose reports it reads. After 9 s of a cut it and a host of the majority order the same engines within milliseconds, the later one with the lower fencing token. The stand-ins get links that can be cut.

--- a/review/lib-3/lab3.py
+++ b/review/lib-3/lab3.py
@@ -115,7 +115,7 @@
         self.items, self.rev, self.era = {}, 100, 0
         self.history = []
         self.away = False
-        self.refused = set()
+        self.refused, self.silent = set(), set()
 
     async def start(self, hosts):
         """Listens on one port a host, so that it can turn single hosts away."""
@@ -159,6 +159,9 @@
             while True:
                 head = await read_head(reader)
                 await read_body(reader, head)
+                if writer.get_extra_info("sockname")[1] in self.silent:
+                    await asyncio.sleep(60)
+                    return
                 if self.away or writer.get_extra_info("sockname")[1] in self.refused:
                     writer.write(response(503))
                     await writer.drain()
@@ -377,21 +380,59 @@
         return f"{self.status} {len(self.body)} bytes {end}"
 
 
+class Links:
+    """Carries the datagrams between hosts, each of which has ports of its own, and drops those of a host
+    that is cut off. A host sends to its own port at the address of the other one."""
+
+    def __init__(self, lab):
+        self.lab, self.cut, self.sockets = lab, set(), []
+
+    def start(self):
+        for a in self.lab.hosts:
+            for b in self.lab.hosts:
+                if a is not b:
+                    self.connect(a, b)
+
+    def connect(self, a, b):
+        # Datagrams of `a` for `b` arrive at `front`, and go on from an address of `a`, where the direct
+        # responses of `b` arrive.
+        front, back = self.bind(b.ip, a.port), self.bind(a.ip, 0)
+        loop = asyncio.get_running_loop()
+        loop.add_reader(front, self.carry, front, back, (b.ip, b.port), a, b)
+        loop.add_reader(back, self.carry, back, front, (a.ip, a.port), a, b)
+
+    def bind(self, ip, port):
+        s = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        s.setblocking(False)
+        s.bind((ip, port))
+        self.sockets.append(s)
+        return s
+
+    def carry(self, source, through, to, a, b):
+        try:
+            data = source.recv(65536)
+            if a not in self.cut and b not in self.cut:
+                through.sendto(data, to)
+        except OSError:
+            pass
+
+
 class Host:
     """One process of the deploy file's role, with settings of the deploy template."""
 
     def __init__(self, lab, n, ip, zone):
         self.lab, self.n, self.ip, self.zone = lab, n, ip, zone
         self.name = f"front-{zone}-{n}"
+        self.port = lab.port + (8 * n if lab.linked else 0)
         self.process = None
         self.file = os.path.join(lab.dir, f"{self.name}.toml")
         self.log = os.path.join(lab.dir, f"{self.name}.log")
 
     def front(self):
-        return (self.ip, self.lab.port + 3)
+        return (self.ip, self.port + 3)
 
     def write_settings(self):
-        lab, p = self.lab, self.lab.port
+        lab, p = self.lab, self.port
         bounds = "\n".join(f"{k} = {json.dumps(v)}" for k, v in lab.bounds.items())
         seeds = ",".join(f'"{h.ip}:{p + 5}"' for h in lab.hosts[:3])
         text = (f'name = "{self.name}"\nip = "{self.ip}"\nzone = "{self.zone}"\n'
@@ -420,7 +461,7 @@
 
     async def is_ready(self):
         try:
-            a = await self.lab.call((self.ip, self.lab.port + 4), "GET", "/ready", {"Host": self.ip},
+            a = await self.lab.call((self.ip, self.port + 4), "GET", "/ready", {"Host": self.ip},
                                     wait=0.5)
             return a.status == 200
         except OSError:
@@ -430,11 +471,12 @@
 class Lab:
     """A small deployment on loopback addresses."""
 
-    def __init__(self, folder, hosts=4):
+    def __init__(self, folder, hosts=4, linked=False):
         self.rec = Record(os.path.join(folder, "record.txt"))
         self.dir = tempfile.mkdtemp(prefix="review3-")
         self.net = random.randrange(10, 250)
-        self.port = free_ports(self.address(11), 8)
+        self.linked = linked
+        self.port = free_ports(self.address(11), 8 * (hosts + 1) if linked else 8)
         self.store = Store(self.rec, self.address(2))
         self.bounds = {
             "grace_s": 8, "fail_closed": True, "revoke_ms": 5000, "config_ms": 2000,
@@ -443,7 +485,7 @@
         }
         zones = ["scot-central-a", "scot-central-a", "scot-central-b", "scot-central-c"]
         self.hosts = [Host(self, i + 1, self.address(11 + i), zones[i % 4]) for i in range(hosts)]
-        self.replicas = []
+        self.links = Links(self)
         self.version = 7
 
     def address(self, n):
@@ -463,7 +505,20 @@
         self.store.put("op/config", config)
         self.rec("config", self.version, "acknowledged")
 
+    def cut_off(self, host):
+        """Partitions a host from the other hosts and from the store, silently."""
+        self.links.cut.add(host)
+        self.store.silent.add(self.store.ports[host.n - 1])
+        self.rec(host.name, "is cut off")
+
+    def heal(self, host):
+        self.links.cut.discard(host)
+        self.store.silent.discard(self.store.ports[host.n - 1])
+        self.rec(host.name, "is no longer cut off")
+
     async def start_hosts(self, wait=20.0):
+        if self.linked:
+            self.links.start()
         if not os.path.exists(DAEMON):
             raise CannotRun("target/release/yuccawingd is not built")
         for h in self.hosts:
@@ -540,9 +595,9 @@
         shutil.rmtree(self.dir, ignore_errors=True)
 
 
-def main(folder, hosts, case):
+def main(folder, hosts, case, linked=False):
     """Runs `case(lab)`: exit 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
-    lab = Lab(folder, hosts)
+    lab = Lab(folder, hosts, linked)
 
     async def run():
         async with asyncio.timeout(115):
