--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""A new version of an adapter is declared while requests for the old one wait at a slow engine."""
+"""A replica in trouble sends bytes without end in the body of its streams."""
 
 import asyncio
 import os
@@ -7,105 +7,103 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib-3"))
-from lab3 import TROUBLE, Broken, CannotRun, Replica, main  # noqa: E402
+from lab3 import TROUBLE, Broken, CannotRun, Replica, main, read_head  # noqa: E402
 
-VERSION_S = 5.0  # version_ms
-PREFILL_S = 0.237  # of 9,190 tokens at 38.7 tokens a millisecond
-SLOW_X, SLOW_S = 7.5, 6.5  # srv_grey, how slow
-BUDGET_MS = 15000
+TIMEOUT_MS = 6000  # of the route
+BUDGET_MS = 15000  # time for which the callers wait
+CALLERS = 12
 KEY = "i9n73hh2b9wu3fexd9dn"
 
 
-class Engine(Replica):
-    """Reads the prompts of its requests one after the other, slower while `slow_until` is ahead."""
+class InTrouble(Replica):
+    """After three events of a stream it sends comments without end, until the caller closes."""
 
-    slow_until = 0.0
+    comment = b": " + b"x" * 1020 + b"\n\n"
 
-    async def start(self):
-        self.reading = asyncio.Lock()
-        self.begins = []
-        await super().start()
-
-    async def request(self, reader, writer, head, method, target, body):
-        status = self.refusal(head)
-        if status is not None:
-            return await super().request(reader, writer, head, method, target, body)
-        rid = head.get("yuccawing-request-id")
-        self.rec("arrived", rid, "at", self.id, "expects version", head.get("yuccawing-expect-version") or "any")
-        self.queued += 1
-        gone = asyncio.create_task(reader.read(1))
-        try:
-            async with self.reading:
-                left = PREFILL_S
-                while left > 0 and not gone.done():
-                    await asyncio.sleep(0.01)
-                    left -= 0.01 / (SLOW_X if time.monotonic() < self.slow_until else 1)
-        finally:
-            self.queued -= 1
-        if gone.done():
-            self.rec("dropped", rid, "at", self.id)
-            return False
-        gone.cancel()
-        # The weights may have been replaced while it waited.
-        status = self.refusal(head)
-        if status is not None:
-            return await super().request(reader, writer, head, method, target, body)
-        version = self.adapters[head.get("yuccawing-model").split("/")[1]]
-        self.begins.append((time.monotonic(), rid, version))
-        self.rec("begins", rid, "at", self.id, "on version", version)
-        self.running += 1
+    async def stream(self, writer, head):
+        if not TROUBLE:
+            return await super().stream(writer, head)
+        rid, begun = head.get("yuccawing-request-id"), time.monotonic()
+        await self.stream_head(writer, head)
+        for n in range(1, 4):
+            await asyncio.sleep(self.event_s)
+            self.event(writer, f"id: {n}\ndata: {rid}#{n}\n\n")
+        piece = (f"{len(self.comment):x}\r\n".encode() + self.comment + b"\r\n") * 32
         try:
-            await self.stream(writer, head)
+            while True:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0)
         finally:
-            self.running -= 1
-        return False
+            self.rec("channel of", rid, "closed at", self.id, f"after {time.monotonic() - begun:.3f} s")
+
+
+async def caller(lab, host, rid):
+    """Reads its stream at a steady pace. Returns how long it lasted, and how it ended."""
+    begun = time.monotonic()
+    how, got = "caller gave up", 0
+    reader, writer = await asyncio.open_connection(*host.front(), limit=1 << 16)
+    try:
+        async with asyncio.timeout(BUDGET_MS / 1000):
+            lab.rec("sent", rid, "to", host.name)
+            writer.write((
+                "POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\n"
+                f"Yuccawing-Request-Id: {rid}\r\nYuccawing-Deadline-Ms: {BUDGET_MS}\r\n"
+                "Yuccawing-Model: m0/a1\r\nYuccawing-Token-Count: 826,73\r\n"
+                f"Yuccawing-Prefix-Hash: 5c1e07a2:198,{abs(hash(rid)) % 2**32:x}:628\r\n"
+                f"Authorization: Bearer {KEY}\r\nContent-Length: 2\r\n\r\n{{}}").encode())
+            head = await read_head(reader)
+            status = int(head.first.split(" ")[1])
+            tail = b""
+            while True:
+                data = await reader.read(1 << 16)
+                got, tail = got + len(data), (tail + data)[-5:]
+                if not data or tail == b"0\r\n\r\n":
+                    how = "complete" if tail == b"0\r\n\r\n" else "cut"
+                    break
+                await asyncio.sleep(0.05)
+            how = f"{status} {how}"
+    except TimeoutError:
+        pass
+    except (asyncio.IncompleteReadError, ConnectionError) as e:
+        how = type(e).__name__
+    finally:
+        writer.transport.abort()
+    lasted = time.monotonic() - begun
+    lab.rec("answered", rid, how, got, "bytes", f"after {lasted:.3f} s")
+    return lasted, how
 
 
 async def case(lab):
-    engines = [Engine(lab.rec, lab.store, f"i-{n}", "huvo11a", lab.address(30 + n), model="m0",
-                      adapters={f"a{n + 1}": 1}) for n in range(8)]
-    for e in engines:
-        await e.start()
+    sound = [Replica(lab.rec, lab.store, f"i-{n}", "huvo11a", lab.address(30 + n), model="m0",
+                     adapters={f"a{n + 1}": 1}) for n in (1, 2)]
+    bad = InTrouble(lab.rec, lab.store, "i-0", "huvo11a", lab.address(30), model="m0", adapters={"a1": 1})
+    for r in [bad] + sound:
+        await r.start()
     lab.put_config(lab.config(
         [{"Name": "r-nr26tta", "Host": "ficu95.example", "Prefix": "/lohu930/", "Kind": "streaming",
-          "TimeoutMs": BUDGET_MS, "SloMs": 800, "Priority": 0, "Service": "huvo11a",
-          "MaxAttempts": 1, "Public": False, "Sticky": True, "Resumable": True, "GapTargetMs": 400}],
+          "TimeoutMs": TIMEOUT_MS, "SloMs": 1000, "Priority": 1, "Service": "huvo11a",
+          "MaxAttempts": 1, "Public": False, "Sticky": True, "Resumable": False, "GapTargetMs": 400}],
         [{"Name": "huvo11a", "HealthPath": "/health", "MaxConns": 370, "Engine": {
             "Slots": 64, "KvTokens": 232000, "Models": [{"Name": "m0", "WeightsMb": 34300.0,
             "LoadS": 1.0, "Adapters": 3000, "AdapterMb": 40.0}], "WeightsMb": 35300.0,
             "AdapterSlots": 8, "LoadsPerS": 2.8}}],
         [{"Name": "hule930", "ApiKeys": [KEY], "Priority": 1, "Unit": "tokens", "PlainTokens": 200,
           "RatePerS": 128999, "Burst": 128999}]))
-    lab.store.put("op/version/m0.a1", {"Model": "m0", "Adapter": "a1", "Version": 1})
     await lab.start_hosts()
     await asyncio.sleep(4)  # in touch: ContactMs after the start
-
-    async def ask(n):
-        rid = f"9c41d07be2a3{n:04x}"
-        return await lab.ask(
-            lab.hosts[n % 4], "POST", "/lohu930/2f", rid, KEY, BUDGET_MS,
-            {"Yuccawing-Model": "m0/a1", "Yuccawing-Token-Count": "9190,20",
-             "Yuccawing-Prefix-Hash": f"{n + 1000:x}:6300,{n:x}:2890"}, b"{}")
-
-    if TROUBLE:
-        engines[0].slow_until = time.monotonic() + SLOW_S
-        lab.rec("i-0 works", SLOW_X, "times as long for", SLOW_S, "s")
-    calls = [asyncio.create_task(ask(n)) for n in range(8)]
-    await asyncio.sleep(0.3)
-    lab.store.put("op/version/m0.a1", {"Model": "m0", "Adapter": "a1", "Version": 2})
-    for e in engines:
-        e.newest["a1"] = 2
-    ack = time.monotonic()
-    lab.rec("version 2 of a1 acknowledged")
-    answers = await asyncio.gather(*calls)
-    if not TROUBLE and not all(a.complete and a.status == 200 for a in answers):
-        raise CannotRun("without the disruption: " + ", ".join(a.text() for a in answers))
-    begins = [(at - ack, rid, e.id) for e in engines for at, rid, version in e.begins if version < 2]
-    late = [b for b in begins if b[0] > VERSION_S]
-    for after, rid, eid in begins:
-        lab.rec(rid, "began on version 1 at", eid, f"{after:.2f} s after the ack of version 2")
-    if late:
-        raise Broken(f"VERSION: {len(late)} requests began on version 1 up to {max(late)[0]:.1f} s after the ack of version 2")
+    calls = []
+    for n in range(CALLERS):
+        calls.append(asyncio.create_task(caller(lab, lab.hosts[n % len(lab.hosts)], f"9c41d07be2a3{n:04x}")))
+        await asyncio.sleep(0.02)
+    ends = await asyncio.gather(*calls)
+    if not TROUBLE and any(how != "200 complete" for _, how in ends):
+        raise CannotRun(f"without the disruption: {ends}")
+    longer = [x for x, _ in ends if x > TIMEOUT_MS / 1000]
+    late = [x for x in longer if x > TIMEOUT_MS / 1000 + 0.5]
+    lab.rec(len(longer), "requests lasted longer than TimeoutMs,", len(late), "of them over 0.5 s longer")
+    if len(late) >= 8 and len(late) * 4 > len(longer):
+        raise Broken(f"CONFIG: {len(late)} of {len(longer)} requests had no final answer 0.5 s after TimeoutMs")
 
 
 main(HERE, 4, case)
